Never let bytes of one answer answer another; fail spoilt answers at once; move the watch on SIGHUP

Ruled out: a told length that is too short (no such answer was served). To blame: EndpointPool.Connection.whole, which pooled the connection before the read pass was over, and the decoder as it comes. SIGHUP was never handled.

Now a connection rests for 10 ms after an answer and is reused only if nothing followed; the rest ends as a task of the loop, behind whatever was to be read. Both framing headers, lines with no colon, no length, a length over 64 KiB, interim answers without end and answers that begin and stop fail at once as resets. An address that moved during an attempt is noticed. Hangup and Reload take discovery's new address; late lines of the old watch are dropped.

--- a/src/main/java/cobaltrack/sidecar/Config.java
+++ b/src/main/java/cobaltrack/sidecar/Config.java
@@ -5,7 +5,11 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -22,6 +26,19 @@
 
     private static final int HEX = 16;
 
+    /**
+     * Reads the configuration from a file.
+     *
+     * @throws IllegalArgumentException with one line that says what is missing or malformed
+     */
+    static Config read(String path, ObjectMapper mapper) {
+        try {
+            return parse(Files.readString(Path.of(path)), mapper);
+        } catch (IOException | InvalidPathException e) {
+            throw new IllegalArgumentException("cannot read " + path, e);
+        }
+    }
+
     /**
      * Reads the configuration.
      *
--- a/src/main/java/cobaltrack/sidecar/Discovery.java
+++ b/src/main/java/cobaltrack/sidecar/Discovery.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -52,14 +54,15 @@
     private static final double BACKOFF_MOST_MS = 4000;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final ObjectMapper mapper;
     private final boolean pushed;
     private final Random random;
     private final Listener listener;
     private final Bootstrap bootstrap;
+    private InetSocketAddress address;
     private Long seq;
-    private boolean watching;
+    /** The watch under way; others that have not ended yet are no longer heeded. */
+    private Call current;
     private double backoff = BACKOFF_FIRST_MS;
 
     /** A watch that has not begun. {@code known} is the list to hear changes of, or null. */
@@ -78,25 +81,50 @@
 
     /** Begins a watch, unless one is under way. */
     void watch() {
-        if (watching) {
+        if (current != null) {
             return;
         }
-        watching = true;
-        bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+        Call call = new Call();
+        current = call;
+        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
-                        new HttpClientCodec(), new Call(), new LineBasedFrameDecoder(LINE_MOST), new Lines());
+                        new HttpClientCodec(), call, new LineBasedFrameDecoder(LINE_MOST), new Lines(call));
             }
-        }).connect(address).addListener(f -> {
+        }).connect(address);
+        call.channel = connecting.channel();
+        connecting.addListener(f -> {
             if (!f.isSuccess()) {
-                failed();
+                failed(call);
             }
         });
     }
 
-    private void failed() {
-        watching = false;
+    /**
+     * Moves the watch to another address at once; the old list stands until the new one has come. The whole list is
+     * asked for, since another service's versions may be counted otherwise, and no change must be missed.
+     */
+    void move(InetSocketAddress next) {
+        if (next.equals(address)) {
+            return;
+        }
+        address = next;
+        seq = null;
+        Call old = current;
+        // The end of the old watch is meant and no failure, and what it still has to say is out of date.
+        current = null;
+        if (old != null) {
+            old.channel.close();
+        }
+        watch();
+    }
+
+    private void failed(Call call) {
+        if (call != current) {
+            return;
+        }
+        current = null;
         if (pushed) {
             double wait = backoff * (0.5 + random.nextDouble());
             backoff = Math.min(BACKOFF_MOST_MS, backoff * 2);
@@ -108,6 +136,8 @@
 
     /** The call itself: asks once connected, and passes on the bytes of the answer's body. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+        private Channel channel;
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             String uri = PATH + "?watch=1" + (seq == null ? "" : "&after=" + seq);
@@ -133,7 +163,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            failed();
+            failed(this);
         }
 
         @Override
@@ -144,10 +174,16 @@
 
     /** The lines of the answer, one list or change each. */
     private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Call call;
+
+        private Lines(Call call) {
+            this.call = call;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
             String text = line.toString(StandardCharsets.UTF_8);
-            if (text.isBlank() || !ctx.channel().isActive()) {
+            if (text.isBlank() || call != current || !ctx.channel().isActive()) {
                 return;
             }
             EndpointList list;
--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointPool.java
@@ -6,20 +6,27 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -47,6 +54,12 @@
     /** Of the endpoint's own idle limit: a request must never cross the endpoint's closing. */
     private static final double IDLE_SHARE = 0.75;
     private static final long SWEEP_MS = 1000;
+    /** Interim answers ahead of the real one; more are not meant to end. */
+    private static final int INTERIM_MOST = 8;
+    /** An answer that has begun and brings nothing for so long will not end. */
+    private static final double STALL_MS = 500;
+    /** How long a connection rests after an answer, for bytes behind it to show themselves. */
+    private static final long REST_MS = 10;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -54,6 +67,7 @@
     private final double idleMost;
     private final int most;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
+    private final ArrayDeque<Connection> resting = new ArrayDeque<>();
     private int open;
 
     /**
@@ -63,7 +77,8 @@
      * @param endpointIdle milliseconds after which an endpoint closes an idle connection
      * @param most connections open at once to all endpoints together
      */
-    EndpointPool(EventLoop loop, Class<? extends Channel> channels, Clock clock, int connectTimeout, double endpointIdle, int most) {
+    EndpointPool(EventLoop loop, Class<? extends Channel> channels, Clock clock, int connectTimeout,
+            double endpointIdle, int most) {
         this.loop = loop;
         this.clock = clock;
         this.idleMost = endpointIdle * IDLE_SHARE;
@@ -120,7 +135,7 @@
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), connection);
+                connection.addTo(channel.pipeline());
             }
         }).connect(endpoint.address);
         connection.channel = connecting.channel();
@@ -158,10 +173,11 @@
                 oldest = e;
             }
         }
-        if (oldest == null) {
+        Connection victim = oldest == null ? resting.pollFirst() : oldest.idle.pollFirst();
+        if (victim == null) {
             return false;
         }
-        oldest.idle.pollFirst().channel.close();
+        victim.channel.close();
         return true;
     }
 
@@ -224,18 +240,75 @@
         }
     }
 
+    /** Guards against answers that Netty by itself would make something of, as another reader would not. */
+    private static final class Decoder extends HttpResponseDecoder {
+        private boolean begun;
+
+        // It would drop the length and believe the chunks.
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+        }
+
+        // It would take a line without a colon for a name, and noise in the head for an answer.
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (start + length >= line.length || line[start + length] != ':') {
+                throw new IllegalArgumentException("a header without a colon");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            begun = true;
+            return super.createMessage(initialLine);
+        }
+
+        // True if the first line of an answer has come, or a part of it.
+        private boolean holdsMore() {
+            return begun || actualReadableBytes() > 0;
+        }
+    }
+
     /** One connection and the attempt on it, if any. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Endpoint endpoint;
+        private final SocketAddress address;
+        private final Decoder decoder = new Decoder();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Channel channel;
         private Attempt attempt;
         private boolean written;
         private HttpResponse head;
+        private int interim;
+        private boolean whole;
+        private boolean surplus;
+        private double readAt;
+        private Future<?> stall;
         private double idleSince;
 
         private Connection(Endpoint endpoint) {
             this.endpoint = endpoint;
+            this.address = endpoint.address;
+        }
+
+        private void addTo(ChannelPipeline pipeline) {
+            pipeline.addLast(new Bytes(), decoder, new HttpRequestEncoder(), this);
+        }
+
+        /** Guards against an answer to nobody: a second copy, or noise, must not wait here for the next request. */
+        private final class Bytes extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                if (attempt == null || attempt.over) {
+                    ((ByteBuf) message).release();
+                    ctx.close();
+                } else {
+                    readAt = clock.now();
+                    ctx.fireChannelRead(message);
+                }
+            }
         }
 
         private void write(Attempt a) {
@@ -243,20 +316,22 @@
             a.connection = this;
             written = false;
             head = null;
+            interim = 0;
+            whole = false;
+            surplus = false;
             body.reset();
             channel.writeAndFlush(a.request).addListener(f -> {
                 if (f.isSuccess()) {
                     written = true;
                 } else {
-                    channel.close();
-                    broken();
+                    spoilt();
                 }
             });
         }
 
+        // Guards against a connection to where the endpoint was: it may have moved while this one was in use.
         private void release() {
-            attempt = null;
-            if (channel.isActive() && endpoint.up) {
+            if (channel.isActive() && endpoint.up && address.equals(endpoint.address)) {
                 idleSince = clock.now();
                 endpoint.idle.addLast(this);
             } else {
@@ -267,57 +342,115 @@
         // A break before the last byte was written proves that nothing ran, a later one proves nothing.
         private void broken() {
             if (attempt != null) {
-                attempt.end(written ? Contract.Outcome.RESET : Contract.Outcome.CONNECT_FAILED, null, null);
+                Attempt a = attempt;
                 attempt = null;
+                a.end(written ? Contract.Outcome.RESET : Contract.Outcome.CONNECT_FAILED, null, null);
             }
         }
 
+        // What comes spoilt has run, perhaps, and the connection is of no further use.
+        private void spoilt() {
+            channel.close();
+            broken();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
-            if (attempt == null || attempt.over || message.decoderResult().isFailure()) {
-                ctx.close();
+            // Behind a whole answer anything may follow in the same pass; the end of the pass settles it.
+            if (attempt == null || whole) {
+                surplus = true;
                 return;
             }
-            if (message instanceof HttpResponse response) {
-                head = response;
+            if (message.decoderResult().isFailure() || message instanceof HttpResponse r && !sound(r)) {
+                spoilt();
+                return;
             }
             if (message instanceof HttpContent part) {
                 ByteBuf bytes = part.content();
                 if (body.size() + bytes.readableBytes() > BODY_MOST) {
-                    ctx.close();
+                    spoilt();
                     return;
                 }
                 bytes.readBytes(body, bytes.readableBytes());
                 if (part instanceof LastHttpContent) {
-                    whole(ctx);
+                    whole = !isInterim(head);
+                    head = whole ? head : null;
+                    decoder.begun = false;
                 }
             }
         }
 
-        private void whole(ChannelHandlerContext ctx) {
-            HttpResponse response = head;
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                body.reset();
-                return;
+        private static boolean isInterim(HttpResponse response) {
+            return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        }
+
+        // Guards against what can't be told from an answer cut short by a dying endpoint, against reading on what
+        // can't be passed on anyway, and against interim answers without end.
+        private boolean sound(HttpResponse response) {
+            head = response;
+            if (isInterim(response)) {
+                interim++;
+                return interim <= INTERIM_MOST;
             }
-            // Without a length nobody can tell a whole body from one cut short by a dying endpoint.
-            if (!HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
-                    && response.status().equals(HttpResponseStatus.OK)) {
-                ctx.close();
+            String encoding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
+            if (encoding != null) {
+                return HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding);
+            }
+            return HttpUtil.isContentLengthSet(response) && HttpUtil.getContentLength(response) <= BODY_MOST;
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (attempt == null || attempt.over) {
                 return;
             }
+            if (whole) {
+                finish();
+            } else if (stall == null && decoder.holdsMore()) {
+                // Guards against an answer that begins and never ends, on a connection that stays open.
+                watchForStall(attempt, STALL_MS);
+            }
+        }
+
+        private void watchForStall(Attempt a, double wait) {
+            stall = loop.schedule(() -> {
+                stall = null;
+                double left = readAt + STALL_MS - clock.now();
+                if (attempt != a || a.over) {
+                    return;
+                }
+                if (left > 0) {
+                    watchForStall(a, left);
+                } else {
+                    spoilt();
+                }
+            }, (long) Math.ceil(wait), TimeUnit.MILLISECONDS);
+        }
+
+        private void finish() {
             Attempt done = attempt;
-            boolean keep = written && HttpUtil.isKeepAlive(response);
-            Contract.Outcome outcome = outcome(response);
-            Answer answer = outcome == Contract.Outcome.SERVED
-                    ? new Answer(body.toByteArray(), response.headers().get(HttpHeaderNames.CONTENT_TYPE)) : null;
+            HttpResponse response = head;
             attempt = null;
-            if (keep) {
-                release();
+            head = null;
+            if (stall != null) {
+                stall.cancel(false);
+                stall = null;
+            }
+            if (written && HttpUtil.isKeepAlive(response) && !surplus && !decoder.holdsMore()) {
+                // Guards against bytes that follow a little later, which would answer the next request: the loop
+                // reads whatever has come before it runs this, so that a connection rests, however late the loop.
+                resting.addLast(this);
+                loop.schedule(() -> {
+                    resting.remove(this);
+                    release();
+                }, REST_MS, TimeUnit.MILLISECONDS);
             } else {
-                ctx.close();
+                channel.close();
             }
-            done.end(outcome, answer, LoadReport.parse(response.headers().get(LoadReport.HEADER)));
+            Contract.Outcome outcome = outcome(response);
+            Answer answer = outcome == Contract.Outcome.SERVED
+                    ? new Answer(body.toByteArray(), response.headers().get(HttpHeaderNames.CONTENT_TYPE)) : null;
+            done.end(outcome, answer, LoadReport.parse(response.headers().getAll(LoadReport.HEADER)));
         }
 
         private static Contract.Outcome outcome(HttpResponse response) {
--- a/src/main/java/cobaltrack/sidecar/LoadReport.java
+++ b/src/main/java/cobaltrack/sidecar/LoadReport.java
@@ -1,6 +1,7 @@
 package cobaltrack.sidecar;
 
 import cobaltrack.Contract;
+import java.util.List;
 
 /** Reads the load report that an endpoint's answer may carry, such as {@code util=0.61,qps=44}. */
 final class LoadReport {
@@ -10,11 +11,13 @@
 
     private LoadReport() { }
 
-    /** The report, or null if there is none or any part of it is malformed: half a report would mislead. */
+    /** The report in these headers; null if there is not just one, or one that can't be read. */
+    static Contract.Report parse(List<String> headers) {
+        return headers.size() == 1 ? parse(headers.get(0)) : null;
+    }
+
+    /** The report, or null if any part of it is malformed: half a report would mislead. */
     static Contract.Report parse(String text) {
-        if (text == null) {
-            return null;
-        }
         double inflight = Double.NaN;
         double queue = Double.NaN;
         double util = Double.NaN;
--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/sidecar/Main.java
@@ -6,9 +6,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 
 /**
@@ -42,10 +39,14 @@
     private static void start(boolean onlyCheck) {
         ObjectMapper mapper = new ObjectMapper();
         try {
-            Config config = Config.parse(configuration(), mapper);
+            String path = configuration();
+            Config config = Config.read(path, mapper);
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
             Parts parts = wire(config, mapper, loop);
             Warmup.run(config.settings());
+            Reload reload = new Reload(path, mapper, parts.discovery, Main::log);
+            // On the loop, which owns the watch and takes several in their order.
+            Hangup.run(() -> loop.execute(reload));
             parts.server.listen(NioServerSocketChannel.class, config.listen()).syncUninterruptibly();
             if (onlyCheck) {
                 System.exit(0);
@@ -65,15 +66,11 @@
         if (path == null || path.isEmpty()) {
             throw new IllegalArgumentException("PROXY_CONFIG is not set");
         }
-        try {
-            return Files.readString(Path.of(path));
-        } catch (IOException e) {
-            throw new IllegalArgumentException("cannot read " + path, e);
-        }
+        return path;
     }
 
     /** The parts, made but idle; {@code start} is run on the loop once the server listens. */
-    record Parts(ClientServer server, Runnable start) { }
+    record Parts(ClientServer server, Discovery discovery, Runnable start) { }
 
     /** Makes the parts. Nothing is asked of discovery before a failed bind could still end the process. */
     static Parts wire(Config config, ObjectMapper mapper, EventLoop loop) {
@@ -81,11 +78,11 @@
         EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, clock, config.connectTimeout(),
                 config.endpointIdle(), Math.max(1, config.sockets() * ENDPOINT_SHARE / SHARES));
         Sidecar sidecar = new Sidecar(loop, clock, config.settings(), config.seed(), pool, Main::log);
-        Discovery discovery = new Discovery(loop, config.discovery(), mapper, !config.settings().listMustBeAsked(),
-                config.seed(), config.known(), sidecar);
+        Discovery discovery = new Discovery(loop, config.discovery(), mapper,
+                !config.settings().listMustBeAsked(), config.seed(), config.known(), sidecar);
         ClientServer server = new ClientServer(loop, clock, sidecar, config.settings(),
                 Math.max(1, config.sockets() * CLIENT_SHARE / SHARES));
-        return new Parts(server, () -> {
+        return new Parts(server, discovery, () -> {
             sidecar.start(discovery::watch, config.known());
             server.ready();
         });
--- a/src/test/java/cobaltrack/sidecar/DiscoveryTest.java
+++ b/src/test/java/cobaltrack/sidecar/DiscoveryTest.java
@@ -1,10 +1,18 @@
 package cobaltrack.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -103,4 +111,61 @@
             assertEquals("done", c.ask(TestClient.submit("5")).body());
         }
     }
+
+    @Test
+    void theWatchMovesWithTheConfigurationAndTheOldOneIsNotHeeded(@TempDir Path dir) throws Exception {
+        List<String> log = new CopyOnWriteArrayList<>();
+        FakeServer.Wire[] late = new FakeServer.Wire[1];
+        CountDownLatch tell = new CountDownLatch(1);
+        try (FakeServer e = new FakeServer((r, w) -> w.ok("old"));
+                FakeServer next = new FakeServer((r, w) -> w.ok("next"));
+                FakeServer d = new FakeServer((r, w) -> {
+                    late[0] = w;
+                    w.text(WATCH + chunk(""));
+                });
+                FakeServer moved = new FakeServer((r, w) -> {
+                    await(tell);
+                    w.text(WATCH + chunk(TestNode.list(7, true, TestNode.host("s1", next.address(), "ready"))));
+                });
+                TestNode n = new TestNode(d.address(), e.address())) {
+            d.awaitRequest();
+            String good = TestNode.config("127.0.0.1:0", moved.address(), 1024);
+            Path file = dir.resolve("c.json");
+            Reload reload = new Reload(file.toString(), new ObjectMapper(), n.watch, log::add);
+            for (String bad : new String[] {null, "{", good.replace(moved.address(), "nowhere")}) {
+                if (bad != null) {
+                    Files.writeString(file, bad);
+                }
+                n.group.next().submit(reload).get();
+            }
+            assertEquals(3, log.stream().filter(l -> l.contains("not taken over")).count());
+            assertEquals(0, moved.connections());
+
+            // Twice in a row is no more than once; what the old watch has said is read too late, for the loop is busy.
+            Files.writeString(file, good);
+            n.group.next().submit(() -> {
+                late[0].text(chunk(TestNode.list(99, true)));
+                reload.run();
+                reload.run();
+                return null;
+            }).get();
+            d.awaitEnd();
+            assertFalse(moved.awaitRequest().line().contains("after"));
+            try (TestClient c = n.client()) {
+                assertEquals("old", c.ask(TestClient.submit("5")).body());
+                tell.countDown();
+                askUntil(c, "next");
+            }
+            assertEquals(1, moved.connections());
+            assertEquals(1, d.connections());
+        }
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
 }
--- a/src/test/java/cobaltrack/sidecar/ProcessTest.java
+++ b/src/test/java/cobaltrack/sidecar/ProcessTest.java
@@ -104,6 +104,33 @@
         }
     }
 
+    @Test
+    void aHangupMovesTheWatchAndEndsNothing() throws Exception {
+        FakeServer.Script watch = (r, w) -> w.text("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        try (FakeServer e = new FakeServer((r, w) -> w.ok("done")); FakeServer d = new FakeServer(watch);
+                FakeServer moved = new FakeServer(watch)) {
+            String listen = FakeServer.refusing();
+            Path config = Files.writeString(dir.resolve("c.json"),
+                    TestNode.config(listen, d.address(), 1024, e.address()));
+            Process p = start(config, dir.resolve("err"));
+            try {
+                d.awaitRequest();
+                Files.writeString(config, TestNode.config(listen, moved.address(), 1024));
+                for (int i = 0; i < 3; i++) {
+                    new ProcessBuilder("kill", "-HUP", Long.toString(p.pid())).start().waitFor();
+                }
+                d.awaitEnd();
+                moved.awaitRequest();
+                try (TestClient c = new TestClient(Integer.parseInt(listen.substring(listen.indexOf(':') + 1)))) {
+                    assertEquals("done", c.ask(TestClient.submit("5")).body());
+                }
+                assertTrue(p.isAlive());
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void whatTheKillWouldFindIsFailedBeforeIt() throws Exception {
         CountDownLatch drained = new CountDownLatch(1);
--- a/src/test/java/cobaltrack/sidecar/TestNode.java
+++ b/src/test/java/cobaltrack/sidecar/TestNode.java
@@ -12,6 +12,7 @@
 final class TestNode implements AutoCloseable {
     final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final ClientServer server;
+    final Discovery watch;
     final int port;
 
     /** A sidecar with plenty of sockets that knows these endpoints, named s0, s1 and so on. */
@@ -28,6 +29,7 @@
         var loop = group.next();
         Main.Parts parts = Main.wire(config, mapper, loop);
         server = parts.server();
+        watch = parts.discovery();
         port = ((InetSocketAddress) server.listen(NioServerSocketChannel.class, config.listen()).sync().channel().localAddress()).getPort();
         loop.submit(parts.start()).get();
     }
