Serve kept connections through a drain for as long as a kill allows

Checked: the times of the stops (16.54 and 19.54 s, 3.5 s after SIGTERM) and 'nodes that ended by themselves': ours were gone 3 s before. Ruled out: SIGHUP (both moves of the watch logged, nothing failed there). To blame: ClientServer.drain, which closed idle connections at once and every other one with its answer. Clients use those that they have while they stay open, so for 3 s nobody could ask.

--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -22,6 +22,8 @@
     private static final double KILL_DEADLINE_MOST_MS = 3000;
     /** ... and 700 ms more, of which 200 ms are kept for the last answers to go out. */
     private static final double KILL_AFTER_DEADLINE_MS = 500;
+    /** Of that, the time for what was taken last; most answers come in far less. */
+    private static final double LAST_ANSWERS_MS = 1000;
     /** A request comes whole within this time, or is answered 408: bad clients are owed a word within 3 s. */
     private static final double RECEIVE_MOST_MS = 2500;
     /** A client that does not read its answer for so long is gone. */
@@ -89,7 +91,7 @@
     }
 
     boolean serving() {
-        return ready && !draining;
+        return ready && drained == null;
     }
 
     boolean draining() {
@@ -182,22 +184,24 @@
     }
 
     /**
-     * Stops in the order that loses nothing: idle connections close while a request that crosses this can still
-     * come on a new one; all answers close theirs; accepting ends once no more can come; what is held ends, and
-     * what a client would wait for longer than this process may live is failed while it still can be.
+     * Stops in the order that loses nothing: new connections are taken for as long as they may still come, and those
+     * that clients have are served on, for to them a closed one is an outage until the next start. Then idle ones
+     * close and every answer closes its own; what is still held is failed while it can be.
      */
     void drain(Runnable whenDrained) {
         drained = whenDrained;
-        draining = true;
-        // One that has said nothing yet is new, and its first request is as good as here.
-        closeAll(ClientConnection.Phase.IDLE);
         loop.schedule(() -> {
             accepting = false;
             listener.close();
-            closeAll(ClientConnection.Phase.SILENT);
             finishDrain();
         }, ACCEPT_AFTER_STOP_MS, TimeUnit.MILLISECONDS);
         double limit = Math.min(KILL_DEADLINE_MOST_MS, longestDeadline) + KILL_AFTER_DEADLINE_MS;
+        loop.schedule(() -> {
+            draining = true;
+            closeAll(ClientConnection.Phase.IDLE);
+            closeAll(ClientConnection.Phase.SILENT);
+            finishDrain();
+        }, (long) Math.max(ACCEPT_AFTER_STOP_MS, limit - LAST_ANSWERS_MS), TimeUnit.MILLISECONDS);
         loop.schedule(sidecar::failAll, (long) limit, TimeUnit.MILLISECONDS);
     }
 
@@ -208,7 +212,8 @@
     }
 
     private void finishDrain() {
-        if (drained != null && !accepting && connections.stream().noneMatch(ClientConnection::busy)) {
+        if (drained != null && !accepting && (draining ? connections.stream().noneMatch(ClientConnection::busy)
+                : connections.isEmpty())) {
             Runnable r = drained;
             drained = null;
             r.run();
