--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -218,7 +218,8 @@
     }
 
     private void finishDrain() {
-        boolean done = draining ? connections.stream().noneMatch(ClientConnection::busy) : connections.isEmpty();
+        boolean done = draining ? connections.stream().noneMatch(ClientConnection::busy)
+                : connections.isEmpty();
         if (drained != null && !accepting && done) {
             Runnable r = drained;
             drained = null;
