--- a/src/main/java/cobaltrack/Decide.java
+++ b/src/main/java/cobaltrack/Decide.java
@@ -59,14 +59,14 @@
     // What is out at a server beyond the subset's mean is drawn against, with this slack.
     private static final double CROWD_SLACK = 0.5;
     // Likewise what is out beyond this multiple of what a server, at the rate it answers, holds when well.
-    private static final double CROWD_WELL = 1.25;
+    private static final double CROWD_WELL = 1;
     // A server is taken to hold so many when well, whatever it answered: one attempt out is no crowd.
     private static final double WELL_LEAST = 1;
     // From so many later attempts on that its server served, each in this part of the time that it has been
     // out, an attempt tells nothing of a queue. With less, long work in shared cores would pass for lost and
     // the servers be overdriven.
-    private static final double OVERTAKEN_PART = 0.2;
-    private static final int OVERTAKEN = 4;
+    private static final double OVERTAKEN_PART = 0.3;
+    private static final int OVERTAKEN = 2;
     // --- reports ---------------------------------------------------------------------------------
     // The busy share that is wanted; beyond it a report counts as this many outcomes not accepted in part.
     private static final double UTIL_WANTED = 0.9;
@@ -224,7 +224,8 @@
         Node node;
         double sentAt;
         boolean out;
-        // Attempts sent later to the same server that were served while this one was out.
+        // True once an attempt sent later to the same server was served; how many were far faster.
+        boolean passed;
         int overtaken;
         Attempt older;
         Attempt newer;
@@ -689,6 +690,7 @@
     private static void overtake(double now, Attempt a, double longest) {
         int looked = 0;
         for (Attempt o = a.older; o != null && looked < LOOK; o = o.older, looked++) {
+            o.passed = true;
             if (now - o.sentAt > longest && ++o.overtaken == OVERTAKEN) {
                 o.node.stuck++;
             }
@@ -908,14 +910,22 @@
     private void control(double now, Node n) {
         double bad = n.bad;
         double all = n.all;
+        double lateOut = 0;
+        int count = 0;
         int looked = 0;
         for (Attempt a = n.oldest; a != null && looked < LOOK; a = a.newer, looked++) {
             double late = lateness(now - a.sentAt, a.call.request.classIndex);
-            if (late > 0 && a.overtaken < OVERTAKEN) {
-                bad += late;
-                all++;
+            if (late > 0 && !a.passed) {
+                lateOut += late;
+                count++;
             }
         }
+        // Guards against a single request without an answer, which would count anew in each period it is out:
+        // a second one, or its time-out, must bear it out. A server that vanishes is known one attempt later.
+        if (count > 1) {
+            bad += lateOut;
+            all += count;
+        }
         double pooled = Math.max(0, poolBad / (poolAll + PRIOR) - POOL_TARGET);
         double excess = (bad + PRIOR * pooled) / (all + PRIOR) - TARGET;
         if (excess > 0) {
--- a/src/test/java/cobaltrack/sidecar/CrowdingTest.java
+++ b/src/test/java/cobaltrack/sidecar/CrowdingTest.java
@@ -16,6 +16,7 @@
 class CrowdingTest {
     private static final int SILENT = 4;
     private static final int SERVED_BETWEEN = 100;
+    private static final int ASKED_AFTER = 40;
 
     @Test
     void anEndpointThatLeavesSomeRequestsWithoutAnAnswerGoesOnServingTheOthers() throws Exception {
@@ -43,6 +44,37 @@
         }
     }
 
+    @Test
+    void aSingleRequestWithoutAnAnswerDoesNotShutItsEndpoint() throws Exception {
+        FakeServer.Script slowly = (r, w) -> {
+            if (r.line().contains("silent")) {
+                return;
+            }
+            pause();
+            w.ok("done");
+        };
+        try (FakeServer e = new FakeServer(slowly);
+                TestNode n = new TestNode(FakeServer.refusing(), e.address()); TestClient c = n.client()) {
+            serve(c, SERVED_BETWEEN);
+            // Nothing else is asked meanwhile.
+            assertEquals(502, c.ask(TestClient.status("4").replace("obj=k", "obj=silent")).status());
+            int refused = 0;
+            for (int i = 0; i < ASKED_AFTER; i++) {
+                refused += c.ask(TestClient.status("5")).status() == 503 ? 1 : 0;
+            }
+            assertTrue(refused < ASKED_AFTER / 2, refused + " refused");
+        }
+    }
+
+    // Long enough that a test's own stalls are no lateness beside it.
+    private static void pause() {
+        try {
+            Thread.sleep(20);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     // A refusal now and then is the module's right; what is asked must come through within the bound.
     private static void serve(TestClient c, int wanted) throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakeServer.PATIENCE_S);
