--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -6,7 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.SocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -71,8 +71,8 @@
     }
 
     /** Listens on this address only. */
-    ChannelFuture listen(Class<? extends ServerChannel> channels, SocketAddress address) {
-        return new ServerBootstrap().group(loop).channel(channels)
+    ChannelFuture listen(SocketAddress address) {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .handler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointPool.java
@@ -85,7 +85,7 @@
     /**
      * A pool.
      *
-     * @param channels the kind of connections: sockets, or memory for the warm-up
+     * @param channels the kind of connections
      * @param endpointIdle milliseconds after which an endpoint closes an idle connection
      * @param most connections open at once to all endpoints together
      */
--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/sidecar/Main.java
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.CountDownLatch;
 
@@ -53,7 +52,7 @@
             Reload reload = new Reload(path, mapper, parts.discovery, Main::log);
             // On the loop, which owns the watch and takes several in their order.
             Hangup.run(() -> loop.execute(reload));
-            parts.server.listen(NioServerSocketChannel.class, config.listen()).syncUninterruptibly();
+            parts.server.listen(config.listen()).syncUninterruptibly();
             if (onlyCheck) {
                 System.exit(0);
             }
--- a/src/main/java/cobaltrack/sidecar/Warmup.java
+++ b/src/main/java/cobaltrack/sidecar/Warmup.java
@@ -5,15 +5,15 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.local.LocalAddress;
-import io.netty.channel.local.LocalChannel;
-import io.netty.channel.local.LocalIoHandler;
-import io.netty.channel.local.LocalServerChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -25,14 +25,19 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Guards against a cold start: on a shared core the first seconds of a JVM that still loads and compiles
- * made requests late. Requests go through all the parts, with a module of their own and over memory instead
- * of sockets, before the sidecar says that it is ready.
+ * made requests late. Requests go through all the parts, with a module of their own, over loopback sockets,
+ * before the sidecar says that it is ready. Over memory instead, the code of sockets was still cold then, and
+ * the loop stood still for up to half a second. It takes two free ports for as long; without them it is left
+ * out.
  */
 final class Warmup {
     /**
@@ -43,9 +48,7 @@
     private static final long MOST_MS = 1500;
     private static final byte[] BODY = new byte[256];
 
-    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory()).next();
-    private final LocalAddress endpoint = new LocalAddress("warm-endpoint");
-    private final LocalAddress front = new LocalAddress("warm-front");
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final CountDownLatch done = new CountDownLatch(1);
     private final Contract.Settings settings;
     private int left = REQUESTS;
@@ -67,16 +70,25 @@
         Clock clock = new Clock();
         int sockets = 8;
         EndpointPool pool =
-                new EndpointPool(loop, LocalChannel.class, clock, (int) MOST_MS, MOST_MS, sockets);
+                new EndpointPool(loop, NioSocketChannel.class, clock, (int) MOST_MS, MOST_MS, sockets);
         Sidecar sidecar = new Sidecar(loop, clock, settings, 0, pool, line -> { });
         ClientServer server = new ClientServer(loop, clock, sidecar, settings, sockets);
+        SocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        ChannelFuture endpoint = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .childHandler(pipeline(true)).bind(any).awaitUninterruptibly();
+        ChannelFuture front = server.listen(any).awaitUninterruptibly();
+        if (endpoint.isSuccess() && front.isSuccess()) {
+            ask(sidecar, endpoint.channel().localAddress(), front.channel().localAddress());
+        }
+        loop.parent().shutdownGracefully(0, MOST_MS, TimeUnit.MILLISECONDS);
+        return served;
+    }
+
+    private void ask(Sidecar sidecar, SocketAddress endpoint, SocketAddress front) {
         EndpointList list = new EndpointList(0, true, List.of(new EndpointList.Entry(
                 new Contract.Server("warm", Contract.Standing.UP, 1, "", 0, 0), endpoint)));
-        new ServerBootstrap().group(loop).channel(LocalServerChannel.class).childHandler(
-                pipeline(true)).bind(endpoint).syncUninterruptibly();
-        server.listen(LocalServerChannel.class, front).syncUninterruptibly();
         loop.execute(() -> sidecar.start(() -> { }, list));
-        new Bootstrap().group(loop).channel(LocalChannel.class).handler(pipeline(false)).connect(front);
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(pipeline(false)).connect(front);
         try {
             if (!done.await(MOST_MS, TimeUnit.MILLISECONDS)) {
                 loop.execute(() -> left = 0);
@@ -84,8 +96,6 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        loop.parent().shutdownGracefully(0, MOST_MS, TimeUnit.MILLISECONDS);
-        return served;
     }
 
     private ChannelInitializer<Channel> pipeline(boolean serves) {
--- a/src/test/java/cobaltrack/sidecar/ProcessTest.java
+++ b/src/test/java/cobaltrack/sidecar/ProcessTest.java
@@ -11,6 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -25,9 +27,12 @@
         return start("serve", config, errors);
     }
 
-    private Process start(String command, Path config, Path errors) throws IOException {
-        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "cobaltrack.sidecar.Main", command);
+    private Process start(String command, Path config, Path errors, String... options) throws IOException {
+        List<String> line = new ArrayList<>();
+        line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        line.addAll(List.of(options));
+        line.addAll(List.of("-cp", System.getProperty("java.class.path"), "cobaltrack.sidecar.Main", command));
+        ProcessBuilder b = new ProcessBuilder(line);
         b.environment().remove("PROXY_CONFIG");
         if (config != null) {
             b.environment().put("PROXY_CONFIG", config.toString());
@@ -58,6 +63,15 @@
         assertEquals("", Files.readString(errors));
     }
 
+    @Test
+    void whatServingOnSocketsNeedsIsLoadedBeforeTheSidecarIsReady() throws Exception {
+        Path loaded = dir.resolve("loaded");
+        assertEquals(0, exit(start("check", Path.of("deploy/example.json"), dir.resolve("err"),
+                "-Xlog:class+load:file=" + loaded)));
+        // The kind of channel that a connection is, once there is one.
+        assertTrue(Files.readString(loaded).contains("sun.nio.ch.SocketChannelImpl "));
+    }
+
     @Test
     void anAddressInUseIsOneLineAndAFailedExit() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/src/test/java/cobaltrack/sidecar/TestNode.java
+++ b/src/test/java/cobaltrack/sidecar/TestNode.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -30,7 +29,7 @@
         Main.Parts parts = Main.wire(config, mapper, loop);
         server = parts.server();
         watch = parts.discovery();
-        port = ((InetSocketAddress) server.listen(NioServerSocketChannel.class, config.listen()).sync().channel().localAddress()).getPort();
+        port = ((InetSocketAddress) server.listen(config.listen()).sync().channel().localAddress()).getPort();
         loop.submit(parts.start()).get();
     }
 
