--- a/src/main/java/cobaltrack/Decide.java
+++ b/src/main/java/cobaltrack/Decide.java
@@ -60,6 +60,9 @@
     private static final double CROWD_SLACK = 0.5;
     // Likewise what is out beyond this multiple of what a server, at the rate it answers, holds when well.
     private static final double CROWD_WELL = 1;
+    // A server that reports a busy share under this may hold more than that, up to so many times as much.
+    private static final double ROOM_BELOW = 0.75;
+    private static final double ROOM_MOST = 2.5;
     // A server is taken to hold so many when well, whatever it answered: one attempt out is no crowd.
     private static final double WELL_LEAST = 1;
     // From so many later attempts on that its server served, each in this part of the time that it has been
@@ -201,6 +204,8 @@
         // Requests a second it could serve, by its reports, and its size against the largest of the subset.
         double capacity;
         double weight = 1;
+        // The busy share it lately reported.
+        double util = 1;
         // When it last left the subset.
         double leftAt;
     }
@@ -528,11 +533,19 @@
     // the server that holds more than the subset's mean, or than it would hold when well, passes less.
     private double crowding(double now, Node n) {
         double ratio = Math.min((meanHeld + CROWD_SLACK) / (held(now, n) + CROWD_SLACK),
-                (CROWD_WELL * Math.max(WELL_LEAST, n.wellHeld) + CROWD_SLACK)
+                (CROWD_WELL * Math.max(WELL_LEAST, n.wellHeld) * room(n) + CROWD_SLACK)
                         / (n.holds - n.stuck + CROWD_SLACK));
         return ratio >= 1 ? 0 : 1 - eighthPower(ratio);
     }
 
+    // How many times what it holds when well a server has room for, by its own word. Guards against a draw
+    // that holds itself down: what is refused brings no answers, and fewer answers let less through; and
+    // against new servers, of which no answers are known. Where reports are late, a server that has just
+    // filled is sent too much until its answers raise the percentage.
+    private static double room(Node n) {
+        return Math.max(1, ROOM_BELOW / Math.max(ROOM_BELOW / ROOM_MOST, n.util));
+    }
+
     private static double eighthPower(double ratio) {
         double square = ratio * ratio;
         double fourth = square * square;
@@ -769,6 +782,7 @@
                 || r.perSecond() == Double.POSITIVE_INFINITY) {
             return 0;
         }
+        n.util += (r.util() - n.util) * SIZE_WEIGHT;
         if (r.util() >= UTIL_LEAST) {
             n.capacity += (r.perSecond() / r.util() - n.capacity) * (n.capacity > 0 ? SIZE_WEIGHT : 1);
         }
--- a/src/test/java/cobaltrack/sidecar/CrowdingTest.java
+++ b/src/test/java/cobaltrack/sidecar/CrowdingTest.java
@@ -1,6 +1,7 @@
 package cobaltrack.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -17,6 +18,7 @@
     private static final int SILENT = 4;
     private static final int SERVED_BETWEEN = 100;
     private static final int ASKED_AFTER = 40;
+    private static final int TRIES = 4;
 
     @Test
     void anEndpointThatLeavesSomeRequestsWithoutAnAnswerGoesOnServingTheOthers() throws Exception {
@@ -66,6 +68,37 @@
         }
     }
 
+    @Test
+    void anEndpointThatReportsRoomIsSentMoreThanItsAnswersSoFarShow() throws Exception {
+        Semaphore unanswered = new Semaphore(0);
+        FakeServer.Script idle = (r, w) -> {
+            if (r.headers().get("request-class").equals("submit")) {
+                unanswered.release();
+                return;
+            }
+            pause();
+            w.answer("200 OK", "Server-Load: util=0.1,qps=10\r\n", "done");
+        };
+        List<TestClient> waiting = new ArrayList<>();
+        try (FakeServer e = new FakeServer(idle);
+                TestNode n = new TestNode(FakeServer.refusing(), e.address()); TestClient c = n.client()) {
+            serve(c, SERVED_BETWEEN);
+            waiting.add(leaveWithoutAnswer(n, unanswered));
+            waiting.add(leaveWithoutAnswer(n, unanswered));
+            // Answered one at a time so far, it holds two: of a hundred more, two would be let through.
+            TestClient third = null;
+            for (int i = 0; third == null && i < TRIES; i++) {
+                third = send(n, unanswered);
+            }
+            assertNotNull(third);
+            waiting.add(third);
+        } finally {
+            for (TestClient w : waiting) {
+                w.close();
+            }
+        }
+    }
+
     // Long enough that a test's own stalls are no lateness beside it.
     private static void pause() {
         try {
@@ -89,22 +122,31 @@
     private static TestClient leaveWithoutAnswer(TestNode n, Semaphore unanswered) throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakeServer.PATIENCE_S);
         while (System.nanoTime() < end) {
-            TestClient c = n.client();
-            c.send(TestClient.submit("60"));
-            CompletableFuture<Boolean> refused = CompletableFuture.supplyAsync(() -> {
-                try {
-                    return c.read() != null;
-                } catch (IOException e) {
-                    throw new UncheckedIOException(e);
-                }
-            });
-            while (!refused.isDone()) {
-                if (unanswered.tryAcquire(10, TimeUnit.MILLISECONDS)) {
-                    return c;
-                }
+            TestClient c = send(n, unanswered);
+            if (c != null) {
+                return c;
             }
-            c.close();
         }
         throw new AssertionError("the endpoint was sent no more");
     }
+
+    // The client of a request that has reached the endpoint, or null if it was refused.
+    private static TestClient send(TestNode n, Semaphore unanswered) throws Exception {
+        TestClient c = n.client();
+        c.send(TestClient.submit("60"));
+        CompletableFuture<Boolean> refused = CompletableFuture.supplyAsync(() -> {
+            try {
+                return c.read() != null;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        while (!refused.isDone()) {
+            if (unanswered.tryAcquire(10, TimeUnit.MILLISECONDS)) {
+                return c;
+            }
+        }
+        c.close();
+        return null;
+    }
 }
