--- a/src/main/java/cobaltrack/standin/RoomDay.java
+++ b/src/main/java/cobaltrack/standin/RoomDay.java
@@ -3,6 +3,7 @@
 import cobaltrack.Contract;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 
@@ -71,6 +72,10 @@
         days.add(away("away-3s-retried-at-once", 3000, ServiceLaw.exponential(20), Habit.AT_ONCE));
         days.add(away("away-3s-backed-off", 3000, ServiceLaw.exponential(20), Habit.BACK_OFF));
         days.add(away("away-3s-retry-after", 3000, ServiceLaw.exponential(20), Habit.RETRY_AFTER));
+        days.add(backOneByOneAndCold());
+        for (Habit habit : Habit.values()) {
+            days.add(startsInOverload(habit));
+        }
         days.add(step("step-10-to-3000", 0.2));
         days.add(step("step-10-to-3000-at-50ms", 50));
         days.add(calm("two-a-second", 2, ServiceLaw.exponential(60)));
@@ -140,6 +145,31 @@
                 from + 5000, i -> away(i, law, back), 3, List.of(Load.steady(0, 1000, habit)));
     }
 
+    // They come back one after another, and each takes five times as long at first.
+    private static RoomDay backOneByOneAndCold() {
+        double first = CHANGE + 3000;
+        double between = 2000;
+        double from = first + 2 * between + RECOVERED_MS;
+        return new RoomDay("back-one-by-one-and-cold", reads(),
+                List.of(new Span(RECOVERED_MS, CHANGE - Settings.AIM), new Span(from, from + 5000)),
+                from + 5000, i -> away(i, ServiceLaw.exponential(20).cold(first + i * between, 4000, 5),
+                        first + i * between), 3, List.of(Load.steady(0, 1000, Habit.NONE)));
+    }
+
+    // The sidecar is new to endpoints that get three times what they can do; later they get half of it.
+    private static RoomDay startsInOverload(Habit habit) {
+        int cores = 4;
+        int servers = 3;
+        double mean = 20;
+        double capacity = cores * servers * 1000 / mean;
+        double from = CHANGE + RECOVERED_MS;
+        Load load = new Load(0, now -> now < CHANGE ? 3 * capacity : capacity / 2, 3 * capacity, habit);
+        String name = "starts-in-overload-" + habit.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        return new RoomDay(name, reads(), List.of(new Span(from, from + 5000)), from + 5000,
+                i -> new EndpointScript("s" + i, cores, LONG_QUEUE, ServiceLaw.exponential(mean)), servers,
+                List.of(load));
+    }
+
     private static RoomDay step(String name, double millis) {
         double from = CHANGE + RECOVERED_MS;
         return new RoomDay(name, reads(), List.of(new Span(from, from + 5000)), from + 5000,
--- a/src/main/java/cobaltrack/standin/ServiceLaw.java
+++ b/src/main/java/cobaltrack/standin/ServiceLaw.java
@@ -48,4 +48,12 @@
     default ServiceLaw until(double at, ServiceLaw next) {
         return (dice, now, k) -> (now < at ? this : next).draw(dice, now, k);
     }
+
+    /** As after a start with nothing in memory: so many times as long at first, this law after a time. */
+    default ServiceLaw cold(double startedAt, double warmAfter, double times) {
+        return (dice, now, k) -> {
+            double left = now < startedAt ? 0 : Math.max(0, 1 - (now - startedAt) / warmAfter);
+            return draw(dice, now, k) * (1 + (times - 1) * left);
+        };
+    }
 }
--- a/src/main/java/cobaltrack/standin/SidecarProcess.java
+++ b/src/main/java/cobaltrack/standin/SidecarProcess.java
@@ -53,6 +53,12 @@
      */
     static SidecarProcess start(List<String> prefix, Contract.Settings settings, String discovery,
             String known, long seed) throws IOException {
+        return start(prefix, List.of(), settings, discovery, known, seed);
+    }
+
+    /** The same; {@code jvm} holds options of the JVM that come after the platform's and so win over them. */
+    static SidecarProcess start(List<String> prefix, List<String> jvm, Contract.Settings settings,
+            String discovery, String known, long seed) throws IOException {
         Path folder = Files.createTempDirectory("rehearse");
         int port = freePort();
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
@@ -62,6 +68,7 @@
         List<String> line = new ArrayList<>(prefix);
         line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         line.addAll(LIMITS);
+        line.addAll(jvm);
         line.addAll(List.of("-cp", System.getProperty("java.class.path"), MAIN, "serve"));
         ProcessBuilder builder = new ProcessBuilder(line).redirectErrorStream(true)
                 .redirectOutput(folder.resolve("log").toFile());
--- a/src/main/java/cobaltrack/standin/Speed.java
+++ b/src/main/java/cobaltrack/standin/Speed.java
@@ -21,7 +21,6 @@
         + "beside HAProxy and nginx where they are installed.")
 final class Speed implements Callable<Integer> {
     private static final int ENDPOINTS = 3;
-    private static final double WARM_SECONDS = 1;
     /** Nobody listens there, as at the address of discovery: the list as last known stands. */
     private static final String NOWHERE = "127.0.0.1:1";
 
@@ -29,6 +28,10 @@
     private int connections = 4;
     @Option(names = "--seconds", description = "Length of one measurement.")
     private double seconds = 4;
+    @Option(names = "--warm", description = "Seconds before each measurement.")
+    private double warm = 1;
+    @Option(names = "--jvm", description = "An option of the sidecar's JVM that comes after the platform's.")
+    private List<String> jvm = List.of();
     @Option(names = "--rounds", description = "Measurements of each, in turn; the median counts.")
     private int rounds = 3;
     @Option(names = "--core", description = "The core that each is bound to, by taskset.")
@@ -62,7 +65,7 @@
                 try (FrontProcess t = start(name, prefix, dials)) {
                     ClosedLoopClients clients = new ClosedLoopClients(group.next());
                     results.computeIfAbsent(name, n -> new ArrayList<>())
-                            .add(clients.run(t.address(), connections, WARM_SECONDS, seconds));
+                            .add(clients.run(t.address(), connections, warm, seconds));
                 }
             }
         }
@@ -83,7 +86,7 @@
         return promises.kept() ? 0 : 1;
     }
 
-    private static FrontProcess start(String name, List<String> prefix, List<String> dials)
+    private FrontProcess start(String name, List<String> prefix, List<String> dials)
             throws IOException {
         return switch (name) {
             case "sidecar" -> sidecar(prefix, dials);
@@ -93,13 +96,13 @@
         };
     }
 
-    private static FrontProcess sidecar(List<String> prefix, List<String> dials) throws IOException {
+    private FrontProcess sidecar(List<String> prefix, List<String> dials) throws IOException {
         StringBuilder hosts = new StringBuilder();
         for (int i = 0; i < dials.size(); i++) {
             hosts.append(i == 0 ? "" : ",").append(StandInDiscovery.host("s" + i, dials.get(i), "ready"));
         }
         String known = "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}";
-        return SidecarProcess.start(prefix, Settings.of(true, Settings.type("read", 1, Contract.Effect.SAFE)),
+        return SidecarProcess.start(prefix, jvm, Settings.of(true, Settings.type("read", 1, Contract.Effect.SAFE)),
                 NOWHERE, known, 1);
     }
 
--- a/src/test/java/cobaltrack/standin/RoomTest.java
+++ b/src/test/java/cobaltrack/standin/RoomTest.java
@@ -5,6 +5,7 @@
 
 import cobaltrack.decide.Decide;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -13,6 +14,21 @@
     /** A loop that is late by up to so many milliseconds, as on a shared core. */
     private static final double JITTER = 2;
 
+    /** What the endpoints of the days that start in an overload can do a second. */
+    private static final double CAPACITY = 600;
+
+    @ParameterizedTest
+    @MethodSource("startsInOverload")
+    void oneThatStartsInAnOverloadKeepsTheGoodputUp(RoomDay day) {
+        Ledger.Count count = day.play(Decide::new, JITTER, 7).count(1000, 8000);
+        double goodput = count.good() / (7 * CAPACITY);
+        assertTrue(goodput > 0.9, () -> day.name() + ": " + goodput);
+    }
+
+    static Stream<RoomDay> startsInOverload() {
+        return RoomDay.all().stream().filter(d -> d.name().startsWith("starts-in-overload"));
+    }
+
     @ParameterizedTest
     @MethodSource("cobaltrack.standin.RoomDay#all")
     void withRoomNearlyNothingIsRefused(RoomDay day) {
