--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/engine/Engine.java
@@ -1,101 +1,94 @@
-package cobaltrack.sidecar;
+package cobaltrack.engine;
 
 import cobaltrack.Contract;
-import cobaltrack.decide.Decide;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.Future;
+import cobaltrack.membership.EndpointList;
+import cobaltrack.membership.Membership;
+import cobaltrack.membership.Source;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * Drives the module and carries out what it decides. It owns the requests taken, their attempts and timers,
- * and sees to it that each request ends exactly once and nothing is sent for it afterwards.
+ * and sees to it that each request ends exactly once and nothing is sent for it afterwards. It knows no
+ * protocol: fronts bring requests with a {@link Caller} for the end and a {@link Carrier} for the attempts.
+ * Everything here runs on the one thread that owns it, which is that of its timers.
  */
-final class Sidecar implements Contract.Actions, Discovery.Listener {
-    /** Where the one final answer to a request goes. */
-    interface Client {
-        void served(EndpointPool.Answer answer);
-
-        void refused(double retryAfter);
-
-        void failed();
-    }
-
+public final class Engine implements Contract.Actions, Membership {
     /** Taken off what the client waits, for its request's way here, our answer's way back and a late loop. */
     private static final double ANSWER_MARGIN = 25;
     /**
      * How long after its deadline a request is failed that the module, told of the deadline, has not ended.
      */
     private static final double MODULE_GRACE = 5;
-    private static final double NANOS_IN_MILLI = 1e6;
 
-    private final EventLoop loop;
-    private final Clock clock;
+    private final Timers timers;
     private final Contract.Settings settings;
-    private final EndpointPool pool;
+    private final Consumer<EndpointList> endpoints;
     private final Consumer<String> log;
     private final Contract.Events module;
-    private final Map<Long, Held> open = new HashMap<>();
+    private final Map<Long, Held<?>> open = new HashMap<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
-    private Runnable watch;
+    private Source source;
     private boolean telling;
     private long nextId;
 
-    /** A sidecar that has taken nothing. */
-    Sidecar(EventLoop loop, Clock clock, Contract.Settings settings, long seed, EndpointPool pool,
+    /**
+     * An engine that has taken nothing.
+     *
+     * @param module makes the module that decides, given what carries its decisions out
+     * @param endpoints hears of every list, before the module does
+     */
+    public Engine(Timers timers, Contract.Settings settings,
+            Function<Contract.Actions, Contract.Events> module, Consumer<EndpointList> endpoints,
             Consumer<String> log) {
-        this.loop = loop;
-        this.clock = clock;
+        this.timers = timers;
         this.settings = settings;
-        this.pool = pool;
+        this.endpoints = endpoints;
         this.log = log;
-        this.module = new Decide(settings, seed, this);
+        this.module = module.apply(this);
     }
 
-    /** Starts the module, with the list as last known if there is one, and with what begins a watch on it. */
-    void start(Runnable watchList, EndpointList known) {
-        watch = watchList;
-        tell(() -> module.start(clock.now()));
+    /** Starts the module, with the list as last known, or null, and the source that it is to be watched at. */
+    public void start(Source watched, EndpointList known) {
+        source = watched;
+        tell(() -> module.start(timers.now()));
         if (known != null) {
             list(Contract.ListKind.STALE, known);
         }
         if (!settings.listMustBeAsked()) {
             // A pushed list comes from an agent on this machine, which the module does not ask.
-            watch.run();
+            source.watch();
         }
     }
 
     @Override
     public void list(Contract.ListKind kind, EndpointList list) {
-        pool.update(list);
-        tell(() -> module.servers(clock.now(), kind, list.servers()));
+        endpoints.accept(list);
+        tell(() -> module.servers(timers.now(), kind, list.servers()));
     }
 
     @Override
     public void outOfReach() {
-        tell(() -> module.servers(clock.now(), Contract.ListKind.FAILED, List.of()));
+        tell(() -> module.servers(timers.now(), Contract.ListKind.FAILED, List.of()));
     }
 
-    /** Takes a request; the client is told its end exactly once. */
-    Held take(RequestCheck.Checked incoming, byte[] body, Client client) {
-        double left = Math.max(0, incoming.timeout() - ANSWER_MARGIN);
-        Held h = new Held(new Contract.Request(nextId++, incoming.classIndex(), incoming.tenantIndex(), left,
-                incoming.repeat()), incoming, body, client);
+    /**
+     * Takes a request; the caller is told its end exactly once, within its time.
+     *
+     * @param carrier sends its attempts
+     */
+    public <A> Held<A> take(Ask ask, Carrier<A> carrier, Caller<A> caller) {
+        double left = Math.max(0, ask.timeout() - ANSWER_MARGIN);
+        Held<A> h = new Held<>(new Contract.Request(nextId++, ask.classIndex(), ask.tenantIndex(), left,
+                ask.repeat()), carrier, caller);
         open.put(h.request.id, h);
         tell(() -> {
-            double now = clock.now();
+            double now = timers.now();
             h.endAt = now + left;
             try {
                 module.request(now, h.request);
@@ -109,7 +102,7 @@
     /**
      * Fails whatever is still held: the process is about to be killed, and no answer at all would lose it.
      */
-    void failAll() {
+    public void failAll() {
         List.copyOf(open.values()).forEach(Held::endUnserved);
     }
 
@@ -140,14 +133,9 @@
         }
     }
 
-    private Future<?> after(double millis, Runnable task) {
-        long nanos = (long) Math.ceil(Math.max(0, millis) * NANOS_IN_MILLI);
-        return loop.schedule(task, nanos, TimeUnit.NANOSECONDS);
-    }
-
     @Override
     public void send(Contract.Request r, String server, double within) {
-        Held h = open.get(r.id);
+        Held<?> h = open.get(r.id);
         if (h != null) {
             h.send(server, within);
         }
@@ -155,7 +143,7 @@
 
     @Override
     public void cancel(Contract.Request r, int attempt) {
-        Held h = open.get(r.id);
+        Held<?> h = open.get(r.id);
         if (h != null && attempt >= 0 && attempt < h.attempts.size()) {
             h.attempts.get(attempt).giveUp(Contract.Outcome.CANCELLED);
         }
@@ -163,34 +151,34 @@
 
     @Override
     public void refuse(Contract.Request r, double retryAfter) {
-        Held h = open.get(r.id);
+        Held<?> h = open.get(r.id);
         if (h != null && !h.over) {
             h.over();
             if (h.mayRefuse()) {
-                h.client.refused(settings.limits().retryAfter() ? retryAfter : 0);
+                h.caller.refused(settings.limits().retryAfter() ? retryAfter : 0);
             } else {
-                h.client.failed();
+                h.caller.failed();
             }
         }
     }
 
     @Override
     public void fail(Contract.Request r) {
-        Held h = open.get(r.id);
+        Held<?> h = open.get(r.id);
         if (h != null && !h.over) {
             h.over();
-            h.client.failed();
+            h.caller.failed();
         }
     }
 
     @Override
     public void probe(String server) {
-        tell(() -> module.probed(clock.now(), server, Contract.Outcome.NEVER_SENT, 0, null));
+        tell(() -> module.probed(timers.now(), server, Contract.Outcome.NEVER_SENT, 0, null));
     }
 
     @Override
     public void watchServers() {
-        watch.run();
+        source.watch();
     }
 
     @Override
@@ -200,7 +188,7 @@
 
     @Override
     public void wake(double at) {
-        after(at - clock.now(), () -> tell(() -> module.wake(clock.now())));
+        timers.after(at - timers.now(), () -> tell(() -> module.wake(timers.now())));
     }
 
     @Override
@@ -209,35 +197,33 @@
     }
 
     /** A request taken. It is kept until it is over and all its attempts have ended. */
-    final class Held {
+    public final class Held<A> {
         private final Contract.Request request;
-        private final RequestCheck.Checked incoming;
-        private final byte[] body;
-        private final Client client;
-        private final List<Attempt> attempts = new ArrayList<>(1);
+        private final Carrier<A> carrier;
+        private final Caller<A> caller;
+        private final List<Attempt<A>> attempts = new ArrayList<>(1);
         private double endAt;
         private boolean over;
-        private Future<?> deadline;
+        private Timers.Timer deadline;
 
-        private Held(Contract.Request request, RequestCheck.Checked incoming, byte[] body, Client client) {
+        private Held(Contract.Request request, Carrier<A> carrier, Caller<A> caller) {
             this.request = request;
-            this.incoming = incoming;
-            this.body = body;
-            this.client = client;
+            this.carrier = carrier;
+            this.caller = caller;
         }
 
         /** The client went away: nothing is owed any more. */
-        void abandon() {
+        public void abandon() {
             if (!over) {
                 over();
-                tell(() -> module.abandoned(clock.now(), request));
+                tell(() -> module.abandoned(timers.now(), request));
             }
         }
 
         private void over() {
             over = true;
             if (deadline != null) {
-                deadline.cancel(false);
+                deadline.cancel();
             }
             tidy();
         }
@@ -270,7 +256,7 @@
         // none, be it that sending it failed by a fault, needs one here; for each it would be one more timer.
         private void guard(double now) {
             if (!over && deadline == null && !underWay()) {
-                deadline = after(endAt - now + MODULE_GRACE, this::endUnserved);
+                deadline = timers.after(endAt - now + MODULE_GRACE, this::endUnserved);
             }
         }
 
@@ -279,8 +265,8 @@
         private void endUnserved() {
             if (!over) {
                 over();
-                client.failed();
-                tell(() -> module.abandoned(clock.now(), request));
+                caller.failed();
+                tell(() -> module.abandoned(timers.now(), request));
             }
         }
 
@@ -293,40 +279,29 @@
         }
 
         private void send(String server, double within) {
-            double now = clock.now();
-            Attempt a = new Attempt(this, attempts.size(), now);
+            double now = timers.now();
+            Attempt<A> a = new Attempt<>(this, attempts.size(), now);
             attempts.add(a);
             if (over || now >= endAt || attempts.size() > settings.limits().attempts()) {
                 a.ended(Contract.Outcome.NEVER_SENT, null, null);
                 return;
             }
             double wait = within > 0 ? Math.min(within, endAt - now) : endAt - now;
-            a.timer = after(wait, () -> a.giveUp(Contract.Outcome.TIMED_OUT));
-            a.attempt = pool.send(server, httpRequest(wait), a);
-        }
-
-        private DefaultFullHttpRequest httpRequest(double wait) {
-            // A first attempt may have what was made for it; a later one must not change that under way.
-            HttpHeaders headers = attempts.size() == 1 ? incoming.headers() : incoming.headers().copy();
-            headers.set(RequestCheck.TIMEOUT, Decimals.seconds(wait));
-            if (body.length > 0 || incoming.method().equals(HttpMethod.POST)) {
-                headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-            }
-            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, incoming.method(), incoming.uri(),
-                    Unpooled.wrappedBuffer(body), headers, EmptyHttpHeaders.INSTANCE);
+            a.timer = timers.after(wait, () -> a.giveUp(Contract.Outcome.TIMED_OUT));
+            a.sending = carrier.send(server, a.index, wait, a);
         }
     }
 
     /** One attempt, whose outcome is told to the module exactly once. */
-    private final class Attempt implements EndpointPool.Listener {
-        private final Held held;
+    private final class Attempt<A> implements Carrier.Outcomes<A> {
+        private final Held<A> held;
         private final int index;
         private final double sentAt;
-        private EndpointPool.Attempt attempt;
-        private Future<?> timer;
+        private Carrier.Sending sending;
+        private Timers.Timer timer;
         private Contract.Outcome outcome;
 
-        private Attempt(Held held, int index, double sentAt) {
+        private Attempt(Held<A> held, int index, double sentAt) {
             this.held = held;
             this.index = index;
             this.sentAt = sentAt;
@@ -335,31 +310,31 @@
         // What was not yet written whole can't run, whatever the reason for giving it up.
         private void giveUp(Contract.Outcome reason) {
             if (underWay()) {
-                ended(attempt.giveUp() ? reason : Contract.Outcome.CONNECT_FAILED, null, null);
+                ended(sending.giveUp() ? reason : Contract.Outcome.CONNECT_FAILED, null, null);
             }
         }
 
         private boolean underWay() {
-            return outcome == null && attempt != null;
+            return outcome == null && sending != null;
         }
 
         @Override
-        public void ended(Contract.Outcome how, EndpointPool.Answer answer, Contract.Report report) {
+        public void ended(Contract.Outcome how, A answer, Contract.Report report) {
             if (outcome != null) {
                 return;
             }
             outcome = how;
             if (timer != null) {
-                timer.cancel(false);
+                timer.cancel();
             }
             // Guards against events out of order: an answer may bring the client's next request at once,
             // which must wait until the module has heard of this outcome, or it would think the endpoint
             // still busy.
             tell(() -> {
-                double now = clock.now();
+                double now = timers.now();
                 if (how == Contract.Outcome.SERVED && !held.over) {
                     held.over();
-                    held.client.served(answer);
+                    held.caller.served(answer);
                 }
                 boolean finished = held.over;
                 held.tidy();
--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/front/http1/ClientConnection.java
@@ -1,5 +1,11 @@
-package cobaltrack.sidecar;
-
+package cobaltrack.front.http1;
+
+import cobaltrack.engine.Caller;
+import cobaltrack.engine.Clock;
+import cobaltrack.engine.Engine;
+import cobaltrack.http.Decimals;
+import cobaltrack.http.HttpAnswer;
+import cobaltrack.http.HttpAsk;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -33,7 +39,7 @@
  * answered as soon as its head shows that, and ends the connection: nobody knows where the next one would
  * begin.
  */
-final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Sidecar.Client {
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements Caller<HttpAnswer> {
     /** What the connection is about; {@link #since} tells for how long. */
     enum Phase {
         /** It has sent nothing yet. */
@@ -42,7 +48,7 @@
         IDLE,
         /** A request has begun to come. */
         RECEIVING,
-        /** The sidecar holds its request. */
+        /** The engine holds its request. */
         OPEN,
         /** An answer is being written. */
         ANSWERING,
@@ -65,7 +71,7 @@
     private HttpRequest head;
     private RequestCheck.Checked checked;
     private boolean complete;
-    private Sidecar.Held held;
+    private Engine.Held<HttpAnswer> held;
     private String heldId;
 
     ClientConnection(ClientServer server, Clock clock) {
@@ -171,7 +177,7 @@
     }
 
     private void giveUp() {
-        Sidecar.Held gone = held;
+        Engine.Held<HttpAnswer> gone = held;
         letGo();
         if (gone != null) {
             gone.abandon();
@@ -210,7 +216,7 @@
         }
         if (message instanceof HttpContent part) {
             ByteBuf bytes = part.content();
-            if (body.size() + bytes.readableBytes() > EndpointPool.BODY_MOST) {
+            if (body.size() + bytes.readableBytes() > HttpAsk.BODY_MOST) {
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                 return;
             }
@@ -258,7 +264,8 @@
         }
         heldId = request.id();
         enter(Phase.OPEN);
-        Sidecar.Held taken = server.sidecar().take(request, body.toByteArray(), this);
+        Engine.Held<HttpAnswer> taken = server.take(request.ask(),
+                new HttpAsk(request.method(), request.uri(), request.headers(), body.toByteArray()), this);
         body.reset();
         // The answer may have gone out already.
         if (phase == Phase.OPEN) {
@@ -267,7 +274,7 @@
     }
 
     @Override
-    public void served(EndpointPool.Answer answer) {
+    public void served(HttpAnswer answer) {
         FullHttpResponse response = response(HttpResponseStatus.OK, answer.body());
         if (answer.contentType() != null) {
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/front/http1/ClientServer.java
@@ -1,6 +1,13 @@
-package cobaltrack.sidecar;
+package cobaltrack.front.http1;
 
 import cobaltrack.Contract;
+import cobaltrack.engine.Ask;
+import cobaltrack.engine.Caller;
+import cobaltrack.engine.Carrier;
+import cobaltrack.engine.Clock;
+import cobaltrack.engine.Engine;
+import cobaltrack.http.HttpAnswer;
+import cobaltrack.http.HttpAsk;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -13,11 +20,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
  * Listens for the application: how many connections it may have and for how long, readiness and the drain.
  */
-final class ClientServer {
+public final class ClientServer {
     /** New connections go on coming for up to 400 ms after SIGTERM; the rest is for a late loop. */
     private static final long ACCEPT_AFTER_STOP_MS = 500;
     /** A stopped process is killed no sooner than the longest deadline, or this if that is longer, ... */
@@ -42,7 +50,8 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Sidecar sidecar;
+    private final Engine engine;
+    private final Function<HttpAsk, Carrier<HttpAnswer>> transport;
     private final RequestCheck check;
     private final double longestDeadline;
     private final int most;
@@ -57,12 +66,15 @@
     /**
      * A server for one application.
      *
+     * @param transport carries requests to endpoints
      * @param most connections from the application at once; beyond that, room is made
      */
-    ClientServer(EventLoop loop, Clock clock, Sidecar sidecar, Contract.Settings settings, int most) {
+    public ClientServer(EventLoop loop, Clock clock, Engine engine,
+            Function<HttpAsk, Carrier<HttpAnswer>> transport, Contract.Settings settings, int most) {
         this.loop = loop;
         this.clock = clock;
-        this.sidecar = sidecar;
+        this.engine = engine;
+        this.transport = transport;
         this.check = new RequestCheck(settings);
         this.longestDeadline = settings.classes().stream().mapToDouble(Contract.RequestClass::deadline)
                 .max().orElse(0);
@@ -71,7 +83,7 @@
     }
 
     /** Listens on this address only. */
-    ChannelFuture listen(SocketAddress address) {
+    public ChannelFuture listen(SocketAddress address) {
         return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .handler(new ChannelInitializer<>() {
                     @Override
@@ -89,7 +101,7 @@
     }
 
     /** From now on {@code /health/ready} answers 200. */
-    void ready() {
+    public void ready() {
         ready = true;
     }
 
@@ -105,8 +117,9 @@
         return check;
     }
 
-    Sidecar sidecar() {
-        return sidecar;
+    /** Has the engine take a request. */
+    Engine.Held<HttpAnswer> take(Ask ask, HttpAsk http, Caller<HttpAnswer> caller) {
+        return engine.take(ask, transport.apply(http), caller);
     }
 
     /** Notes a request; false if one with this id is open already. */
@@ -194,7 +207,7 @@
      * start. Then idle ones close and every answer closes its own; what is still held is failed while it
      * can be.
      */
-    void drain(Runnable whenDrained) {
+    public void drain(Runnable whenDrained) {
         drained = whenDrained;
         loop.schedule(() -> {
             accepting = false;
@@ -208,7 +221,7 @@
             closeAll(ClientConnection.Phase.SILENT);
             finishDrain();
         }, (long) Math.max(ACCEPT_AFTER_STOP_MS, limit - LAST_ANSWERS_MS), TimeUnit.MILLISECONDS);
-        loop.schedule(sidecar::failAll, (long) limit, TimeUnit.MILLISECONDS);
+        loop.schedule(engine::failAll, (long) limit, TimeUnit.MILLISECONDS);
     }
 
     private void closeAll(ClientConnection.Phase phase) {
--- a/src/main/java/cobaltrack/sidecar/RequestCheck.java
+++ b/src/main/java/cobaltrack/front/http1/RequestCheck.java
@@ -1,6 +1,9 @@
-package cobaltrack.sidecar;
+package cobaltrack.front.http1;
 
 import cobaltrack.Contract;
+import cobaltrack.engine.Ask;
+import cobaltrack.http.Decimals;
+import cobaltrack.http.HttpAsk;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -23,11 +26,9 @@
     /**
      * A request that may go on.
      *
-     * @param timeout how long the client waits, in milliseconds
      * @param headers what an endpoint is told, but for the time and the length
      */
-    record Checked(String id, int classIndex, int tenantIndex, double timeout, boolean repeat,
-                   HttpMethod method, String uri, HttpHeaders headers) { }
+    record Checked(String id, Ask ask, HttpMethod method, String uri, HttpHeaders headers) { }
 
     /** The answer that a bad request gets. */
     static final class Rejected extends Exception {
@@ -44,14 +45,13 @@
         }
     }
 
-    static final AsciiString TIMEOUT = AsciiString.cached("Request-Timeout");
     private static final String API_PATH = "/api";
     private static final AsciiString ID = AsciiString.cached("Request-Id");
     private static final AsciiString CLASS = AsciiString.cached("Request-Class");
     private static final AsciiString TENANT = AsciiString.cached("Tenant");
     private static final AsciiString KEY = AsciiString.cached("Idempotency-Key");
     private static final AsciiString REPEAT = AsciiString.cached("Client-Retry");
-    private static final List<CharSequence> ONCE = List.of(ID, CLASS, TIMEOUT, KEY, TENANT, REPEAT,
+    private static final List<CharSequence> ONCE = List.of(ID, CLASS, HttpAsk.TIMEOUT, KEY, TENANT, REPEAT,
             HttpHeaderNames.HOST, HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.TRANSFER_ENCODING,
             HttpHeaderNames.CONTENT_TYPE);
     /** Longer names than any client has; they are kept and passed on. */
@@ -95,7 +95,7 @@
         require(encoding == null || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding)
                 && request.protocolVersion().minorVersion() > 0);
         require(request.protocolVersion().majorVersion() == 1 && visible(request.uri(), Integer.MAX_VALUE));
-        if (HttpUtil.getContentLength(request, 0L) > EndpointPool.BODY_MOST) {
+        if (HttpUtil.getContentLength(request, 0L) > HttpAsk.BODY_MOST) {
             throw new Rejected(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         }
     }
@@ -116,11 +116,12 @@
         }
         String key = headers.get(KEY);
         require(key == null ? type.effect() != Contract.Effect.KEYED : visible(key, NAME_MOST));
-        String timeout = headers.get(TIMEOUT);
+        String timeout = headers.get(HttpAsk.TIMEOUT);
         double wait = timeout == null ? type.deadline() : Decimals.parse(timeout, TIMEOUT_MOST_S) * MILLIS;
         require(wait > 0);
-        return new Checked(id, k, tenantIndex.getOrDefault(headers.get(TENANT, ""), -1), wait,
-                "1".equals(headers.get(REPEAT)), method, request.uri(), onward(headers, id, key));
+        Ask ask = new Ask(k, tenantIndex.getOrDefault(headers.get(TENANT, ""), -1), wait,
+                "1".equals(headers.get(REPEAT)));
+        return new Checked(id, ask, method, request.uri(), onward(headers, id, key));
     }
 
     private static HttpHeaders onward(HttpHeaders from, String id, String key) {
--- a/src/main/java/cobaltrack/sidecar/Decimals.java
+++ b/src/main/java/cobaltrack/http/Decimals.java
@@ -1,11 +1,11 @@
-package cobaltrack.sidecar;
+package cobaltrack.http;
 
 /**
  * Numbers as peers write them and as they are written to peers: plain decimals only, for Java alone would
  * also take {@code 1d} or {@code 0x1p3}. By hand, for patterns and formats took a quarter of what a request
  * allocates.
  */
-final class Decimals {
+public final class Decimals {
     /** Digits before the point, and after it; a long holds each. */
     private static final int DIGITS_MOST = 12;
     private static final long THOUSAND = 1000;
@@ -13,7 +13,7 @@
     private Decimals() { }
 
     /** The number, or NaN if it is malformed or over {@code most}. */
-    static double parse(String text, double most) {
+    public static double parse(String text, double most) {
         int point = text.indexOf('.');
         int whole = point < 0 ? text.length() : point;
         long before = digits(text, 0, whole);
@@ -42,7 +42,7 @@
     }
 
     /** This time in seconds with three decimals. */
-    static String seconds(double millis) {
+    public static String seconds(double millis) {
         long rounded = Math.round(millis);
         return rounded / THOUSAND + "." + Long.toString(THOUSAND + rounded % THOUSAND).substring(1);
     }
--- /dev/null
+++ b/src/main/java/cobaltrack/http/HttpAnswer.java
@@ -0,0 +1,8 @@
+package cobaltrack.http;
+
+/**
+ * An endpoint's answer to an attempt that was served.
+ *
+ * @param contentType its header of that name, or null
+ */
+public record HttpAnswer(byte[] body, String contentType) { }
--- a/src/main/java/cobaltrack/sidecar/LoadReport.java
+++ b/src/main/java/cobaltrack/http/LoadReport.java
@@ -1,11 +1,12 @@
-package cobaltrack.sidecar;
+package cobaltrack.http;
 
 import cobaltrack.Contract;
 import java.util.List;
 
 /** Reads the load report that an endpoint's answer may carry, such as {@code util=0.61,qps=44}. */
-final class LoadReport {
-    static final String HEADER = "Server-Load";
+public final class LoadReport {
+    /** The header that carries it. */
+    public static final String HEADER = "Server-Load";
     /**
      * A peer's word: no endpoint holds or serves more, and a larger figure would spoil the means it goes
      * into.
@@ -15,12 +16,12 @@
     private LoadReport() { }
 
     /** The report in these headers; null if there is not just one, or one that can't be read. */
-    static Contract.Report parse(List<String> headers) {
+    public static Contract.Report parse(List<String> headers) {
         return headers.size() == 1 ? parse(headers.get(0)) : null;
     }
 
     /** The report, or null if any part of it is malformed: half a report would mislead. */
-    static Contract.Report parse(String text) {
+    public static Contract.Report parse(String text) {
         double inflight = Double.NaN;
         double queue = Double.NaN;
         double util = Double.NaN;
--- a/src/main/java/cobaltrack/sidecar/Discovery.java
+++ b/src/main/java/cobaltrack/membership/Discovery.java
@@ -1,4 +1,4 @@
-package cobaltrack.sidecar;
+package cobaltrack.membership;
 
 import cobaltrack.Contract;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -36,14 +36,7 @@
  * The watch on the list of endpoints. Where discovery is asked, the module decides when to ask again after a
  * failure; where lists are pushed it does not ask at all, and the watch on the local agent is renewed here.
  */
-final class Discovery {
-    /** Hears of lists, and of calls that failed. */
-    interface Listener {
-        void list(Contract.ListKind kind, EndpointList list);
-
-        void outOfReach();
-    }
-
+public final class Discovery implements Source {
     private static final String PATH = "/registry/instances";
     private static final int CONNECT_TIMEOUT_MS = 1000;
     /** An empty line is due every 2 s; a watch silent for longer than two of them is broken. */
@@ -57,7 +50,7 @@
     private final ObjectMapper mapper;
     private final boolean pushed;
     private final Random random;
-    private final Listener listener;
+    private final Membership membership;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
     private Long seq;
@@ -66,21 +59,21 @@
     private double backoff = BACKOFF_FIRST_MS;
 
     /** A watch that has not begun. {@code known} is the list to hear changes of, or null. */
-    Discovery(EventLoop loop, InetSocketAddress address, ObjectMapper mapper, boolean pushed, long seed,
-              EndpointList known, Listener listener) {
+    public Discovery(EventLoop loop, InetSocketAddress address, ObjectMapper mapper, boolean pushed, long seed,
+              EndpointList known, Membership membership) {
         this.loop = loop;
         this.address = address;
         this.mapper = mapper;
         this.pushed = pushed;
         this.random = new Random(seed);
         this.seq = known == null ? null : known.seq();
-        this.listener = listener;
+        this.membership = membership;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
     }
 
-    /** Begins a watch, unless one is under way. */
-    void watch() {
+    @Override
+    public void watch() {
         if (current != null) {
             return;
         }
@@ -106,7 +99,7 @@
      * list is asked for, since another service's versions may be counted otherwise, and no change must be
      * missed.
      */
-    void move(InetSocketAddress next) {
+    public void move(InetSocketAddress next) {
         if (next.equals(address)) {
             return;
         }
@@ -131,7 +124,7 @@
             backoff = Math.min(BACKOFF_MOST_MS, backoff * 2);
             loop.schedule(this::watch, (long) wait, TimeUnit.MILLISECONDS);
         } else {
-            listener.outOfReach();
+            membership.outOfReach();
         }
     }
 
@@ -199,7 +192,7 @@
             }
             seq = list.seq();
             backoff = BACKOFF_FIRST_MS;
-            listener.list(list.whole() ? Contract.ListKind.FULL : Contract.ListKind.CHANGES, list);
+            membership.list(list.whole() ? Contract.ListKind.FULL : Contract.ListKind.CHANGES, list);
         }
 
         @Override
--- a/src/main/java/cobaltrack/sidecar/EndpointList.java
+++ b/src/main/java/cobaltrack/membership/EndpointList.java
@@ -1,4 +1,4 @@
-package cobaltrack.sidecar;
+package cobaltrack.membership;
 
 import cobaltrack.Contract;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -13,10 +13,10 @@
 /**
  * What discovery tells: all endpoints if {@code whole}, else those that changed, as of version {@code seq}.
  */
-record EndpointList(long seq, boolean whole, List<Entry> entries) {
+public record EndpointList(long seq, boolean whole, List<Entry> entries) {
 
     /** An endpoint for the module, and where to connect to it; null for one that is gone. */
-    record Entry(Contract.Server server, SocketAddress address) { }
+    public record Entry(Contract.Server server, SocketAddress address) { }
 
     private static final int PORT_MOST = 65535;
 
@@ -25,7 +25,7 @@
      *
      * @throws IllegalArgumentException naming what is wrong
      */
-    static EndpointList parse(JsonNode json) {
+    public static EndpointList parse(JsonNode json) {
         JsonNode hosts = json.path("hosts");
         if (!json.path("seq").canConvertToLong() || !json.path("whole").isBoolean() || !hosts.isArray()) {
             throw new IllegalArgumentException("seq, whole or hosts is missing or malformed");
@@ -38,7 +38,8 @@
                 List.copyOf(entries));
     }
 
-    List<Contract.Server> servers() {
+    /** All entries as the module sees them. */
+    public List<Contract.Server> servers() {
         return entries.stream().map(Entry::server).toList();
     }
 
@@ -75,7 +76,7 @@
     }
 
     /** An address and port such as {@code 127.0.0.1:9000}; names are not looked up, for there is no DNS. */
-    static InetSocketAddress address(String text) {
+    public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         if (ip == null) {
--- a/src/main/java/cobaltrack/sidecar/Config.java
+++ b/src/main/java/cobaltrack/run/Config.java
@@ -1,7 +1,8 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import cobaltrack.Contract;
 import cobaltrack.SettingsReader;
+import cobaltrack.membership.EndpointList;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/src/main/java/cobaltrack/sidecar/Hangup.java
+++ b/src/main/java/cobaltrack/run/Hangup.java
@@ -1,4 +1,4 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import java.lang.reflect.Proxy;
 
--- /dev/null
+++ b/src/main/java/cobaltrack/run/LoopTimers.java
@@ -0,0 +1,32 @@
+package cobaltrack.run;
+
+import cobaltrack.engine.Clock;
+import cobaltrack.engine.Timers;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/** The timers of an event loop. */
+final class LoopTimers implements Timers {
+    private static final double NANOS_IN_MILLI = 1e6;
+
+    private final EventLoop loop;
+    private final Clock clock;
+
+    LoopTimers(EventLoop loop, Clock clock) {
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    @Override
+    public double now() {
+        return clock.now();
+    }
+
+    @Override
+    public Timer after(double millis, Runnable task) {
+        long nanos = (long) Math.ceil(Math.max(0, millis) * NANOS_IN_MILLI);
+        Future<?> due = loop.schedule(task, nanos, TimeUnit.NANOSECONDS);
+        return () -> due.cancel(false);
+    }
+}
--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -1,7 +1,14 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
+import cobaltrack.Contract;
+import cobaltrack.decide.Decide;
+import cobaltrack.engine.Clock;
+import cobaltrack.engine.Engine;
+import cobaltrack.front.http1.ClientServer;
+import cobaltrack.membership.Discovery;
 import cobaltrack.standin.Demo;
 import cobaltrack.standin.Rehearse;
+import cobaltrack.transport.EndpointPool;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -98,13 +105,15 @@
         Clock clock = new Clock();
         EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, clock, config.connectTimeout(),
                 config.endpointIdle(), Math.max(1, config.sockets() * ENDPOINT_SHARE / SHARES));
-        Sidecar sidecar = new Sidecar(loop, clock, config.settings(), config.seed(), pool, Main::log);
+        Contract.Settings settings = config.settings();
+        Engine engine = new Engine(new LoopTimers(loop, clock), settings,
+                actions -> new Decide(settings, config.seed(), actions), pool::update, Main::log);
         Discovery discovery = new Discovery(loop, config.discovery(), mapper,
-                !config.settings().listMustBeAsked(), config.seed(), config.known(), sidecar);
-        ClientServer server = new ClientServer(loop, clock, sidecar, config.settings(),
+                !settings.listMustBeAsked(), config.seed(), config.known(), engine);
+        ClientServer server = new ClientServer(loop, clock, engine, pool::carrier, settings,
                 Math.max(1, config.sockets() * CLIENT_SHARE / SHARES));
         return new Parts(server, discovery, () -> {
-            sidecar.start(discovery::watch, config.known());
+            engine.start(discovery, config.known());
             server.ready();
         });
     }
--- a/src/main/java/cobaltrack/sidecar/Reload.java
+++ b/src/main/java/cobaltrack/run/Reload.java
@@ -1,5 +1,6 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
+import cobaltrack.membership.Discovery;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.function.Consumer;
 
--- a/src/main/java/cobaltrack/sidecar/Warmup.java
+++ b/src/main/java/cobaltrack/run/Warmup.java
@@ -1,6 +1,14 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import cobaltrack.Contract;
+import cobaltrack.decide.Decide;
+import cobaltrack.engine.Clock;
+import cobaltrack.engine.Engine;
+import cobaltrack.front.http1.ClientServer;
+import cobaltrack.http.HttpAsk;
+import cobaltrack.http.LoadReport;
+import cobaltrack.membership.EndpointList;
+import cobaltrack.transport.EndpointPool;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -71,23 +79,24 @@
         int sockets = 8;
         EndpointPool pool =
                 new EndpointPool(loop, NioSocketChannel.class, clock, (int) MOST_MS, MOST_MS, sockets);
-        Sidecar sidecar = new Sidecar(loop, clock, settings, 0, pool, line -> { });
-        ClientServer server = new ClientServer(loop, clock, sidecar, settings, sockets);
+        Engine engine = new Engine(new LoopTimers(loop, clock), settings,
+                actions -> new Decide(settings, 0, actions), pool::update, line -> { });
+        ClientServer server = new ClientServer(loop, clock, engine, pool::carrier, settings, sockets);
         SocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         ChannelFuture endpoint = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .childHandler(pipeline(true)).bind(any).awaitUninterruptibly();
         ChannelFuture front = server.listen(any).awaitUninterruptibly();
         if (endpoint.isSuccess() && front.isSuccess()) {
-            ask(sidecar, endpoint.channel().localAddress(), front.channel().localAddress());
+            ask(engine, endpoint.channel().localAddress(), front.channel().localAddress());
         }
         loop.parent().shutdownGracefully(0, MOST_MS, TimeUnit.MILLISECONDS);
         return served;
     }
 
-    private void ask(Sidecar sidecar, SocketAddress endpoint, SocketAddress front) {
+    private void ask(Engine engine, SocketAddress endpoint, SocketAddress front) {
         EndpointList list = new EndpointList(0, true, List.of(new EndpointList.Entry(
                 new Contract.Server("warm", Contract.Standing.UP, 1, "", 0, 0), endpoint)));
-        loop.execute(() -> sidecar.start(() -> { }, list));
+        loop.execute(() -> engine.start(() -> { }, list));
         new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(pipeline(false)).connect(front);
         try {
             if (!done.await(MOST_MS, TimeUnit.MILLISECONDS)) {
@@ -103,7 +112,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(serves ? new HttpServerCodec() : new HttpClientCodec(),
-                        new HttpObjectAggregator(EndpointPool.BODY_MOST),
+                        new HttpObjectAggregator(HttpAsk.BODY_MOST),
                         serves ? new Endpoint() : new Application());
             }
         };
@@ -145,7 +154,7 @@
                     safe ? HttpMethod.GET : HttpMethod.POST, "/api?obj=warm", Unpooled.wrappedBuffer(BODY, 0,
                     safe ? 0 : BODY.length));
             request.headers().set("Request-Id", "warm" + left).set("Request-Class", k.name())
-                    .set("Idempotency-Key", "warm").set(RequestCheck.TIMEOUT, "5.000")
+                    .set("Idempotency-Key", "warm").set(HttpAsk.TIMEOUT, "5.000")
                     .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
             ctx.writeAndFlush(request);
         }
--- a/src/main/java/cobaltrack/standin/SidecarProcess.java
+++ b/src/main/java/cobaltrack/standin/SidecarProcess.java
@@ -28,7 +28,7 @@
     private static final List<String> LIMITS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
             "-Xms48m", "-Xmx48m", "-XX:MaxDirectMemorySize=32m", "-Dio.netty.jfr.enabled=false",
             "-Dio.netty.leakDetection.level=disabled");
-    private static final String MAIN = "cobaltrack.sidecar.Main";
+    private static final String MAIN = "cobaltrack.run.Main";
 
     private final Process process;
     private final Path folder;
--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/transport/EndpointPool.java
@@ -1,6 +1,12 @@
-package cobaltrack.sidecar;
+package cobaltrack.transport;
 
 import cobaltrack.Contract;
+import cobaltrack.engine.Carrier;
+import cobaltrack.engine.Clock;
+import cobaltrack.http.HttpAnswer;
+import cobaltrack.http.HttpAsk;
+import cobaltrack.http.LoadReport;
+import cobaltrack.membership.EndpointList;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -41,19 +47,7 @@
  * Connections to endpoints, each with one request at a time, and what became of each attempt. It sends what
  * it is told once and never again. Everything here runs on the one event loop.
  */
-final class EndpointPool {
-    /** An endpoint's answer to an attempt that was served. */
-    record Answer(byte[] body, String contentType) { }
-
-    /**
-     * Is told once how an attempt ended, unless it was given up first. {@code answer} is null unless
-     * served.
-     */
-    interface Listener {
-        void ended(Contract.Outcome outcome, Answer answer, Contract.Report report);
-    }
-
-    static final int BODY_MOST = 64 * 1024;
+public final class EndpointPool {
     private static final String NOT_STARTED = "Not-Started";
     /** Of the endpoint's own idle limit: a request must never cross the endpoint's closing. */
     private static final double IDLE_SHARE = 0.75;
@@ -90,7 +84,7 @@
      * @param endpointIdle milliseconds after which an endpoint closes an idle connection
      * @param most connections open at once to all endpoints together
      */
-    EndpointPool(EventLoop loop, Class<? extends Channel> channels, Clock clock, int connectTimeout,
+    public EndpointPool(EventLoop loop, Class<? extends Channel> channels, Clock clock, int connectTimeout,
             double endpointIdle, int most) {
         this.loop = loop;
         this.clock = clock;
@@ -102,7 +96,7 @@
     }
 
     /** Takes in the list: addresses may move, and what drains or is gone keeps no idle connections. */
-    void update(EndpointList list) {
+    public void update(EndpointList list) {
         if (list.whole()) {
             endpoints.values().forEach(e -> e.up = false);
         }
@@ -122,8 +116,12 @@
         });
     }
 
-    /** Sends a request to an endpoint, or tells the listener why it can't. */
-    Attempt send(String id, FullHttpRequest request, Listener listener) {
+    /** What sends the attempts of this request. */
+    public Carrier<HttpAnswer> carrier(HttpAsk ask) {
+        return (endpoint, attempt, within, told) -> send(endpoint, ask.attempt(attempt, within), told);
+    }
+
+    private Attempt send(String id, FullHttpRequest request, Carrier.Outcomes<HttpAnswer> listener) {
         Attempt attempt = new Attempt(request, listener);
         Endpoint endpoint = endpoints.get(id);
         if (endpoint == null) {
@@ -248,29 +246,27 @@
     }
 
     /** One request under way to one endpoint. */
-    final class Attempt {
+    private final class Attempt implements Carrier.Sending {
         private final FullHttpRequest request;
-        private final Listener listener;
+        private final Carrier.Outcomes<HttpAnswer> listener;
         private Connection connection;
         private boolean over;
 
-        private Attempt(FullHttpRequest request, Listener listener) {
+        private Attempt(FullHttpRequest request, Carrier.Outcomes<HttpAnswer> listener) {
             this.request = request;
             this.listener = listener;
         }
 
-        private void end(Contract.Outcome outcome, Answer answer, Contract.Report report) {
+        private void end(Contract.Outcome outcome, HttpAnswer answer, Contract.Report report) {
             if (!over) {
                 over = true;
                 listener.ended(outcome, answer, report);
             }
         }
 
-        /**
-         * Gives up the attempt by closing its connection; its listener hears no more. True if the endpoint
-         * may have had the whole request, so that it may run.
-         */
-        boolean giveUp() {
+        // By closing its connection.
+        @Override
+        public boolean giveUp() {
             if (over) {
                 return true;
             }
@@ -423,7 +419,7 @@
             }
             if (message instanceof HttpContent part) {
                 ByteBuf bytes = part.content();
-                if (body.size() + bytes.readableBytes() > BODY_MOST) {
+                if (body.size() + bytes.readableBytes() > HttpAsk.BODY_MOST) {
                     spoilt();
                     return;
                 }
@@ -452,7 +448,7 @@
             if (encoding != null) {
                 return HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding);
             }
-            return HttpUtil.isContentLengthSet(response) && HttpUtil.getContentLength(response) <= BODY_MOST;
+            return HttpUtil.isContentLengthSet(response) && HttpUtil.getContentLength(response) <= HttpAsk.BODY_MOST;
         }
 
         @Override
@@ -502,8 +498,8 @@
             }
             Contract.Outcome outcome = outcome(response);
             HttpHeaders headers = response.headers();
-            Answer answer = outcome == Contract.Outcome.SERVED
-                    ? new Answer(body.toByteArray(), headers.get(HttpHeaderNames.CONTENT_TYPE)) : null;
+            HttpAnswer answer = outcome == Contract.Outcome.SERVED
+                    ? new HttpAnswer(body.toByteArray(), headers.get(HttpHeaderNames.CONTENT_TYPE)) : null;
             done.end(outcome, answer, LoadReport.parse(headers.getAll(LoadReport.HEADER)));
         }
 
--- /dev/null
+++ b/src/test/java/cobaltrack/bench/EngineBenchmark.java
@@ -0,0 +1,97 @@
+package cobaltrack.bench;
+
+import cobaltrack.Contract;
+import cobaltrack.decide.Decide;
+import cobaltrack.engine.Ask;
+import cobaltrack.engine.Caller;
+import cobaltrack.engine.Carrier;
+import cobaltrack.engine.Engine;
+import cobaltrack.membership.EndpointList;
+import cobaltrack.standin.DrivenClock;
+import cobaltrack.standin.Settings;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * What the engine's path costs with the module in it: a request taken, its attempt sent and answered 5 ms later, its
+ * timers, its end; neither a front nor a transport. Run with {@code mvn -q test-compile exec:exec}; it is no test.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(value = 2, jvmArgsAppend = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms48m", "-Xmx48m"})
+public class EngineBenchmark {
+    private static final double GAP_MS = 1;
+    private static final double TOOK_MS = 5;
+    private static final int WARM = 10_000;
+
+    /** Servers on the list. */
+    @Param({"3", "100"})
+    public int servers;
+
+    private final DrivenClock clock = new DrivenClock();
+    private final Ask ask = new Ask(0, -1, Settings.DEADLINE, false);
+    private final Ends ends = new Ends();
+    private final Carrier<String> carrier = (endpoint, attempt, within, told) -> {
+        clock.after(TOOK_MS, () -> told.ended(Contract.Outcome.SERVED, "", null));
+        return () -> true;
+    };
+    private Engine engine;
+
+    /** An engine that has seen ten seconds of traffic. */
+    @Setup
+    public void warm() {
+        Contract.Settings settings = Settings.of(true, Settings.type("read", 1, Contract.Effect.SAFE));
+        engine = new Engine(clock, settings, actions -> new Decide(settings, 7, actions), list -> { }, line -> { });
+        List<EndpointList.Entry> list = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            list.add(new EndpointList.Entry(new Contract.Server("s" + i, Contract.Standing.UP, 1, "z", 0, 0),
+                    new InetSocketAddress(1)));
+        }
+        engine.start(() -> { }, new EndpointList(1, true, list));
+        for (int i = 0; i < WARM; i++) {
+            request();
+        }
+        if (ends.served < WARM / 2) {
+            throw new IllegalStateException("only " + ends.served + " served");
+        }
+    }
+
+    /** One request, and what falls due until the next. */
+    @Benchmark
+    public Object request() {
+        Object held = engine.take(ask, carrier, ends);
+        clock.runTo(clock.now() + GAP_MS);
+        return held;
+    }
+
+    private static final class Ends implements Caller<String> {
+        private long served;
+
+        @Override
+        public void served(String answer) {
+            served++;
+        }
+
+        @Override
+        public void refused(double retryAfter) { }
+
+        @Override
+        public void failed() { }
+    }
+}
--- a/src/test/java/cobaltrack/sidecar/BadInputTest.java
+++ b/src/test/java/cobaltrack/run/BadInputTest.java
@@ -1,4 +1,4 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cobaltrack.Contract;
+import cobaltrack.http.LoadReport;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/cobaltrack/sidecar/CrowdingTest.java
+++ b/src/test/java/cobaltrack/run/CrowdingTest.java
@@ -1,4 +1,4 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
--- a/src/test/java/cobaltrack/sidecar/EndpointPoolTest.java
+++ b/src/test/java/cobaltrack/run/EndpointPoolTest.java
@@ -1,15 +1,18 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import cobaltrack.Contract;
+import cobaltrack.engine.Clock;
+import cobaltrack.http.HttpAsk;
+import cobaltrack.membership.EndpointList;
+import cobaltrack.transport.EndpointPool;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -53,8 +56,9 @@
 
     private static Contract.Outcome send(EventLoop loop, EndpointPool pool) throws Exception {
         CompletableFuture<Contract.Outcome> ended = new CompletableFuture<>();
-        loop.execute(() -> pool.send("s", new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
-                (outcome, answer, report) -> ended.complete(outcome)));
+        loop.execute(() -> pool.carrier(
+                new HttpAsk(HttpMethod.GET, "/api", new DefaultHttpHeaders(), new byte[0]))
+                .send("s", 0, 1000, (outcome, answer, report) -> ended.complete(outcome)));
         return ended.get(FakeServer.PATIENCE_S, TimeUnit.SECONDS);
     }
 }
--- a/src/test/java/cobaltrack/sidecar/FaultTest.java
+++ b/src/test/java/cobaltrack/run/FaultTest.java
@@ -1,9 +1,18 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cobaltrack.Contract;
+import cobaltrack.decide.Decide;
+import cobaltrack.engine.Ask;
+import cobaltrack.engine.Caller;
+import cobaltrack.engine.Clock;
+import cobaltrack.engine.Engine;
+import cobaltrack.http.HttpAnswer;
+import cobaltrack.http.HttpAsk;
+import cobaltrack.membership.EndpointList;
+import cobaltrack.transport.EndpointPool;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -29,13 +38,14 @@
             BlockingQueue<String> log = new LinkedBlockingQueue<>();
             BlockingQueue<String> ends = new LinkedBlockingQueue<>();
             EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, clock, 250, 1000, 8);
-            Sidecar sidecar = new Sidecar(loop, clock, settings, 1, pool, log::add);
+            Engine engine = new Engine(new LoopTimers(loop, clock), settings,
+                    actions -> new Decide(settings, 1, actions), pool::update, log::add);
             // To connect to no address throws.
             EndpointList list = new EndpointList(0, true, List.of(new EndpointList.Entry(
                     new Contract.Server("s0", Contract.Standing.UP, 1, "", 0, 0), null)));
-            Sidecar.Client client = new Sidecar.Client() {
+            Caller<HttpAnswer> caller = new Caller<>() {
                 @Override
-                public void served(EndpointPool.Answer answer) {
+                public void served(HttpAnswer answer) {
                     ends.add("served");
                 }
 
@@ -50,9 +60,9 @@
                 }
             };
             loop.submit(() -> {
-                sidecar.start(() -> { }, list);
-                sidecar.take(new RequestCheck.Checked("1", 0, -1, 300, false, HttpMethod.GET, "/api",
-                        new DefaultHttpHeaders()), new byte[0], client);
+                engine.start(() -> { }, list);
+                HttpAsk http = new HttpAsk(HttpMethod.GET, "/api", new DefaultHttpHeaders(), new byte[0]);
+                engine.take(new Ask(0, -1, 300, false), pool.carrier(http), caller);
             }).get();
             assertTrue(log.poll(FakeServer.PATIENCE_S, TimeUnit.SECONDS).startsWith("decision failed"));
             assertEquals("failed", ends.poll(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
--- a/src/test/java/cobaltrack/sidecar/ProcessTest.java
+++ b/src/test/java/cobaltrack/run/ProcessTest.java
@@ -1,4 +1,4 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -31,7 +31,7 @@
         List<String> line = new ArrayList<>();
         line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         line.addAll(List.of(options));
-        line.addAll(List.of("-cp", System.getProperty("java.class.path"), "cobaltrack.sidecar.Main", command));
+        line.addAll(List.of("-cp", System.getProperty("java.class.path"), "cobaltrack.run.Main", command));
         ProcessBuilder b = new ProcessBuilder(line);
         b.environment().remove("PROXY_CONFIG");
         if (config != null) {
--- a/src/test/java/cobaltrack/sidecar/TestClient.java
+++ b/src/test/java/cobaltrack/run/TestClient.java
@@ -1,4 +1,4 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
--- a/src/test/java/cobaltrack/sidecar/TestNode.java
+++ b/src/test/java/cobaltrack/run/TestNode.java
@@ -1,5 +1,7 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
+import cobaltrack.front.http1.ClientServer;
+import cobaltrack.membership.Discovery;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
--- a/src/test/java/cobaltrack/sidecar/WarmupTest.java
+++ b/src/test/java/cobaltrack/run/WarmupTest.java
@@ -1,7 +1,8 @@
-package cobaltrack.sidecar;
+package cobaltrack.run;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cobaltrack.engine.Clock;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
 
