Add the consultation core: requests that other proxies ask about and send themselves

A second ask with an open id joins; what must not run again is known for a while after its end; a retry waits a little for a proxy that comes for it and is taken back from an endpoint that drains; a report on another endpoint or another attempt is counted and changes nothing; callers and the memory are bounded. Each 'send' says for how long it is valid, a quarter of the drain grace.

No front uses it yet; nothing of it is loaded by a sidecar.

--- /dev/null
+++ b/src/main/java/cobaltrack/consult/Consultations.java
@@ -0,0 +1,204 @@
+package cobaltrack.consult;
+
+import cobaltrack.Contract;
+import cobaltrack.engine.Ask;
+import cobaltrack.engine.Engine;
+import cobaltrack.engine.Timers;
+import cobaltrack.membership.EndpointList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Requests that other proxies ask about and send themselves. Each is one request of the engine's, known by its id
+ * across calls and connections: a second ask for one that is open joins it, and one that must not run again is known
+ * for a while after its end. It decides nothing: who sends where, whether again, and what is refused comes from the
+ * module. On the engine's thread.
+ */
+public final class Consultations {
+    /** Hears, at most once, what a caller is to do. */
+    @FunctionalInterface
+    public interface Reply {
+        /** Called on the engine's thread, at once or later, but before the request's time is up. */
+        void told(Directive directive);
+    }
+
+    /**
+     * Of the grace after which nothing new may reach a draining endpoint: the rest is for the list's way here and
+     * for the clocks of callers.
+     */
+    private static final double VALID_SHARE = 0.25;
+
+    private final Engine engine;
+    private final Timers timers;
+    private final Contract.Settings settings;
+    private final Bounds bounds;
+    private final Consumer<String> log;
+    private final Map<String, Consultation> open = new HashMap<>();
+    private final Map<String, String> addresses = new HashMap<>();
+    /** Of requests that must not run again. */
+    private final Ends ends;
+    /** Of requests whose end nobody has heard: a proxy that tries again on its own comes for it. */
+    private final Ends unheard;
+    private final Tally tally = new Tally();
+
+    /** None open. {@link #update} is to hear of every list. */
+    public Consultations(Engine engine, Timers timers, Contract.Settings settings, Bounds bounds,
+            Consumer<String> log) {
+        this.engine = engine;
+        this.timers = timers;
+        this.settings = settings;
+        this.bounds = bounds;
+        this.log = log;
+        this.ends = new Ends(bounds.remembered(), bounds.remember());
+        this.unheard = new Ends(bounds.remembered(), bounds.pickUp());
+    }
+
+    /** Takes in the list: what drains or is gone is told to nobody any more, also where a retry waits for it. */
+    public void update(EndpointList list) {
+        if (list.whole()) {
+            addresses.clear();
+        }
+        for (EndpointList.Entry e : list.entries()) {
+            if (e.server().standing() == Contract.Standing.UP && e.dial() != null) {
+                addresses.put(e.server().id(), e.dial());
+            } else {
+                addresses.remove(e.server().id());
+            }
+        }
+        List.copyOf(open.values()).forEach(Consultation::listChanged);
+    }
+
+    /**
+     * A caller asks what to do with a request.
+     *
+     * @param id by which the request is known to all callers; fronts bound its length
+     */
+    public void ask(Peer peer, String id, Ask ask, Reply reply) {
+        Directive ended = ended(id);
+        Consultation known = open.get(id);
+        if (known != null) {
+            note(Tally.Kind.JOINED, id);
+            known.join(peer, reply);
+        } else if (ended != null) {
+            note(Tally.Kind.JOINED, id);
+            reply.told(ended);
+        } else if (open.size() >= bounds.open() || peer.open() >= bounds.openPerCaller()) {
+            note(Tally.Kind.TOO_MANY, id);
+            reply.told(new Directive.TooMany());
+        } else {
+            Contract.Effect effect = settings.classes().get(ask.classIndex()).effect();
+            Consultation c = new Consultation(this, id, peer, effect, reply);
+            open.put(id, c);
+            peer.add(c);
+            c.held(engine.take(ask, c, c));
+        }
+    }
+
+    /**
+     * A caller reports how an attempt ended, and hears what to do next.
+     *
+     * @param endpoint where it was sent, or null if the caller does not tell
+     * @param report of the endpoint's load, or null
+     * @param reply null if the caller asks again for what is next
+     */
+    public void outcome(String id, int attempt, String endpoint, Contract.Outcome outcome, Contract.Report report,
+            Reply reply) {
+        Consultation c = open.get(id);
+        if (c != null) {
+            c.reported(attempt, endpoint, outcome, report, reply);
+            return;
+        }
+        note(Tally.Kind.LATE, id);
+        if (reply != null) {
+            Directive ended = ended(id);
+            reply.told(ended != null ? ended : new Directive.Unknown());
+        }
+    }
+
+    private Directive ended(String id) {
+        Directive end = ends.of(id, timers.now());
+        return end != null ? end : unheard.of(id, timers.now());
+    }
+
+    /** A caller has begun to pass an attempt's answer on to its client; its outcome is still to come. */
+    public void streaming(String id, int attempt) {
+        Consultation c = open.get(id);
+        if (c == null) {
+            note(Tally.Kind.LATE, id);
+        } else {
+            c.streaming(attempt);
+        }
+    }
+
+    /** The client of this request is gone, or its caller gives it up. */
+    public void gone(String id) {
+        Consultation c = open.get(id);
+        if (c != null) {
+            c.gone();
+        }
+    }
+
+    /** A caller is gone with all that it had open. */
+    public void gone(Peer peer) {
+        peer.all().forEach(Consultation::gone);
+    }
+
+    /** Requests open, or with an attempt out. */
+    public int open() {
+        return open.size();
+    }
+
+    /** Ends remembered. */
+    public int remembered() {
+        return ends.size() + unheard.size();
+    }
+
+    /** What went wrong between callers and this. */
+    public Tally tally() {
+        return tally;
+    }
+
+    Bounds bounds() {
+        return bounds;
+    }
+
+    Timers timers() {
+        return timers;
+    }
+
+    /** Where this endpoint is; null if it takes nothing new. */
+    String address(String endpoint) {
+        return addresses.get(endpoint);
+    }
+
+    /** Milliseconds for which a caller may act on what it is told. */
+    double valid() {
+        return settings.obligations().drainGrace() * VALID_SHARE;
+    }
+
+    void note(Tally.Kind kind, String id) {
+        if (tally.add(kind)) {
+            log.accept("consult: " + kind + " " + tally.count(kind) + ", last of request " + id);
+        }
+    }
+
+    /** Forgets it once it is done. */
+    void tidy(Consultation c) {
+        if (c.done() && open.remove(c.id(), c)) {
+            c.peer().remove(c);
+            // What was refused has not run, or may run again: a client's next try is a new request.
+            Ends kept = c.fragile() && !(c.end() instanceof Directive.Refused) ? ends
+                    : c.unheard() ? unheard : null;
+            if (kept != null && !kept.add(c.id(), c.end(), timers.now())) {
+                note(Tally.Kind.FORGOTTEN, c.id());
+            }
+        }
+    }
+
+    /** The same, once the engine has heard what it is being told. */
+    void later(Consultation c) {
+        timers.after(0, () -> tidy(c));
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/consult/Ends.java
@@ -0,0 +1,55 @@
+package cobaltrack.consult;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Remembers for a while how requests ended that must not run again: a proxy may send one anew, on its own, after it
+ * had its end. Bounded; the oldest goes first.
+ */
+final class Ends {
+    private record End(Directive directive, double until) { }
+
+    // In the order of their ends, and so of their times.
+    private final Map<String, End> ends = new LinkedHashMap<>();
+    private final int most;
+    private final double keep;
+
+    Ends(int most, double keep) {
+        this.most = most;
+        this.keep = keep;
+    }
+
+    /** Notes one; false if another had to be forgotten for it before its time. */
+    boolean add(String id, Directive directive, double now) {
+        expire(now);
+        ends.remove(id);
+        ends.put(id, new End(directive, now + keep));
+        if (ends.size() <= most) {
+            return true;
+        }
+        Iterator<String> oldest = ends.keySet().iterator();
+        oldest.next();
+        oldest.remove();
+        return false;
+    }
+
+    /** How this request ended, or null. */
+    Directive of(String id, double now) {
+        expire(now);
+        End end = ends.get(id);
+        return end == null ? null : end.directive();
+    }
+
+    private void expire(double now) {
+        Iterator<End> oldest = ends.values().iterator();
+        while (oldest.hasNext() && oldest.next().until() <= now) {
+            oldest.remove();
+        }
+    }
+
+    int size() {
+        return ends.size();
+    }
+}
--- a/src/main/java/cobaltrack/engine/Engine.java
+++ b/src/main/java/cobaltrack/engine/Engine.java
@@ -220,6 +220,19 @@
             }
         }
 
+        /**
+         * The answer to an attempt has begun to reach the client by another way than the caller, which ends
+         * what the request is owed; the outcome of the attempt is still to come.
+         *
+         * @param attempt as the carrier was told it
+         */
+        public void streaming(int attempt) {
+            if (!over) {
+                over();
+                tell(() -> module.streaming(timers.now(), request, attempt));
+            }
+        }
+
         private void over() {
             over = true;
             if (deadline != null) {
--- a/src/main/java/cobaltrack/membership/EndpointList.java
+++ b/src/main/java/cobaltrack/membership/EndpointList.java
@@ -16,7 +16,12 @@
 public record EndpointList(long seq, boolean whole, List<Entry> entries) {
 
     /** An endpoint for the module, and where to connect to it; null for one that is gone. */
-    public record Entry(Contract.Server server, SocketAddress address) { }
+    public record Entry(Contract.Server server, SocketAddress address) {
+        /** The address as ADDRESS:PORT; null if there is none. */
+        public String dial() {
+            return address instanceof InetSocketAddress inet ? NetUtil.toSocketAddressString(inet) : null;
+        }
+    }
 
     private static final int PORT_MOST = 65535;
 
--- a/src/test/java/cobaltrack/engine/ScriptedModule.java
+++ b/src/test/java/cobaltrack/engine/ScriptedModule.java
@@ -5,10 +5,13 @@
 import java.util.List;
 
 /** A module that does what a test says and notes what it hears. */
-class ScriptedModule implements Contract.Events {
-    final List<String> heard = new ArrayList<>();
-    final List<Contract.Request> requests = new ArrayList<>();
-    Contract.Actions actions;
+public class ScriptedModule implements Contract.Events {
+    /** What it heard, in order. */
+    public final List<String> heard = new ArrayList<>();
+    /** The requests that it heard of. */
+    public final List<Contract.Request> requests = new ArrayList<>();
+    /** What carries out what it decides; set by the test. */
+    public Contract.Actions actions;
 
     @Override
     public void start(double now) {
