Add the plain consult API for nginx and for proxies of people's own

Set in an operator's own file named by PROXY_PROCESSOR, checked when read; without it nothing of it is loaded.

--- /dev/null
+++ b/src/main/java/cobaltrack/front/consult/ConsultRequest.java
@@ -0,0 +1,208 @@
+package cobaltrack.front.consult;
+
+import cobaltrack.Contract;
+import cobaltrack.engine.Ask;
+import cobaltrack.http.Decimals;
+import cobaltrack.http.LoadReport;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * What a caller of the consult API says, checked: of a request, and of an attempt at it. JSON and header form are the
+ * same fields under other names ({@code docs/consult-api.md}).
+ */
+final class ConsultRequest {
+    /** What can be said, with its name in JSON and as a header. */
+    enum Field {
+        ID("id", "Request-Id"), CLASS("class", "Request-Class"), TENANT("tenant", "Tenant"),
+        /** Milliseconds in JSON, seconds as a header, as the platform has it. */
+        TIMEOUT("timeout_ms", "Request-Timeout"), REPEAT("repeat", "Client-Retry"),
+        ATTEMPT("attempt", "Consult-Attempt"), ENDPOINT("endpoint", "Consult-Endpoint"),
+        OUTCOME("outcome", "Consult-Outcome"), STATUS("status", "Consult-Status"),
+        NOT_STARTED("not_started", "Consult-Not-Started"), CONNECTED("connected", "Consult-Connect-Time"),
+        ANSWERED("answered", "Consult-Header-Time"), LOAD("load", "Server-Load");
+
+        private final String json;
+        private final String header;
+
+        Field(String json, String header) {
+            this.json = json;
+            this.header = header;
+        }
+
+        String json() {
+            return json;
+        }
+
+        String header() {
+            return header;
+        }
+    }
+
+    /** A caller's mistake, in one line for the caller. */
+    static final class Bad extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Bad(String why) {
+            super(why, null, false, false);
+        }
+    }
+
+    /**
+     * How an attempt ended.
+     *
+     * @param endpoint where the caller says that it sent it, or null
+     * @param report of the endpoint's load, or null
+     */
+    record Ended(int attempt, String endpoint, Contract.Outcome outcome, Contract.Report report) { }
+
+    /** Longer names than any caller has; they are kept. */
+    private static final int NAME_MOST = 256;
+    /** An hour, as on the platform's own front. */
+    private static final double TIMEOUT_MOST_MS = 3_600_000;
+    private static final double MILLIS = 1000;
+    private static final int ATTEMPTS_MOST = 1000;
+    private static final int STATUS_MOST = 999;
+    private static final int SERVER_ERRORS = 500;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final int UNAVAILABLE = 503;
+    private static final List<String> NO = List.of("", "0", "false", "-");
+
+    private final Function<Field, String> said;
+    private final boolean headers;
+
+    /**
+     * One call.
+     *
+     * @param said the text of a field, or null
+     * @param headers whether it came as headers
+     */
+    ConsultRequest(Function<Field, String> said, boolean headers) {
+        this.said = said;
+        this.headers = headers;
+    }
+
+    private String text(Field field) {
+        String text = said.apply(field);
+        return text == null ? "" : text;
+    }
+
+    private String name(Field field) {
+        return headers ? field.header() : field.json();
+    }
+
+    /** The request's id. */
+    String id() throws Bad {
+        String id = text(Field.ID);
+        if (id.isEmpty() || id.length() > NAME_MOST
+                || !id.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+            throw new Bad(name(Field.ID) + " is missing or malformed");
+        }
+        return id;
+    }
+
+    /** What the engine needs to know of the request. */
+    Ask ask(Names names) throws Bad {
+        String type = text(Field.CLASS);
+        Integer k = names.classes.get(type);
+        if (k == null) {
+            throw new Bad(type.isEmpty() ? name(Field.CLASS) + " is missing"
+                    : "class '" + clip(type) + "' is unknown");
+        }
+        double wait = names.deadlines.get(k);
+        String timeout = text(Field.TIMEOUT);
+        if (!timeout.isEmpty()) {
+            wait = Decimals.parse(timeout, TIMEOUT_MOST_MS) * (headers ? MILLIS : 1);
+            if (!(wait > 0 && wait <= TIMEOUT_MOST_MS)) {
+                throw new Bad(name(Field.TIMEOUT) + " is malformed");
+            }
+        }
+        return new Ask(k, names.tenants.getOrDefault(text(Field.TENANT), -1), wait, yes(Field.REPEAT));
+    }
+
+    /** Whether it tells how an attempt ended. */
+    boolean tellsAnEnd() {
+        return !text(Field.ATTEMPT).isEmpty() && !(text(Field.OUTCOME).isEmpty() && text(Field.STATUS).isEmpty());
+    }
+
+    /** The attempt that it is about. */
+    int attempt() throws Bad {
+        return whole(Field.ATTEMPT, ATTEMPTS_MOST);
+    }
+
+    /** How that attempt ended. */
+    Ended ended() throws Bad {
+        String endpoint = text(Field.ENDPOINT);
+        String load = text(Field.LOAD);
+        return new Ended(attempt(), endpoint.isEmpty() ? null : endpoint, outcome(),
+                load.isEmpty() ? null : LoadReport.parse(load));
+    }
+
+    private Contract.Outcome outcome() throws Bad {
+        String word = text(Field.OUTCOME);
+        return switch (word) {
+            case "" -> byStatus();
+            case "served" -> Contract.Outcome.SERVED;
+            case "error" -> Contract.Outcome.ERROR;
+            case "full" -> Contract.Outcome.FULL;
+            case "timed_out" -> Contract.Outcome.TIMED_OUT;
+            case "connect_failed" -> Contract.Outcome.CONNECT_FAILED;
+            case "reset" -> Contract.Outcome.RESET;
+            case "cancelled" -> Contract.Outcome.CANCELLED;
+            case "not_sent" -> Contract.Outcome.NEVER_SENT;
+            default -> throw new Bad("outcome '" + clip(word) + "' is unknown");
+        };
+    }
+
+    // By what a proxy knows: whether it got a connection, whether a head came back on it, and its status. Without a
+    // word on the first two they are taken to be so, by which nothing is held to be proven.
+    private Contract.Outcome byStatus() throws Bad {
+        int status = whole(Field.STATUS, STATUS_MOST);
+        if (said.apply(Field.CONNECTED) != null && !yes(Field.CONNECTED)) {
+            return Contract.Outcome.CONNECT_FAILED;
+        }
+        if (said.apply(Field.ANSWERED) != null && !yes(Field.ANSWERED)) {
+            return status == GATEWAY_TIMEOUT ? Contract.Outcome.TIMED_OUT : Contract.Outcome.RESET;
+        }
+        if ((status == UNAVAILABLE || status == GATEWAY_TIMEOUT) && yes(Field.NOT_STARTED)) {
+            return Contract.Outcome.FULL;
+        }
+        return status < SERVER_ERRORS ? Contract.Outcome.SERVED : Contract.Outcome.ERROR;
+    }
+
+    // A time, in header form, is the proxy's own: 0.000 for at once, a dash for never.
+    private boolean yes(Field field) {
+        return !NO.contains(text(field));
+    }
+
+    private int whole(Field field, int most) throws Bad {
+        double value = Decimals.parse(text(field), most);
+        if (Double.isNaN(value) || value != Math.rint(value)) {
+            throw new Bad(name(field) + " is missing or malformed");
+        }
+        return (int) value;
+    }
+
+    private static String clip(String text) {
+        return text.length() > NAME_MOST ? text.substring(0, NAME_MOST) : text;
+    }
+
+    /** The classes and tenants by name. */
+    static final class Names {
+        private final Map<String, Integer> classes = new HashMap<>();
+        private final Map<Integer, Double> deadlines = new HashMap<>();
+        private final Map<String, Integer> tenants = new HashMap<>();
+
+        Names(Contract.Settings settings) {
+            for (int i = 0; i < settings.classes().size(); i++) {
+                classes.put(settings.classes().get(i).name(), i);
+                deadlines.put(i, settings.classes().get(i).deadline());
+            }
+            for (int i = 0; i < settings.tenants().size(); i++) {
+                tenants.put(settings.tenants().get(i).name(), i);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/front/consult/ConsultServer.java
@@ -0,0 +1,110 @@
+package cobaltrack.front.consult;
+
+import cobaltrack.Contract;
+import cobaltrack.consult.Consultations;
+import cobaltrack.consult.Peer;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The plain consult API: HTTP/1.1, one call a message, for nginx and for proxies of people's own. A caller is told
+ * apart by its address, and what it has open outlives its connections: the deadline ends it.
+ */
+public final class ConsultServer {
+    /** Of a body or of all headers; more than any call needs. */
+    private static final int MESSAGE_MOST = 16 * 1024;
+    private static final int LINE_MOST = 4096;
+    /** Longer than the idle times of proxies' connection pools, nginx's of a minute say. */
+    private static final long IDLE_MOST_S = 75;
+
+    private final EventLoop loop;
+    private final Class<? extends ServerChannel> channels;
+    private final Consultations consultations;
+    private final ConsultRequest.Names names;
+    private final ObjectMapper mapper;
+    private final int most;
+    private final Map<InetAddress, Peer> peers = new HashMap<>();
+    private final Map<InetAddress, Integer> connected = new HashMap<>();
+    private final ChannelGroup connections;
+    private Channel listener;
+
+    /**
+     * A server for callers.
+     *
+     * @param most connections from callers at once; ones beyond are closed
+     */
+    public ConsultServer(EventLoop loop, Class<? extends ServerChannel> channels, Consultations consultations,
+            Contract.Settings settings, ObjectMapper mapper, int most) {
+        this.loop = loop;
+        this.channels = channels;
+        this.consultations = consultations;
+        this.names = new ConsultRequest.Names(settings);
+        this.mapper = mapper;
+        this.most = most;
+        this.connections = new DefaultChannelGroup(loop);
+    }
+
+    /** Listens on this address only. */
+    public ChannelFuture listen(SocketAddress address) {
+        return new ServerBootstrap().group(loop).channel(channels)
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        listener = channel;
+                    }
+                })
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accept(channel);
+                    }
+                }).bind(address);
+    }
+
+    private void accept(Channel channel) {
+        if (connections.size() >= most) {
+            channel.close();
+            return;
+        }
+        connections.add(channel);
+        InetAddress from = ((InetSocketAddress) channel.remoteAddress()).getAddress();
+        Peer peer = peers.computeIfAbsent(from, a -> new Peer());
+        connected.merge(from, 1, Integer::sum);
+        channel.closeFuture().addListener(f -> left(from));
+        channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_MOST_S, TimeUnit.SECONDS),
+                new HttpServerCodec(LINE_MOST, MESSAGE_MOST, MESSAGE_MOST), new HttpObjectAggregator(MESSAGE_MOST),
+                new ConsultConnection(consultations, names, mapper, peer));
+    }
+
+    // A caller that has left with requests open keeps its place, or it could open as many again.
+    private void left(InetAddress from) {
+        if (connected.merge(from, -1, Integer::sum) == 0) {
+            connected.remove(from);
+            peers.entrySet().removeIf(e -> !connected.containsKey(e.getKey()) && e.getValue().open() == 0);
+        }
+    }
+
+    /** Takes no more callers and closes those that are here; for the loop. */
+    public void close() {
+        if (listener != null) {
+            listener.close();
+        }
+        connections.close();
+    }
+}
--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -4,8 +4,10 @@
 import cobaltrack.decide.Decide;
 import cobaltrack.engine.Clock;
 import cobaltrack.engine.Engine;
+import cobaltrack.engine.Timers;
 import cobaltrack.front.http1.ClientServer;
 import cobaltrack.membership.Discovery;
+import cobaltrack.membership.EndpointList;
 import cobaltrack.standin.Demo;
 import cobaltrack.standin.Rehearse;
 import cobaltrack.transport.EndpointPool;
@@ -15,8 +17,11 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 
 /**
  * The command line: {@code serve} runs a real sidecar, {@code check} only starts one and stops it again,
@@ -35,6 +40,8 @@
      */
     private static final int ENDPOINT_SHARE = 6;
     private static final int SHARES = 16;
+    /** Names the file of the external processor; without it there is none. */
+    private static final String PROCESSOR = "PROXY_PROCESSOR";
 
     private Main() { }
 
@@ -69,13 +76,19 @@
         try {
             String path = configuration();
             Config config = Config.read(path, mapper);
+            String processorPath = System.getenv(PROCESSOR);
+            ProcessorConfig processor = processorPath == null || processorPath.isEmpty() ? null
+                    : ProcessorConfig.read(processorPath, mapper);
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-            Parts parts = wire(config, mapper, loop);
+            Parts parts = wire(config, processor, mapper, loop);
             Warmup.run(config.settings());
             Reload reload = new Reload(path, mapper, parts.discovery, Main::log);
             // On the loop, which owns the watch and takes several in their order.
             Hangup.run(() -> loop.execute(reload));
             parts.server.listen(config.listen()).syncUninterruptibly();
+            if (processor != null) {
+                log("processor listens at " + parts.processor.listen(processor));
+            }
             if (onlyCheck) {
                 System.exit(0);
             }
@@ -97,22 +110,30 @@
         return path;
     }
 
-    /** The parts, made but idle; {@code start} is run on the loop once the server listens. */
-    record Parts(ClientServer server, Discovery discovery, Runnable start) { }
+    /** The parts, made but idle; {@code start} is run on the loop once the server listens; no processor is null. */
+    record Parts(ClientServer server, Discovery discovery, Processor processor, Runnable start) { }
 
     /** Makes the parts. Nothing is asked of discovery before a failed bind could still end the process. */
-    static Parts wire(Config config, ObjectMapper mapper, EventLoop loop) {
+    static Parts wire(Config config, ProcessorConfig consulted, ObjectMapper mapper, EventLoop loop) {
         Clock clock = new Clock();
         EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, clock, config.connectTimeout(),
                 config.endpointIdle(), Math.max(1, config.sockets() * ENDPOINT_SHARE / SHARES));
         Contract.Settings settings = config.settings();
-        Engine engine = new Engine(new LoopTimers(loop, clock), settings,
-                actions -> new Decide(settings, config.seed(), actions), pool::update, Main::log);
+        Timers timers = new LoopTimers(loop, clock);
+        List<Consumer<EndpointList>> followers = new ArrayList<>();
+        followers.add(pool::update);
+        Engine engine = new Engine(timers, settings, actions -> new Decide(settings, config.seed(), actions),
+                list -> followers.forEach(f -> f.accept(list)), Main::log);
+        Processor processor = null;
+        if (consulted != null) {
+            processor = new Processor(consulted, loop, timers, engine, settings, mapper, Main::log);
+            followers.add(processor.consultations()::update);
+        }
         Discovery discovery = new Discovery(loop, config.discovery(), mapper,
                 !settings.listMustBeAsked(), config.seed(), config.known(), engine);
         ClientServer server = new ClientServer(loop, clock, engine, pool::carrier, settings,
                 Math.max(1, config.sockets() * CLIENT_SHARE / SHARES));
-        return new Parts(server, discovery, () -> {
+        return new Parts(server, discovery, processor, () -> {
             engine.start(discovery, config.known());
             server.ready();
         });
--- a/src/test/java/cobaltrack/run/TestNode.java
+++ b/src/test/java/cobaltrack/run/TestNode.java
@@ -1,5 +1,6 @@
 package cobaltrack.run;
 
+import cobaltrack.consult.Consultations;
 import cobaltrack.front.http1.ClientServer;
 import cobaltrack.membership.Discovery;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -15,6 +16,8 @@
     final ClientServer server;
     final Discovery watch;
     final int port;
+    final int consultPort;
+    final Consultations consultations;
 
     /** A sidecar with plenty of sockets that knows these endpoints, named s0, s1 and so on. */
     TestNode(String discovery, String... endpoints) throws Exception {
@@ -23,15 +26,23 @@
 
     /** A sidecar with so many sockets, whose list is asked for or pushed. */
     TestNode(int sockets, String discovery, String how, String... endpoints) throws Exception {
+        this(null, sockets, discovery, how, endpoints);
+    }
+
+    /** The same with an external processor beside it, or null for none. */
+    TestNode(ProcessorConfig processor, int sockets, String discovery, String how, String... endpoints)
+            throws Exception {
         String json = config("127.0.0.1:0", discovery, sockets, endpoints)
                 .replace("\"discovery\":\"ask\"", "\"discovery\":\"" + how + "\"");
         ObjectMapper mapper = new ObjectMapper();
         Config config = Config.parse(json, mapper);
         var loop = group.next();
-        Main.Parts parts = Main.wire(config, mapper, loop);
+        Main.Parts parts = Main.wire(config, processor, mapper, loop);
         server = parts.server();
         watch = parts.discovery();
         port = ((InetSocketAddress) server.listen(config.listen()).sync().channel().localAddress()).getPort();
+        consultPort = processor == null ? 0 : parts.processor().listen(processor).getPort();
+        consultations = processor == null ? null : parts.processor().consultations();
         loop.submit(parts.start()).get();
     }
 
