--- a/src/main/java/cobaltrack/consult/Consultation.java
+++ b/src/main/java/cobaltrack/consult/Consultation.java
@@ -7,8 +7,8 @@
 import cobaltrack.engine.Timers;
 
 /**
- * One request that a caller asks about, sends itself and reports on: its {@link Caller} and its {@link Carrier} at
- * once. At most one attempt of it is out. Its states:
+ * One request that a caller asks about, sends itself and reports on: its {@link Caller} and its {@link
+ * Carrier} at once. At most one attempt of it is out. Its states:
  *
  * <pre>
  * asked ---> told to send ---> reported ---> told to send again, or waiting for the caller to come for it
@@ -36,7 +36,8 @@
     private Directive end;
     private boolean unheard;
 
-    Consultation(Consultations owner, String id, Peer peer, Contract.Effect effect, Consultations.Reply first) {
+    Consultation(Consultations owner, String id, Peer peer, Contract.Effect effect,
+            Consultations.Reply first) {
         this.owner = owner;
         this.id = id;
         this.peer = peer;
--- a/src/main/java/cobaltrack/consult/Consultations.java
+++ b/src/main/java/cobaltrack/consult/Consultations.java
@@ -11,10 +11,10 @@
 import java.util.function.Consumer;
 
 /**
- * Requests that other proxies ask about and send themselves. Each is one request of the engine's, known by its id
- * across calls and connections: a second ask for one that is open joins it, and one that must not run again is known
- * for a while after its end. It decides nothing: who sends where, whether again, and what is refused comes from the
- * module. On the engine's thread.
+ * Requests that other proxies ask about and send themselves. Each is one request of the engine's, known by
+ * its id across calls and connections: a second ask for one that is open joins it, and one that must not run
+ * again is known for a while after its end. It decides nothing: who sends where, whether again, and what is
+ * refused comes from the module. On the engine's thread.
  */
 public final class Consultations {
     /** Hears, at most once, what a caller is to do. */
@@ -25,8 +25,8 @@
     }
 
     /**
-     * Of the grace after which nothing new may reach a draining endpoint: the rest is for the list's way here and
-     * for the clocks of callers.
+     * Of the grace after which nothing new may reach a draining endpoint: the rest is for the list's way here
+     * and for the clocks of callers.
      */
     private static final double VALID_SHARE = 0.25;
 
@@ -55,7 +55,7 @@
         this.unheard = new Ends(bounds.remembered(), bounds.pickUp());
     }
 
-    /** Takes in the list: what drains or is gone is told to nobody any more, also where a retry waits for it. */
+    /** Takes in the list: what drains or is gone is told to nobody any more, a retry that waits included. */
     public void update(EndpointList list) {
         if (list.whole()) {
             addresses.clear();
@@ -103,8 +103,8 @@
      * @param report of the endpoint's load, or null
      * @param reply null if the caller asks again for what is next
      */
-    public void outcome(String id, int attempt, String endpoint, Contract.Outcome outcome, Contract.Report report,
-            Reply reply) {
+    public void outcome(String id, int attempt, String endpoint, Contract.Outcome outcome,
+            Contract.Report report, Reply reply) {
         Consultation c = open.get(id);
         if (c != null) {
             c.reported(attempt, endpoint, outcome, report, reply);
--- a/src/main/java/cobaltrack/consult/Directive.java
+++ b/src/main/java/cobaltrack/consult/Directive.java
@@ -8,8 +8,8 @@
      * @param address ADDRESS:PORT
      * @param attempt to be named in the report; 0 for the first
      * @param within milliseconds after which the attempt is given up, and then may have run
-     * @param valid milliseconds in which it has to be sent; after that it is to be reported as not sent, since
-     *     the endpoint may have been told to drain
+     * @param valid milliseconds in which it has to be sent; after that it is to be reported as not sent,
+     *     since the endpoint may have been told to drain
      */
     record Send(String endpoint, String address, int attempt, double within, double valid)
             implements Directive { }
@@ -27,7 +27,7 @@
     /** It is over: answer that it failed. It may have run. */
     record Failed() implements Directive { }
 
-    /** It is out already, by another call with the same id: not to be sent again, and nothing is known yet. */
+    /** It is out already, by another call with its id: not to be sent again, and nothing is known yet. */
     record AlreadyOut() implements Directive { }
 
     /** Nothing is known of it: it was never asked, or is long over. */
--- a/src/main/java/cobaltrack/consult/Peers.java
+++ b/src/main/java/cobaltrack/consult/Peers.java
@@ -5,8 +5,8 @@
 import java.util.function.Supplier;
 
 /**
- * The callers of one front, by what tells them apart, an address say. One that left with requests open keeps its
- * place until it has none, or it could open as many again by coming back.
+ * The callers of one front, by what tells them apart, an address say. One that left with requests open keeps
+ * its place until it has none, or it could open as many again by coming back.
  *
  * @param <K> what tells them apart
  */
--- a/src/main/java/cobaltrack/front/consult/ConsultConnection.java
+++ b/src/main/java/cobaltrack/front/consult/ConsultConnection.java
@@ -44,7 +44,8 @@
     private final Peer peer;
     private boolean answerDue;
 
-    ConsultConnection(Consultations consultations, ConsultRequest.Names names, ObjectMapper mapper, Peer peer) {
+    ConsultConnection(Consultations consultations, ConsultRequest.Names names, ObjectMapper mapper,
+            Peer peer) {
         this.consultations = consultations;
         this.names = names;
         this.mapper = mapper;
@@ -71,7 +72,8 @@
         }
     }
 
-    private void call(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep) throws ConsultRequest.Bad {
+    private void call(ChannelHandlerContext ctx, FullHttpRequest request, boolean keep)
+            throws ConsultRequest.Bad {
         QueryStringDecoder uri = new QueryStringDecoder(request.uri());
         if (!request.method().equals(HttpMethod.POST) && !request.method().equals(HttpMethod.GET)) {
             write(ctx, response(HttpResponseStatus.METHOD_NOT_ALLOWED, null), keep);
@@ -118,7 +120,8 @@
             if (json == null || !json.isObject()) {
                 throw new ConsultRequest.Bad("the body is no JSON object");
             }
-            return new ConsultRequest(f -> json.hasNonNull(f.json()) ? json.get(f.json()).asText() : null, false);
+            return new ConsultRequest(f -> json.hasNonNull(f.json()) ? json.get(f.json()).asText() : null,
+                    false);
         } catch (JsonProcessingException e) {
             throw new ConsultRequest.Bad("the body is no JSON object");
         }
@@ -173,7 +176,8 @@
         response.headers().set("Consult-Do", body.get("do").asText());
         if (directive instanceof Directive.Send send) {
             response.headers().set("Consult-Endpoint", send.endpoint()).set("Consult-Address", send.address())
-                    .set("Consult-Attempt", send.attempt()).set("Consult-Within", Decimals.seconds(send.within()))
+                    .set("Consult-Attempt", send.attempt()).set("Consult-Within",
+                    Decimals.seconds(send.within()))
                     .set("Consult-Valid", Decimals.seconds(send.valid()));
         }
         if (retryAfter > 0) {
--- a/src/main/java/cobaltrack/front/consult/ConsultRequest.java
+++ b/src/main/java/cobaltrack/front/consult/ConsultRequest.java
@@ -10,8 +10,8 @@
 import java.util.function.Function;
 
 /**
- * What a caller of the consult API says, checked: of a request, and of an attempt at it. JSON and header form are the
- * same fields under other names ({@code docs/consult-api.md}).
+ * What a caller of the consult API says, checked: of a request, and of an attempt at it. JSON and header form
+ * are the same fields under other names ({@code docs/consult-api.md}).
  */
 public final class ConsultRequest {
     /** What can be said, with its name in JSON and as a header. */
@@ -129,7 +129,8 @@
 
     /** Whether it tells how an attempt ended. */
     public boolean tellsAnEnd() {
-        return !text(Field.ATTEMPT).isEmpty() && !(text(Field.OUTCOME).isEmpty() && text(Field.STATUS).isEmpty());
+        return !text(Field.ATTEMPT).isEmpty() && !(text(Field.OUTCOME).isEmpty()
+                && text(Field.STATUS).isEmpty());
     }
 
     /** The attempt that it is about. */
@@ -161,8 +162,8 @@
         };
     }
 
-    // By what a proxy knows: whether it got a connection, whether a head came back on it, and its status. Without a
-    // word on the first two they are taken to be so, by which nothing is held to be proven.
+    // By what a proxy knows: whether it got a connection, whether a head came back on it, and its status.
+    // Without a word on the first two they are taken to be so, by which nothing is held to be proven.
     private Contract.Outcome byStatus() throws Bad {
         int status = whole(Field.STATUS, STATUS_MOST);
         if (never(Field.CONNECTED)) {
--- a/src/main/java/cobaltrack/front/consult/ConsultServer.java
+++ b/src/main/java/cobaltrack/front/consult/ConsultServer.java
@@ -22,8 +22,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The plain consult API: HTTP/1.1, one call a message, for nginx and for proxies of people's own. A caller is told
- * apart by its address, and what it has open outlives its connections: the deadline ends it.
+ * The plain consult API: HTTP/1.1, one call a message, for nginx and for proxies of people's own. A caller is
+ * told apart by its address, and what it has open outlives its connections: the deadline ends it.
  */
 public final class ConsultServer {
     /** Of a body or of all headers; more than any call needs. */
@@ -78,7 +78,8 @@
         Peer peer = peers.joined(from);
         channel.closeFuture().addListener(f -> peers.left(from));
         channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_MOST_S, TimeUnit.SECONDS),
-                new HttpServerCodec(LINE_MOST, MESSAGE_MOST, MESSAGE_MOST), new HttpObjectAggregator(MESSAGE_MOST),
+                new HttpServerCodec(LINE_MOST, MESSAGE_MOST, MESSAGE_MOST),
+                new HttpObjectAggregator(MESSAGE_MOST),
                 new ConsultConnection(consultations, names, mapper, peer));
     }
 }
--- a/src/main/java/cobaltrack/front/spop/SpopConnection.java
+++ b/src/main/java/cobaltrack/front/spop/SpopConnection.java
@@ -17,9 +17,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One connection of HAProxy's. It knows four messages, whose arguments have the names of the consult API's JSON but for
- * {@code timeout}, in seconds: {@code ask}, {@code outcome}, {@code streaming} and {@code cancel}. An answer sets variables:
- * {@code do}, {@code endpoint}, {@code ip}, {@code port}, {@code attempt}, {@code retry_after}, or {@code error}.
+ * One connection of HAProxy's. It knows four messages, whose arguments have the names of the consult API's
+ * JSON but for {@code timeout}, in seconds: {@code ask}, {@code outcome}, {@code streaming} and {@code
+ * cancel}. An answer sets variables: {@code do}, {@code endpoint}, {@code ip}, {@code port}, {@code attempt},
+ * {@code retry_after}, or {@code error}.
  */
 final class SpopConnection extends SimpleChannelInboundHandler<ByteBuf> {
     private static final String VERSION = "2.0";
@@ -135,7 +136,8 @@
         return field == ConsultRequest.Field.TIMEOUT ? "timeout" : field.json();
     }
 
-    private void message(String name, ConsultRequest call, Consultations.Reply reply) throws ConsultRequest.Bad {
+    private void message(String name, ConsultRequest call, Consultations.Reply reply)
+            throws ConsultRequest.Bad {
         switch (name) {
             case "ask" -> consultations.ask(peer, call.id(), call.ask(names), reply);
             case "outcome" -> {
@@ -158,7 +160,8 @@
         if (ended) {
             return;
         }
-        ByteBuf out = SpopFrame.begin(ctx.alloc().buffer(), SpopFrame.Type.ACK, frame.stream(), frame.frame());
+        ByteBuf out = SpopFrame.begin(ctx.alloc().buffer(), SpopFrame.Type.ACK, frame.stream(),
+                frame.frame());
         SpopFrame.setVariable(out, "do", word(directive));
         if (directive instanceof Directive.Send send) {
             int colon = send.address().lastIndexOf(':');
--- a/src/main/java/cobaltrack/front/spop/SpopFrame.java
+++ b/src/main/java/cobaltrack/front/spop/SpopFrame.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * One frame of HAProxy's Stream Processing Offload Protocol 2.0 (HAProxy's {@code doc/SPOE.txt}, section 3). By hand,
- * since no kept library for Java has it; Netty's codec for HAProxy is that of the PROXY protocol.
+ * One frame of HAProxy's Stream Processing Offload Protocol 2.0 (HAProxy's {@code doc/SPOE.txt}, section 3).
+ * By hand, since no kept library for Java has it; Netty's codec for HAProxy is that of the PROXY protocol.
  *
  * @param payload the reader's until the frame's bytes are released
  */
--- a/src/main/java/cobaltrack/front/spop/SpopServer.java
+++ b/src/main/java/cobaltrack/front/spop/SpopServer.java
@@ -17,8 +17,8 @@
 import java.net.SocketAddress;
 
 /**
- * An agent for HAProxy's filter {@code spoe}: protocol 2.0, pipelining, no fragments. What a caller has open outlives its
- * connections, which HAProxy opens and closes as it likes; the deadline ends it.
+ * An agent for HAProxy's filter {@code spoe}: protocol 2.0, pipelining, no fragments. What a caller has open
+ * outlives its connections, which HAProxy opens and closes as it likes; the deadline ends it.
  */
 public final class SpopServer {
     /** What HAProxy's buffers of 16 KiB allow. */
@@ -67,7 +67,8 @@
             peers.left(from);
         });
         channel.pipeline().addLast(
-                new LengthFieldBasedFrameDecoder(FRAME_MOST + Integer.BYTES, 0, Integer.BYTES, 0, Integer.BYTES),
+                new LengthFieldBasedFrameDecoder(FRAME_MOST + Integer.BYTES, 0, Integer.BYTES, 0,
+                Integer.BYTES),
                 new SpopConnection(consultations, names, peer, open <= most));
     }
 }
--- a/src/main/java/cobaltrack/http/HttpAsk.java
+++ b/src/main/java/cobaltrack/http/HttpAsk.java
@@ -34,7 +34,8 @@
         if (body.length > 0 || method.equals(HttpMethod.POST)) {
             own.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         }
-        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(body), own,
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(body),
+                own,
                 EmptyHttpHeaders.INSTANCE);
     }
 }
--- a/src/main/java/cobaltrack/run/Processor.java
+++ b/src/main/java/cobaltrack/run/Processor.java
@@ -16,8 +16,8 @@
 import java.util.function.Consumer;
 
 /**
- * The external processor beside the sidecar's own front, on the same engine. Nothing of it is loaded unless an
- * operator's file asks for it.
+ * The external processor beside the sidecar's own front, on the same engine. Nothing of it is loaded unless
+ * an operator's file asks for it.
  */
 final class Processor {
     private final ProcessorConfig config;
@@ -27,7 +27,8 @@
     private final ObjectMapper mapper;
 
     /** Made but idle. */
-    Processor(ProcessorConfig config, EventLoop loop, Timers timers, Engine engine, Contract.Settings settings,
+    Processor(ProcessorConfig config, EventLoop loop, Timers timers, Engine engine,
+            Contract.Settings settings,
             ObjectMapper mapper, Consumer<String> log) {
         this.config = config;
         this.loop = loop;
@@ -44,7 +45,8 @@
     Map<String, InetSocketAddress> listen() {
         Map<String, InetSocketAddress> at = new LinkedHashMap<>();
         if (config.http() != null) {
-            at.put("http", bound(new ConsultServer(loop, NioServerSocketChannel.class, consultations, settings, mapper,
+            at.put("http", bound(new ConsultServer(loop, NioServerSocketChannel.class, consultations,
+                    settings, mapper,
                     config.http().connections()).listen(config.http().address())));
         }
         if (config.spop() != null) {
--- a/src/main/java/cobaltrack/run/ProcessorConfig.java
+++ b/src/main/java/cobaltrack/run/ProcessorConfig.java
@@ -13,8 +13,8 @@
 import java.util.Set;
 
 /**
- * What the external processor is told at start ({@code docs/processor.md}). Unknown fields are errors: a misspelt bound
- * would be no bound.
+ * What the external processor is told at start ({@code docs/processor.md}). Unknown fields are errors: a
+ * misspelt bound would be no bound.
  *
  * @param http the consult API, or null
  * @param spop the agent for HAProxy, or null
@@ -64,7 +64,8 @@
         only(json, "processor", Set.of("http", "spop", "bounds"));
         JsonNode bounds = json.path("bounds");
         if (!bounds.isMissingNode()) {
-            only(bounds, "bounds", Set.of("open", "open_per_caller", "remembered", "remember_ms", "pick_up_ms"));
+            only(bounds, "bounds", Set.of("open", "open_per_caller", "remembered", "remember_ms",
+                    "pick_up_ms"));
         }
         Listener http = listener(json, "http");
         Listener spop = listener(json, "spop");
--- a/src/main/java/cobaltrack/standin/DrivenClock.java
+++ b/src/main/java/cobaltrack/standin/DrivenClock.java
@@ -5,8 +5,8 @@
 import java.util.PriorityQueue;
 
 /**
- * Simulated time, in milliseconds from 0: runs what is due, by time and then in the order asked for. An engine
- * runs by it as by a loop. For one thread.
+ * Simulated time, in milliseconds from 0: runs what is due, by time and then in the order asked for. An
+ * engine runs by it as by a loop. For one thread.
  */
 public final class DrivenClock implements Workshop.Timer, Timers {
     private static final class Due {
--- a/src/main/java/cobaltrack/standin/Speed.java
+++ b/src/main/java/cobaltrack/standin/Speed.java
@@ -102,7 +102,8 @@
             hosts.append(i == 0 ? "" : ",").append(StandInDiscovery.host("s" + i, dials.get(i), "ready"));
         }
         String known = "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}";
-        return SidecarProcess.start(prefix, jvm, Settings.of(true, Settings.type("read", 1, Contract.Effect.SAFE)),
+        return SidecarProcess.start(prefix, jvm, Settings.of(true, Settings.type("read", 1,
+                Contract.Effect.SAFE)),
                 NOWHERE, known, 1);
     }
 
--- a/src/test/java/cobaltrack/bench/EngineBenchmark.java
+++ b/src/test/java/cobaltrack/bench/EngineBenchmark.java
@@ -26,8 +26,9 @@
 import org.openjdk.jmh.annotations.Warmup;
 
 /**
- * What the engine's path costs with the module in it: a request taken, its attempt sent and answered 5 ms later, its
- * timers, its end; neither a front nor a transport. Run with {@code mvn -q test-compile exec:exec}; it is no test.
+ * What the engine's path costs with the module in it: a request taken, its attempt sent and answered 5 ms
+ * later, its timers, its end; neither a front nor a transport. Run with {@code mvn -q test-compile
+ * exec:exec}; it is no test.
  */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
@@ -57,7 +58,8 @@
     @Setup
     public void warm() {
         Contract.Settings settings = Settings.of(true, Settings.type("read", 1, Contract.Effect.SAFE));
-        engine = new Engine(clock, settings, actions -> new Decide(settings, 7, actions), list -> { }, line -> { });
+        engine = new Engine(clock, settings, actions -> new Decide(settings, 7, actions), list -> { }, line ->
+                { });
         List<EndpointList.Entry> list = new ArrayList<>();
         for (int i = 0; i < servers; i++) {
             list.add(new EndpointList.Entry(new Contract.Server("s" + i, Contract.Standing.UP, 1, "z", 0, 0),
--- a/src/test/java/cobaltrack/consult/ConsultRandomEventsTest.java
+++ b/src/test/java/cobaltrack/consult/ConsultRandomEventsTest.java
@@ -20,8 +20,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Proxies that resend on their own, lose reports, report late, twice or of nothing, and die, drawn by a seed; what
- * truly ran is known.
+ * Proxies that resend on their own, lose reports, report late, twice or of nothing, and die, drawn by a seed;
+ * what truly ran is known.
  */
 class ConsultRandomEventsTest {
     private static final int REQUESTS = 3000;
@@ -115,7 +115,8 @@
         List<String> log = new ArrayList<>();
         Engine engine = new Engine(clock, settings, actions -> new Decide(settings, seed, actions),
                 list -> all.update(list), log::add);
-        all = new Consultations(engine, clock, settings, new Bounds(2000, 1000, 10_000, 60_000, 100), log::add);
+        all = new Consultations(engine, clock, settings, new Bounds(2000, 1000, 10_000, 60_000, 100),
+                log::add);
         engine.start(() -> { }, list());
         List<One> ones = new ArrayList<>();
         for (int i = 0; i < REQUESTS; i++) {
--- a/src/test/java/cobaltrack/consult/ConsultationsTest.java
+++ b/src/test/java/cobaltrack/consult/ConsultationsTest.java
@@ -52,7 +52,8 @@
         List<EndpointList.Entry> entries = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             entries.add(new EndpointList.Entry(new Contract.Server("s" + i,
-                    i == 0 ? first : Contract.Standing.UP, 1, "z", 0, 0), EndpointList.address("127.0.0.1:" + (1 + i))));
+                    i == 0 ? first : Contract.Standing.UP, 1, "z", 0, 0), EndpointList.address("127.0.0.1:"
+                    + (1 + i))));
         }
         return new EndpointList(1, true, entries);
     }
--- a/src/test/java/cobaltrack/engine/EngineRandomEventsTest.java
+++ b/src/test/java/cobaltrack/engine/EngineRandomEventsTest.java
@@ -23,7 +23,8 @@
     private static final int REQUESTS = 3000;
     private static final int ENDPOINTS = 6;
     private static final double GAP_MS = 4;
-    private static final Outcome[] FAULTS = {Outcome.ERROR, Outcome.FULL, Outcome.RESET, Outcome.CONNECT_FAILED};
+    private static final Outcome[] FAULTS = {Outcome.ERROR, Outcome.FULL, Outcome.RESET,
+            Outcome.CONNECT_FAILED};
     /** One attempt in so many ends badly, and one never; between these two requests one in two does. */
     private static final int BAD = 20;
     private static final int WORSE_FROM = 1500;
@@ -64,7 +65,8 @@
         public void refused(double retryAfter) {
             end();
             refused = true;
-            assertTrue(effect == Contract.Effect.SAFE || attempts.stream().allMatch(o -> o != null && o.neverRan));
+            assertTrue(effect == Contract.Effect.SAFE || attempts.stream().allMatch(o -> o != null
+                    && o.neverRan));
         }
 
         @Override
@@ -76,7 +78,8 @@
         public Sending send(String endpoint, int attempt, double within, Outcomes<String> told) {
             assertEquals(0, ends, "an attempt after the end");
             assertEquals(attempts.size(), attempt);
-            assertTrue(effect == Contract.Effect.SAFE || attempts.stream().allMatch(o -> o != null && o.neverRan),
+            assertTrue(effect == Contract.Effect.SAFE || attempts.stream().allMatch(o -> o != null
+                    && o.neverRan),
                     "an unsafe request goes out again that may have run");
             attempts.add(null);
             boolean bad = dice.nextInt(taken > WORSE_FROM && taken < WORSE_TO ? 2 : BAD) == 0;
@@ -183,7 +186,8 @@
     private static EndpointList list(Random dice) {
         List<EndpointList.Entry> entries = new ArrayList<>();
         for (int i = 0; i < ENDPOINTS; i++) {
-            Contract.Standing standing = dice.nextInt(4) == 0 ? Contract.Standing.DRAINING : Contract.Standing.UP;
+            Contract.Standing standing = dice.nextInt(4) == 0 ? Contract.Standing.DRAINING
+                    : Contract.Standing.UP;
             entries.add(new EndpointList.Entry(new Contract.Server("s" + i, standing, 1, "z", 0, 0),
                     InetSocketAddress.createUnresolved("none", 1)));
         }
--- a/src/test/java/cobaltrack/engine/EngineTest.java
+++ b/src/test/java/cobaltrack/engine/EngineTest.java
@@ -13,7 +13,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** The engine between a scripted front, a scripted transport and a scripted module: no socket, a driven clock. */
+/** The engine between a scripted front, a scripted transport and a scripted module, without sockets. */
 class EngineTest {
     private static final int READ = 0;
     private static final int WRITE = 1;
@@ -131,7 +131,8 @@
         carrier.sent.get(1).ends(Outcome.SERVED);
         carrier.sent.get(0).ends(Outcome.SERVED);
         assertEquals(List.of("served answer"), front.ends);
-        assertEquals(List.of("request 0", "outcome 0/1 SERVED over", "outcome 0/0 SERVED over"), module.heard);
+        assertEquals(List.of("request 0", "outcome 0/1 SERVED over", "outcome 0/0 SERVED over"),
+                module.heard);
     }
 
     @Test
--- a/src/test/java/cobaltrack/engine/ScriptedModule.java
+++ b/src/test/java/cobaltrack/engine/ScriptedModule.java
@@ -30,7 +30,8 @@
     }
 
     @Override
-    public void outcome(double now, Contract.Request request, int attempt, Contract.Outcome outcome, double took,
+    public void outcome(double now, Contract.Request request, int attempt, Contract.Outcome outcome,
+            double took,
             boolean finished, Contract.Report report) {
         heard.add("outcome " + request.id + "/" + attempt + " " + outcome + (finished ? " over" : ""));
     }
@@ -46,7 +47,8 @@
     }
 
     @Override
-    public void probed(double now, String server, Contract.Outcome outcome, double took, Contract.Report report) {
+    public void probed(double now, String server, Contract.Outcome outcome, double took,
+            Contract.Report report) {
         heard.add("probed " + server + " " + outcome);
     }
 
--- a/src/test/java/cobaltrack/front/spop/SpopConnectionTest.java
+++ b/src/test/java/cobaltrack/front/spop/SpopConnectionTest.java
@@ -28,17 +28,20 @@
 /** HAProxy's side of the protocol, kept and broken, without a socket. */
 class SpopConnectionTest {
     private final DrivenClock clock = new DrivenClock();
-    private final Contract.Settings settings = Settings.of(true, Settings.type("read", 1, Contract.Effect.SAFE),
+    private final Contract.Settings settings = Settings.of(true, Settings.type("read", 1,
+            Contract.Effect.SAFE),
             Settings.type("job-submit", 1, Contract.Effect.UNSAFE));
     private Consultations all;
-    private final Engine engine = new Engine(clock, settings, a -> new Decide(settings, 7, a), l -> all.update(l),
+    private final Engine engine = new Engine(clock, settings, a -> new Decide(settings, 7, a), l ->
+            all.update(l),
             line -> { });
     private final Peer peer = new Peer(false);
 
     SpopConnectionTest() {
         all = new Consultations(engine, clock, settings, new Bounds(100, 50, 100, 60_000, 200), line -> { });
         engine.start(() -> { }, new EndpointList(1, true, List.of(new EndpointList.Entry(
-                new Contract.Server("s0", Contract.Standing.UP, 1, "z", 0, 0), EndpointList.address("127.0.0.1:81")))));
+                new Contract.Server("s0", Contract.Standing.UP, 1, "z", 0, 0),
+                EndpointList.address("127.0.0.1:81")))));
     }
 
     private EmbeddedChannel channel(boolean room) {
@@ -90,7 +93,8 @@
         c.writeInbound(hello("2.0", 16_380, false));
         SpopFrame f = answer(c);
         assertEquals(SpopFrame.Type.AGENT_HELLO, f.type());
-        assertEquals(Map.of("version", "2.0", "max-frame-size", "16380", "capabilities", "pipelining"), f.pairs());
+        assertEquals(Map.of("version", "2.0", "max-frame-size", "16380", "capabilities", "pipelining"),
+                f.pairs());
         return c;
     }
 
@@ -117,7 +121,8 @@
         EmbeddedChannel c = greeted();
         c.writeInbound(notify(1, "ask", Map.of("id", "a", "class", "read")));
         answer(c);
-        c.writeInbound(notify(1, "outcome", Map.of("id", "a", "attempt", "0", "status", "503", "connected", "-1")));
+        c.writeInbound(notify(1, "outcome", Map.of("id", "a", "attempt", "0", "status", "503", "connected",
+                "-1")));
         assertFalse(text(answer(c)).contains("send"));
         assertEquals(0, all.open());
     }
@@ -149,8 +154,10 @@
         refuses(hello("2.0", 100, false), SpopFrame.Status.BAD_FRAME_SIZE);
         refuses(notify(1, "ask", Map.of("id", "a")), SpopFrame.Status.INVALID);
         refuses(Unpooled.buffer().writeInt(100_000).writeZero(100), SpopFrame.Status.TOO_BIG);
-        refuses(Unpooled.buffer().writeInt(7).writeByte(3).writeInt(0).writeShort(0), SpopFrame.Status.FRAGMENTED);
-        refuses(Unpooled.buffer().writeInt(7).writeByte(99).writeInt(1).writeShort(0), SpopFrame.Status.INVALID);
+        refuses(Unpooled.buffer().writeInt(7).writeByte(3).writeInt(0).writeShort(0),
+                SpopFrame.Status.FRAGMENTED);
+        refuses(Unpooled.buffer().writeInt(7).writeByte(99).writeInt(1).writeShort(0),
+                SpopFrame.Status.INVALID);
         refuses(Unpooled.buffer().writeInt(2).writeShort(0x0100), SpopFrame.Status.INVALID);
         EmbeddedChannel full = channel(false);
         full.writeInbound(hello("2.0", 16_380, false));
--- a/src/test/java/cobaltrack/run/ConsultApiTest.java
+++ b/src/test/java/cobaltrack/run/ConsultApiTest.java
@@ -24,7 +24,8 @@
 class ConsultApiTest {
     private static final String NOWHERE = "127.0.0.1:1";
     private static final String CONFIG = """
-            {"http": {"listen": "127.0.0.1:0", "connections": 3}, "bounds": {"open_per_caller": 2, "pick_up_ms": 200}}""";
+            {"http": {"listen": "127.0.0.1:0", "connections": 3},
+             "bounds": {"open_per_caller": 2, "pick_up_ms": 200}}""";
 
     private final ObjectMapper mapper = new ObjectMapper();
     private final HttpClient client = HttpClient.newHttpClient();
@@ -42,7 +43,8 @@
     }
 
     private HttpResponse<String> post(String path, String body, String... headers) throws Exception {
-        HttpRequest.Builder b = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.consultPort + path))
+        HttpRequest.Builder b = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.consultPort
+                + path))
                 .POST(HttpRequest.BodyPublishers.ofString(body));
         if (headers.length > 0) {
             b.headers(headers);
@@ -56,7 +58,8 @@
 
     @Test
     void aRequestIsAskedAboutAndReportedInJson() throws Exception {
-        HttpResponse<String> asked = post("/v1/ask", "{\"id\":\"r1\",\"class\":\"status\",\"timeout_ms\":800}");
+        HttpResponse<String> asked = post("/v1/ask",
+                "{\"id\":\"r1\",\"class\":\"status\",\"timeout_ms\":800}");
         assertEquals(200, asked.statusCode(), asked.body());
         JsonNode send = mapper.readTree(asked.body());
         assertEquals("send", send.get("do").asText());
@@ -86,7 +89,8 @@
     void headersDoAsWellAndAnAskMayTellTheLastEnd() throws Exception {
         HttpResponse<String> asked = post("/v1/ask", "", "Request-Id", "r1", "Request-Class", "status");
         assertEquals("0", asked.headers().firstValue("Consult-Attempt").orElse(""));
-        HttpResponse<String> next = post("/v1/ask?deny=403", "", "Request-Id", "r1", "Request-Class", "status",
+        HttpResponse<String> next = post("/v1/ask?deny=403", "", "Request-Id", "r1", "Request-Class",
+                "status",
                 "Consult-Attempt", "0", "Consult-Status", "502", "Consult-Connect-Time", "-");
         assertEquals("1", next.headers().firstValue("Consult-Attempt").orElse(""));
     }
@@ -121,7 +125,8 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"{", "[]", "{\"class\":\"status\"}", "{\"id\":\"a b\",\"class\":\"status\"}", "{\"id\":\"a\"}",
+    @ValueSource(strings = {"{", "[]", "{\"class\":\"status\"}", "{\"id\":\"a b\",\"class\":\"status\"}",
+            "{\"id\":\"a\"}",
         "{\"id\":\"a\",\"class\":\"none\"}", "{\"id\":\"a\",\"class\":\"status\",\"timeout_ms\":-1}",
         "{\"id\":\"a\",\"class\":\"status\",\"timeout_ms\":1e12}",
         "{\"id\":\"a\",\"class\":\"status\",\"attempt\":1.5,\"status\":200}",
@@ -135,7 +140,8 @@
 
     @Test
     void reportsOnWhatWasNeverAskedAreCountedAndChangeNothing() throws Exception {
-        assertEquals(404, post("/v1/outcome", "{\"id\":\"x\",\"attempt\":0,\"outcome\":\"served\"}").statusCode());
+        assertEquals(404, post("/v1/outcome",
+                "{\"id\":\"x\",\"attempt\":0,\"outcome\":\"served\"}").statusCode());
         assertEquals(1, onLoop(() -> node.consultations.tally().count(Tally.Kind.LATE)));
         assertEquals(404, post("/v2/ask", "{}").statusCode());
     }
--- a/src/test/java/cobaltrack/run/HaproxySpopTest.java
+++ b/src/test/java/cobaltrack/run/HaproxySpopTest.java
@@ -16,8 +16,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * A real HAProxy by the worked example under {@code deploy/examples}, of which only the addresses are changed. Where no
- * HAProxy is installed nothing is tested; {@code .ci/run} installs it.
+ * A real HAProxy by the worked example under {@code deploy/examples}, of which only the addresses are
+ * changed. Where no HAProxy is installed nothing is tested; {@code .ci/run} installs it.
  */
 class HaproxySpopTest {
     private static final String NOWHERE = "127.0.0.1:1";
@@ -52,14 +52,17 @@
     }
 
     private static TestNode node(String... endpoints) throws Exception {
-        return new TestNode(ProcessorConfig.parse("{\"spop\":{\"listen\":\"127.0.0.1:0\"}}", new ObjectMapper()), 1024,
+        return new TestNode(ProcessorConfig.parse("{\"spop\":{\"listen\":\"127.0.0.1:0\"}}",
+                new ObjectMapper()), 1024,
                 NOWHERE, "ask", endpoints);
     }
 
     @Test
     void requestsGoWhereTheyAreToldAndTheirOutcomesComeBack() throws Exception {
-        try (FakeServer a = new FakeServer((r, w) -> w.answer("200 OK", "Server-Load: util=0.3\r\n", "from a"));
-                FakeServer b = new FakeServer((r, w) -> w.answer("200 OK", "Server-Load: util=0.3\r\n", "from b"));
+        try (FakeServer a = new FakeServer((r, w) -> w.answer("200 OK", "Server-Load: util=0.3\r\n",
+                "from a"));
+                FakeServer b = new FakeServer((r, w) -> w.answer("200 OK", "Server-Load: util=0.3\r\n",
+                        "from b"));
                 TestNode n = node(a.address(), b.address())) {
             start(n);
             for (int i = 0; i < 40; i++) {
@@ -83,7 +86,8 @@
             start(n);
             int served = 0;
             for (int i = 0; i < 40; i++) {
-                // HAProxy can't follow a retry: what did not run is refused, so that the client may try again.
+                // HAProxy can't follow a retry: what did not run is refused, so that the client may try
+                // again.
                 String answer = haproxy.ask("r" + i, "status");
                 assertTrue(answer.startsWith("HTTP/1.1 200") || answer.startsWith("HTTP/1.1 503"), answer);
                 served += answer.startsWith("HTTP/1.1 200") ? 1 : 0;
@@ -96,7 +100,8 @@
 
     @Test
     void anUnsafeRequestThatWasResetIsFailedAndSentOnlyOnce() throws Exception {
-        try (FakeServer a = new FakeServer((r, w) -> w.reset()); FakeServer b = new FakeServer((r, w) -> w.reset());
+        try (FakeServer a = new FakeServer((r, w) -> w.reset()); FakeServer b = new FakeServer((r, w) ->
+                w.reset());
                 TestNode n = node(a.address(), b.address())) {
             start(n);
             String answer = haproxy.ask("w1", "submit");
--- a/src/test/java/cobaltrack/run/NginxConsultTest.java
+++ b/src/test/java/cobaltrack/run/NginxConsultTest.java
@@ -16,8 +16,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * A real nginx by the worked example under {@code deploy/examples}, of which only the addresses are changed. Where no
- * nginx is installed nothing is tested; {@code .ci/run} installs it.
+ * A real nginx by the worked example under {@code deploy/examples}, of which only the addresses are changed.
+ * Where no nginx is installed nothing is tested; {@code .ci/run} installs it.
  */
 class NginxConsultTest {
     private static final String NOWHERE = "127.0.0.1:1";
@@ -51,19 +51,23 @@
         Path file = folder.resolve("nginx.conf");
         Files.writeString(file, "daemon off;\nmaster_process off;\npid " + folder + "/pid;\n"
                 + example.replace("http {\n", paths.toString()));
-        nginx = RealProxy.start(folder, port, List.of("nginx", "-c", file.toString(), "-p", folder.toString(), "-e",
+        nginx = RealProxy.start(folder, port, List.of("nginx", "-c", file.toString(), "-p", folder.toString(),
+                "-e",
                 folder.resolve("error.log").toString()));
     }
 
     private static TestNode node(String... endpoints) throws Exception {
-        return new TestNode(ProcessorConfig.parse("{\"http\":{\"listen\":\"127.0.0.1:0\"}}", new ObjectMapper()), 1024,
+        return new TestNode(ProcessorConfig.parse("{\"http\":{\"listen\":\"127.0.0.1:0\"}}",
+                new ObjectMapper()), 1024,
                 NOWHERE, "ask", endpoints);
     }
 
     @Test
     void requestsGoWhereTheyAreToldAndTheirOutcomesComeBack() throws Exception {
-        try (FakeServer a = new FakeServer((r, w) -> w.answer("200 OK", "Server-Load: util=0.3\r\n", "from a"));
-                FakeServer b = new FakeServer((r, w) -> w.answer("200 OK", "Server-Load: util=0.3\r\n", "from b"));
+        try (FakeServer a = new FakeServer((r, w) -> w.answer("200 OK", "Server-Load: util=0.3\r\n",
+                "from a"));
+                FakeServer b = new FakeServer((r, w) -> w.answer("200 OK", "Server-Load: util=0.3\r\n",
+                        "from b"));
                 TestNode n = node(a.address(), b.address())) {
             start(n.consultPort);
             for (int i = 0; i < 40; i++) {
@@ -96,7 +100,8 @@
 
     @Test
     void anUnsafeRequestThatWasResetIsFailedAndSentOnlyOnce() throws Exception {
-        try (FakeServer a = new FakeServer((r, w) -> w.reset()); FakeServer b = new FakeServer((r, w) -> w.reset());
+        try (FakeServer a = new FakeServer((r, w) -> w.reset()); FakeServer b = new FakeServer((r, w) ->
+                w.reset());
                 TestNode n = node(a.address(), b.address())) {
             start(n.consultPort);
             String answer = nginx.ask("w1", "submit");
--- a/src/test/java/cobaltrack/run/RealProxy.java
+++ b/src/test/java/cobaltrack/run/RealProxy.java
@@ -43,7 +43,8 @@
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakeServer.PATIENCE_S);
         while (System.nanoTime() < end) {
             assertTrue(proxy.process.isAlive(), Files.readString(out));
-            try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            try {
+                new Socket(InetAddress.getLoopbackAddress(), port).close();
                 return proxy;
             } catch (IOException notYet) {
                 Thread.onSpinWait();
@@ -71,10 +72,14 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() {
         process.destroy();
-        if (!process.waitFor(FakeServer.PATIENCE_S, TimeUnit.SECONDS)) {
-            process.destroyForcibly();
+        try {
+            if (!process.waitFor(FakeServer.PATIENCE_S, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 }
