--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -111,7 +111,7 @@
         return path;
     }
 
-    /** The parts, made but idle; {@code start} is run on the loop once the server listens. No processor: null. */
+    /** The parts, made but idle; {@code start} is run on the loop once the server listens. */
     record Parts(ClientServer server, Discovery discovery, Processor processor, Runnable start) { }
 
     /** Makes the parts. Nothing is asked of discovery before a failed bind could still end the process. */
