Rehearse room: hold the time refused after a change to the derived bound

RoomDay.refusedFor tells when the last slice of 10 periods ended of which 1% or more was refused; rehearse room promises it under the bound and RoomTest holds it.

Slices of 0.1 s were too short: two strays of 200 requests read as 1%.

--- a/src/main/java/cobaltrack/standin/Rehearse.java
+++ b/src/main/java/cobaltrack/standin/Rehearse.java
@@ -56,6 +56,8 @@
                     Ledger ledger = driven ? d.play(Decide::new, JITTER, seed)
                             : new SocketDay(d.settings(), d.endpoints(), d.loads(), d.length(), seed).play();
                     promises.under(d.name() + ", refused", d.refused(ledger), RoomDay.REFUSED_MOST);
+                    promises.under(d.name() + ", milliseconds refused after a change",
+                            d.refusedFor(ledger), RoomDay.BOUND_MS);
                     promises.rules(d.name() + ", broken rules", ledger.broken());
                 }
             }
--- a/src/main/java/cobaltrack/standin/RoomDay.java
+++ b/src/main/java/cobaltrack/standin/RoomDay.java
@@ -23,6 +23,14 @@
     public static final double REFUSED_MOST = 0.01;
     /** From the end of a change until nearly nothing is refused any more. */
     public static final double RECOVERED_MS = 5000;
+    /**
+     * How long after a change more may be refused than that: the bound that {@code docs/recovery.md} derives,
+     * of 92 periods, which are a tenth of the aim each.
+     */
+    public static final double BOUND_MS = 92 * Settings.AIM / 10;
+
+    /** What is refused after a change is looked at by slices as long as the decisions' own means: 10 periods. */
+    private static final double SLICE_MS = 10 * Settings.AIM / 10;
 
     private static final int MANY_CORES = 256;
     private static final int LONG_QUEUE = 4096;
@@ -45,6 +53,24 @@
                 .orElse(0);
     }
 
+    /**
+     * How long after a change, or after the start, the last slice of time ended of which more was refused than
+     * may be of a judged span: the longest of the day, in milliseconds; 0 where there was no such slice.
+     */
+    public double refusedFor(Ledger ledger) {
+        double longest = 0;
+        for (Span s : judged) {
+            double change = Math.max(0, s.from() - RECOVERED_MS);
+            for (double at = change; at < s.to(); at += SLICE_MS) {
+                double end = Math.min(at + SLICE_MS, s.to());
+                if (ledger.count(at, end).refusedShare() >= REFUSED_MOST) {
+                    longest = Math.max(longest, end - change);
+                }
+            }
+        }
+        return longest;
+    }
+
     /** All of them. */
     public static List<RoomDay> all() {
         List<RoomDay> days = new ArrayList<>();
