Speak Envoy's external processing over gRPC, on the engine's own loop

A retry is a further stream with the same id: it picks up what the module wants next. The endpoint is told as a header (original destination), as dynamic metadata and as a subset.

Its stack trace for each stream of a cut connection, and for each message that is no protobuf, is kept from the log. Reports are held back until the caller reads (manual flow control), so one stalled stream holds up itself only.

Of the response code details connect_failed proves nothing where a router tried more than once. processor.json gains envoy, headers (what callers' headers are called) and class (of a request that names none).

--- a/src/main/java/cobaltrack/consult/Consultations.java
+++ b/src/main/java/cobaltrack/consult/Consultations.java
@@ -136,6 +136,12 @@
         peer.all().forEach(Consultation::gone);
     }
 
+    /** How a request ended, for as long as that is kept; null while it is open or if nothing is known. */
+    public Directive ended(String id) {
+        Consultation c = open.get(id);
+        return c != null ? c.end() : ends.of(id, timers.now());
+    }
+
     /** Requests open, or with an attempt out. */
     public int open() {
         return open.size();
--- a/src/main/java/cobaltrack/front/consult/ConsultConnection.java
+++ b/src/main/java/cobaltrack/front/consult/ConsultConnection.java
@@ -40,14 +40,16 @@
 
     private final Consultations consultations;
     private final ConsultRequest.Names names;
+    private final HeaderNames headers;
     private final ObjectMapper mapper;
     private final Peer peer;
     private boolean answerDue;
 
-    ConsultConnection(Consultations consultations, ConsultRequest.Names names, ObjectMapper mapper,
-            Peer peer) {
+    ConsultConnection(Consultations consultations, ConsultRequest.Names names, HeaderNames headers,
+            ObjectMapper mapper, Peer peer) {
         this.consultations = consultations;
         this.names = names;
+        this.headers = headers;
         this.mapper = mapper;
         this.peer = peer;
     }
@@ -113,15 +115,14 @@
 
     private ConsultRequest read(FullHttpRequest request) throws ConsultRequest.Bad {
         if (!request.content().isReadable()) {
-            return new ConsultRequest(f -> request.headers().get(f.header()), true);
+            return ConsultRequest.headers(f -> request.headers().get(headers.of(f)), headers);
         }
         try {
             JsonNode json = mapper.readTree(request.content().toString(StandardCharsets.UTF_8));
             if (json == null || !json.isObject()) {
                 throw new ConsultRequest.Bad("the body is no JSON object");
             }
-            return new ConsultRequest(f -> json.hasNonNull(f.json()) ? json.get(f.json()).asText() : null,
-                    false);
+            return ConsultRequest.json(f -> json.hasNonNull(f.json()) ? json.get(f.json()).asText() : null);
         } catch (JsonProcessingException e) {
             throw new ConsultRequest.Bad("the body is no JSON object");
         }
@@ -143,29 +144,29 @@
         HttpResponseStatus status;
         double retryAfter = 0;
         if (directive instanceof Directive.Send send) {
-            body.put("do", "send").put("endpoint", send.endpoint()).put("address", send.address())
+            body.put("do", directive.word()).put("endpoint", send.endpoint()).put("address", send.address())
                     .put("attempt", send.attempt()).put("within_ms", Math.floor(send.within()))
                     .put("valid_ms", Math.floor(send.valid()));
             status = HttpResponseStatus.OK;
         } else if (directive instanceof Directive.Served) {
-            body.put("do", "served");
+            body.put("do", directive.word());
             status = HttpResponseStatus.OK;
         } else if (directive instanceof Directive.Refused refused) {
-            body.put("do", "refuse");
+            body.put("do", directive.word());
             retryAfter = refused.retryAfter();
             status = HttpResponseStatus.SERVICE_UNAVAILABLE;
         } else if (directive instanceof Directive.Failed) {
-            body.put("do", "fail");
+            body.put("do", directive.word());
             status = HttpResponseStatus.BAD_GATEWAY;
         } else if (directive instanceof Directive.AlreadyOut) {
-            body.put("do", "already_out");
+            body.put("do", directive.word());
             status = HttpResponseStatus.CONFLICT;
         } else if (directive instanceof Directive.TooMany) {
-            body.put("do", "too_many");
+            body.put("do", directive.word());
             retryAfter = TOO_MANY_RETRY_MS;
             status = HttpResponseStatus.TOO_MANY_REQUESTS;
         } else {
-            body.put("do", "unknown");
+            body.put("do", directive.word());
             status = HttpResponseStatus.NOT_FOUND;
         }
         if (retryAfter > 0) {
--- a/src/main/java/cobaltrack/front/consult/ConsultRequest.java
+++ b/src/main/java/cobaltrack/front/consult/ConsultRequest.java
@@ -76,26 +76,30 @@
     private static final List<String> YES = List.of("1", "true");
 
     private final Function<Field, String> said;
-    private final boolean headers;
+    private final HeaderNames headers;
 
-    /**
-     * One call.
-     *
-     * @param said the text of a field, or null
-     * @param headers whether its names and units are those of headers
-     */
-    public ConsultRequest(Function<Field, String> said, boolean headers) {
+    private ConsultRequest(Function<Field, String> said, HeaderNames headers) {
         this.said = said;
         this.headers = headers;
     }
 
+    /** One call in JSON; {@code said} gives the text of a field, or null. */
+    public static ConsultRequest json(Function<Field, String> said) {
+        return new ConsultRequest(said, null);
+    }
+
+    /** One call in headers of these names; {@code said} gives the text of a field, or null. */
+    public static ConsultRequest headers(Function<Field, String> said, HeaderNames names) {
+        return new ConsultRequest(said, names);
+    }
+
     private String text(Field field) {
         String text = said.apply(field);
         return text == null ? "" : text;
     }
 
     private String name(Field field) {
-        return headers ? field.header() : field.json();
+        return headers == null ? field.json() : headers.of(field);
     }
 
     /** The request's id. */
@@ -110,7 +114,7 @@
 
     /** What the engine needs to know of the request. */
     public Ask ask(Names names) throws Bad {
-        String type = text(Field.CLASS);
+        String type = text(Field.CLASS).isEmpty() ? names.usual : text(Field.CLASS);
         Integer k = names.classes.get(type);
         if (k == null) {
             throw new Bad(type.isEmpty() ? name(Field.CLASS) + " is missing"
@@ -119,7 +123,8 @@
         double wait = names.deadlines.get(k);
         String timeout = text(Field.TIMEOUT);
         if (!timeout.isEmpty()) {
-            wait = Decimals.parse(timeout, TIMEOUT_MOST_MS) * (headers ? MILLIS : 1);
+            wait = Decimals.parse(timeout, TIMEOUT_MOST_MS)
+                    * (headers == null || headers.timeoutInMillis() ? 1 : MILLIS);
             if (!(wait > 0 && wait <= TIMEOUT_MOST_MS)) {
                 throw new Bad(name(Field.TIMEOUT) + " is malformed");
             }
@@ -203,9 +208,21 @@
         private final Map<String, Integer> classes = new HashMap<>();
         private final Map<Integer, Double> deadlines = new HashMap<>();
         private final Map<String, Integer> tenants = new HashMap<>();
+        private final String usual;
 
-        /** Those of these settings. */
+        /** Those of these settings; a request has to name its class. */
         public Names(Contract.Settings settings) {
+            this(settings, "");
+        }
+
+        /**
+         * Those of these settings.
+         *
+         * @param usual the class of a request that names none; empty if it has to name one
+         * @throws IllegalArgumentException if there is no such class
+         */
+        public Names(Contract.Settings settings, String usual) {
+            this.usual = usual;
             for (int i = 0; i < settings.classes().size(); i++) {
                 classes.put(settings.classes().get(i).name(), i);
                 deadlines.put(i, settings.classes().get(i).deadline());
@@ -213,6 +230,9 @@
             for (int i = 0; i < settings.tenants().size(); i++) {
                 tenants.put(settings.tenants().get(i).name(), i);
             }
+            if (!usual.isEmpty() && !classes.containsKey(usual)) {
+                throw new IllegalArgumentException("class '" + usual + "' is unknown");
+            }
         }
     }
 }
--- a/src/main/java/cobaltrack/front/consult/ConsultServer.java
+++ b/src/main/java/cobaltrack/front/consult/ConsultServer.java
@@ -1,6 +1,5 @@
 package cobaltrack.front.consult;
 
-import cobaltrack.Contract;
 import cobaltrack.consult.Consultations;
 import cobaltrack.consult.Peer;
 import cobaltrack.consult.Peers;
@@ -36,6 +35,7 @@
     private final Class<? extends ServerChannel> channels;
     private final Consultations consultations;
     private final ConsultRequest.Names names;
+    private final HeaderNames headers;
     private final ObjectMapper mapper;
     private final int most;
     private final Peers<InetAddress> peers = new Peers<>(Peer::new);
@@ -47,11 +47,12 @@
      * @param most connections from callers at once; ones beyond are closed
      */
     public ConsultServer(EventLoop loop, Class<? extends ServerChannel> channels, Consultations consultations,
-            Contract.Settings settings, ObjectMapper mapper, int most) {
+            ConsultRequest.Names names, HeaderNames headers, ObjectMapper mapper, int most) {
         this.loop = loop;
         this.channels = channels;
         this.consultations = consultations;
-        this.names = new ConsultRequest.Names(settings);
+        this.names = names;
+        this.headers = headers;
         this.mapper = mapper;
         this.most = most;
         this.connections = new DefaultChannelGroup(loop);
@@ -80,6 +81,6 @@
         channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_MOST_S, TimeUnit.SECONDS),
                 new HttpServerCodec(LINE_MOST, MESSAGE_MOST, MESSAGE_MOST),
                 new HttpObjectAggregator(MESSAGE_MOST),
-                new ConsultConnection(consultations, names, mapper, peer));
+                new ConsultConnection(consultations, names, headers, mapper, peer));
     }
 }
--- a/src/main/java/cobaltrack/front/spop/SpopConnection.java
+++ b/src/main/java/cobaltrack/front/spop/SpopConnection.java
@@ -4,6 +4,7 @@
 import cobaltrack.consult.Directive;
 import cobaltrack.consult.Peer;
 import cobaltrack.front.consult.ConsultRequest;
+import cobaltrack.front.consult.HeaderNames;
 import cobaltrack.http.Decimals;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFutureListener;
@@ -28,6 +29,9 @@
     /** A peer that connects and says nothing. */
     private static final long HELLO_MOST_S = 5;
 
+    // Its arguments are counted and checked as the header form is.
+    private static final HeaderNames HEADERS = new HeaderNames();
+
     private final Consultations consultations;
     private final ConsultRequest.Names names;
     private final Peer peer;
@@ -120,7 +124,7 @@
         }
         messages.forEach((name, arguments) -> {
             try {
-                message(name, new ConsultRequest(f -> arguments.get(name(f)), true),
+                message(name, ConsultRequest.headers(f -> arguments.get(name(f)), HEADERS),
                         directive -> acknowledge(ctx, frame, directive));
             } catch (ConsultRequest.Bad e) {
                 ByteBuf out = SpopFrame.begin(ctx.alloc().buffer(), SpopFrame.Type.ACK, frame.stream(),
@@ -162,7 +166,7 @@
         }
         ByteBuf out = SpopFrame.begin(ctx.alloc().buffer(), SpopFrame.Type.ACK, frame.stream(),
                 frame.frame());
-        SpopFrame.setVariable(out, "do", word(directive));
+        SpopFrame.setVariable(out, "do", directive.word());
         if (directive instanceof Directive.Send send) {
             int colon = send.address().lastIndexOf(':');
             String host = send.address().substring(0, colon);
@@ -176,21 +180,6 @@
         ctx.writeAndFlush(SpopFrame.end(out));
     }
 
-    private static String word(Directive directive) {
-        if (directive instanceof Directive.Send) {
-            return "send";
-        } else if (directive instanceof Directive.Served) {
-            return "served";
-        } else if (directive instanceof Directive.Refused) {
-            return "refuse";
-        } else if (directive instanceof Directive.Failed) {
-            return "fail";
-        } else if (directive instanceof Directive.AlreadyOut) {
-            return "already_out";
-        }
-        return directive instanceof Directive.TooMany ? "too_many" : "unknown";
-    }
-
     private void disconnect(ChannelHandlerContext ctx, SpopFrame.Status status, String why) {
         ended = true;
         ByteBuf out = SpopFrame.begin(ctx.alloc().buffer(), SpopFrame.Type.AGENT_DISCONNECT, 0, 0);
--- a/src/main/java/cobaltrack/front/spop/SpopServer.java
+++ b/src/main/java/cobaltrack/front/spop/SpopServer.java
@@ -1,6 +1,5 @@
 package cobaltrack.front.spop;
 
-import cobaltrack.Contract;
 import cobaltrack.consult.Consultations;
 import cobaltrack.consult.Peer;
 import cobaltrack.consult.Peers;
@@ -39,11 +38,11 @@
      * @param most connections at once; ones beyond are told so and closed
      */
     public SpopServer(EventLoop loop, Class<? extends ServerChannel> channels, Consultations consultations,
-            Contract.Settings settings, int most) {
+            ConsultRequest.Names names, int most) {
         this.loop = loop;
         this.channels = channels;
         this.consultations = consultations;
-        this.names = new ConsultRequest.Names(settings);
+        this.names = names;
         this.most = most;
     }
 
--- a/src/main/java/cobaltrack/run/Processor.java
+++ b/src/main/java/cobaltrack/run/Processor.java
@@ -4,12 +4,16 @@
 import cobaltrack.consult.Consultations;
 import cobaltrack.engine.Engine;
 import cobaltrack.engine.Timers;
+import cobaltrack.front.consult.ConsultRequest;
 import cobaltrack.front.consult.ConsultServer;
+import cobaltrack.front.consult.HeaderNames;
+import cobaltrack.front.extproc.ExtProcServer;
 import cobaltrack.front.spop.SpopServer;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -23,16 +27,21 @@
     private final ProcessorConfig config;
     private final Consultations consultations;
     private final EventLoop loop;
-    private final Contract.Settings settings;
+    private final Timers timers;
+    private final ConsultRequest.Names names;
     private final ObjectMapper mapper;
 
-    /** Made but idle. */
+    /**
+     * Made but idle.
+     *
+     * @throws IllegalArgumentException if its file names a class that the settings lack
+     */
     Processor(ProcessorConfig config, EventLoop loop, Timers timers, Engine engine,
-            Contract.Settings settings,
-            ObjectMapper mapper, Consumer<String> log) {
+            Contract.Settings settings, ObjectMapper mapper, Consumer<String> log) {
         this.config = config;
         this.loop = loop;
-        this.settings = settings;
+        this.timers = timers;
+        this.names = new ConsultRequest.Names(settings, config.usualClass());
         this.mapper = mapper;
         consultations = new Consultations(engine, timers, settings, config.bounds(), log);
     }
@@ -41,18 +50,25 @@
         return consultations;
     }
 
-    /** Listens where its file says; the addresses by the front's name. Throws what a failed bind throws. */
-    Map<String, InetSocketAddress> listen() {
+    /**
+     * Listens where its file says; the addresses by the front's name. Throws what a failed bind throws. Not
+     * to be called on the loop.
+     */
+    Map<String, InetSocketAddress> listen() throws IOException {
         Map<String, InetSocketAddress> at = new LinkedHashMap<>();
         if (config.http() != null) {
             at.put("http", bound(new ConsultServer(loop, NioServerSocketChannel.class, consultations,
-                    settings, mapper,
+                    names, new HeaderNames().with(config.headers()), mapper,
                     config.http().connections()).listen(config.http().address())));
         }
         if (config.spop() != null) {
-            at.put("spop", bound(new SpopServer(loop, NioServerSocketChannel.class, consultations, settings,
+            at.put("spop", bound(new SpopServer(loop, NioServerSocketChannel.class, consultations, names,
                     config.spop().connections()).listen(config.spop().address())));
         }
+        if (config.envoy() != null) {
+            at.put("envoy", new ExtProcServer(loop, timers, consultations, names, config.headers(),
+                    config.envoy().connections(), config.streams()).listen(config.envoy().address()));
+        }
         return at;
     }
 
--- a/src/main/java/cobaltrack/run/ProcessorConfig.java
+++ b/src/main/java/cobaltrack/run/ProcessorConfig.java
@@ -1,6 +1,7 @@
 package cobaltrack.run;
 
 import cobaltrack.consult.Bounds;
+import cobaltrack.front.consult.ConsultRequest.Field;
 import cobaltrack.membership.EndpointList;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -10,7 +11,12 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What the external processor is told at start ({@code docs/processor.md}). Unknown fields are errors: a
@@ -18,14 +24,25 @@
  *
  * @param http the consult API, or null
  * @param spop the agent for HAProxy, or null
+ * @param envoy Envoy's external processing, or null
+ * @param streams requests of one connection of Envoy's at once
+ * @param headers what callers' headers are called, where it is not as the fronts have it
+ * @param usualClass the class of a request that names none; empty if it has to name one
  */
-record ProcessorConfig(Listener http, Listener spop, Bounds bounds) {
+record ProcessorConfig(Listener http, Listener spop, Listener envoy, int streams, Map<Field, String> headers,
+        String usualClass, Bounds bounds) {
     /** Where a front listens, and its connections from callers at once. */
     record Listener(InetSocketAddress address, int connections) { }
 
     private static final int CONNECTIONS = 32;
     /** Of the 1,024 descriptors that the platform allows 832 are spoken for. */
     private static final int CONNECTIONS_MOST = 64;
+    private static final int STREAMS = 1000;
+    private static final int STREAMS_MOST = 20_000;
+    private static final int NAME_MOST = 64;
+    /** What a caller's header may tell; the rest is between the program and the proxy. */
+    private static final Set<Field> MAPPED = EnumSet.of(Field.ID, Field.CLASS, Field.TENANT, Field.TIMEOUT,
+            Field.REPEAT, Field.NOT_STARTED, Field.LOAD);
     private static final int OPEN = 2000;
     private static final int OPEN_MOST = 20_000;
     private static final int OPEN_PER_CALLER = 1000;
@@ -61,30 +78,55 @@
         } catch (JsonProcessingException e) {
             throw new IllegalArgumentException("processor: not JSON: " + e.getOriginalMessage(), e);
         }
-        only(json, "processor", Set.of("http", "spop", "bounds"));
+        only(json, "processor", Set.of("http", "spop", "envoy", "headers", "class", "bounds"));
         JsonNode bounds = json.path("bounds");
         if (!bounds.isMissingNode()) {
             only(bounds, "bounds", Set.of("open", "open_per_caller", "remembered", "remember_ms",
                     "pick_up_ms"));
         }
-        Listener http = listener(json, "http");
-        Listener spop = listener(json, "spop");
-        if (http == null && spop == null) {
-            throw new IllegalArgumentException("processor has neither http nor spop");
+        Listener http = listener(json, "http", Set.of("listen", "connections"));
+        Listener spop = listener(json, "spop", Set.of("listen", "connections"));
+        Listener envoy = listener(json, "envoy", Set.of("listen", "connections", "streams"));
+        if (http == null && spop == null && envoy == null) {
+            throw new IllegalArgumentException("processor has none of http, spop and envoy");
         }
-        return new ProcessorConfig(http, spop, new Bounds(whole(bounds, "open", OPEN, OPEN_MOST),
+        return new ProcessorConfig(http, spop, envoy,
+                whole(json.path("envoy"), "streams", STREAMS, STREAMS_MOST), headers(json.path("headers")),
+                json.path("class").asText(), new Bounds(whole(bounds, "open", OPEN, OPEN_MOST),
                         whole(bounds, "open_per_caller", OPEN_PER_CALLER, OPEN_MOST),
                         whole(bounds, "remembered", REMEMBERED, REMEMBERED_MOST),
                         whole(bounds, "remember_ms", REMEMBER_MS, REMEMBER_MOST_MS),
                         whole(bounds, "pick_up_ms", PICK_UP_MS, PICK_UP_MOST_MS)));
     }
 
-    private static Listener listener(JsonNode json, String name) {
+    private static Map<Field, String> headers(JsonNode json) {
+        Map<Field, String> headers = new EnumMap<>(Field.class);
+        if (!json.isMissingNode()) {
+            only(json, "headers", MAPPED.stream().map(ProcessorConfig::key).collect(Collectors.toSet()));
+            for (Field field : MAPPED) {
+                JsonNode name = json.path(key(field));
+                if (!name.isMissingNode()) {
+                    if (!name.isTextual() || !name.asText().matches("[A-Za-z0-9-]{1," + NAME_MOST + "}")) {
+                        throw new IllegalArgumentException("headers." + key(field)
+                                + " is no name of a header");
+                    }
+                    headers.put(field, name.asText());
+                }
+            }
+        }
+        return headers;
+    }
+
+    private static String key(Field field) {
+        return field.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static Listener listener(JsonNode json, String name, Set<String> fields) {
         JsonNode front = json.path(name);
         if (front.isMissingNode()) {
             return null;
         }
-        only(front, name, Set.of("listen", "connections"));
+        only(front, name, fields);
         return new Listener(EndpointList.address(front.path("listen").asText()),
                 whole(front, "connections", CONNECTIONS, CONNECTIONS_MOST));
     }
--- a/src/main/java/cobaltrack/standin/ConsultWire.java
+++ b/src/main/java/cobaltrack/standin/ConsultWire.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -32,10 +34,15 @@
     }
 
     @Override
-    public void addTo(Channel to, Runnable whenReady) {
-        channel = to;
+    public void connect(EventLoop loop, SocketAddress to, Runnable whenReady, Runnable closed) {
         ready = whenReady;
-        to.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST), this);
+        channel = AgentClient.connection(loop, to, c -> c.pipeline().addLast(new HttpClientCodec(),
+                new HttpObjectAggregator(MOST), this), closed);
+    }
+
+    @Override
+    public void close() {
+        channel.close();
     }
 
     @Override
--- a/src/main/java/cobaltrack/standin/Rehearse.java
+++ b/src/main/java/cobaltrack/standin/Rehearse.java
@@ -82,6 +82,7 @@
             Promises promises = new Promises(System.out);
             for (ProcessorDay.Front front : ProcessorDay.Front.values()) {
                 if (only == null || only == front) {
+                    ProcessorDay.warmUp(front, seed + 1);
                     report(promises, front + ", ", new ProcessorDay(front, requests, seed).play());
                 }
             }
--- a/src/main/java/cobaltrack/standin/SpopWire.java
+++ b/src/main/java/cobaltrack/standin/SpopWire.java
@@ -4,8 +4,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.net.SocketAddress;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,12 +26,15 @@
     private long nextStream;
 
     @Override
-    public void addTo(Channel to, Runnable whenReady) {
-        channel = to;
+    public void connect(EventLoop loop, SocketAddress to, Runnable whenReady, Runnable closed) {
         ready = whenReady;
-        to.pipeline().addLast(new LengthFieldBasedFrameDecoder(FRAME_MOST + Integer.BYTES, 0, Integer.BYTES,
-                0,
-                Integer.BYTES), this);
+        channel = AgentClient.connection(loop, to, c -> c.pipeline().addLast(new LengthFieldBasedFrameDecoder(
+                FRAME_MOST + Integer.BYTES, 0, Integer.BYTES, 0, Integer.BYTES), this), closed);
+    }
+
+    @Override
+    public void close() {
+        channel.close();
     }
 
     @Override
--- a/src/test/java/cobaltrack/standin/ProcessorDayTest.java
+++ b/src/test/java/cobaltrack/standin/ProcessorDayTest.java
@@ -13,6 +13,7 @@
     @ParameterizedTest
     @EnumSource(ProcessorDay.Front.class)
     void eachRequestHasOneEndAndNothingUnsafeRunsTwice(ProcessorDay.Front front) throws Exception {
+        ProcessorDay.warmUp(front, 8);
         ProcessorDay.Result r = new ProcessorDay(front, 2000, 9).play();
         assertEquals(Map.of(), r.ledger().broken());
         assertEquals(0, r.sentAfterGrace());
