Rehearse the same load through every front, and a restart of the external processor

ConsultSpeed (rehearse consult-speed) measures what a consultation costs. Decide.dropShare lets a rehearsal read a percentage.

Failed tries: the new program at the old port could not bind it once in three (another connection had it), so it has a new one, which the proxies are told; a stand-in's own resend after the restart ran two unsafe requests again, for the new program can't know of them, so proxies send nothing anew that an earlier program was asked about; the stand-in Envoy called itself without end when its connection broke under waiting calls.

--- a/src/main/java/cobaltrack/decide/Decide.java
+++ b/src/main/java/cobaltrack/decide/Decide.java
@@ -232,6 +232,9 @@
         }
     }
 
+    /** A known server's drop percentage, as a share. */
+    public double dropShare(String server) { return list.nodes.get(server).percentage; }
+
     @Override
     public void message(double now, int from, byte[] text) { }
 
--- a/src/main/java/cobaltrack/standin/AgentClient.java
+++ b/src/main/java/cobaltrack/standin/AgentClient.java
@@ -57,7 +57,7 @@
 
     private final EventLoop loop;
     private final Protocol protocol;
-    private final SocketAddress to;
+    private SocketAddress to;
     private final int size;
     private final Random dice;
     private final List<Link> links = new ArrayList<>();
@@ -71,6 +71,11 @@
         this.dice = new Random(seed);
     }
 
+    /** The program is there from now on. */
+    void moved(SocketAddress address) {
+        to = address;
+    }
+
     /** Connects; what is called meanwhile waits. */
     void start() {
         while (links.size() < size) {
--- a/src/main/java/cobaltrack/standin/EnvoyWire.java
+++ b/src/main/java/cobaltrack/standin/EnvoyWire.java
@@ -126,8 +126,9 @@
                 ready.run();
             }
             if (seen == ConnectivityState.READY && now != ConnectivityState.READY) {
-                grpc.shutdownNow();
+                // First, or what fails by the shutdown would be tried here again.
                 closed.run();
+                grpc.shutdownNow();
             } else {
                 watch(loop, ready, closed, now);
             }
--- a/src/main/java/cobaltrack/standin/OpenLoopClients.java
+++ b/src/main/java/cobaltrack/standin/OpenLoopClients.java
@@ -39,7 +39,7 @@
      * send them as one burst on hundreds of new connections, more than a sidecar's descriptors allow.
      */
     private static final double RAMP_MS = 1000;
-    /** Connections at once; a sidecar with 1,024 descriptors holds 448 of clients and closes the ones beyond. */
+    /** Connections at once; a sidecar with 1,024 descriptors holds 448 of clients and closes ones beyond. */
     private static final int CONNECTIONS_MOST = 256;
     private static final int OK = 200;
     private static final int TOO_MANY = 429;
@@ -95,6 +95,11 @@
         return open;
     }
 
+    /** One more arrives now, beside the loads that it was made with. */
+    void request(Load load) {
+        ask(load, 1, timer.now());
+    }
+
     private double gap(Load load) {
         return -Math.log(1 - dice.nextDouble()) * MILLIS / load.most();
     }
--- a/src/main/java/cobaltrack/standin/ProcessorDay.java
+++ b/src/main/java/cobaltrack/standin/ProcessorDay.java
@@ -2,26 +2,13 @@
 
 import cobaltrack.Contract;
 import cobaltrack.consult.Bounds;
-import cobaltrack.consult.Consultations;
 import cobaltrack.consult.Tally;
 import cobaltrack.decide.Decide;
-import cobaltrack.engine.Clock;
-import cobaltrack.engine.Engine;
-import cobaltrack.front.consult.ConsultRequest;
-import cobaltrack.front.consult.ConsultServer;
-import cobaltrack.front.consult.HeaderNames;
-import cobaltrack.front.extproc.ExtProcServer;
-import cobaltrack.front.spop.SpopServer;
-import cobaltrack.loop.LoopTimers;
 import cobaltrack.membership.EndpointList;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -34,21 +21,19 @@
 
 /**
  * Stand-in proxies that ask the external processor over loopback, while connections are cut, one of them dies
- * with much open and an endpoint drains. The processor runs in this process, on a loop of its own, so that
- * what it has left can be looked at.
+ * with much open, an endpoint drains and the processor is started anew. It runs in this process, on a loop of
+ * its own, so that what it has left can be looked at.
  */
 final class ProcessorDay {
-    /** How proxies and the processor speak. */
-    enum Front { HTTP, SPOP, ENVOY }
-
     /**
      * What came of it.
      *
      * @param openLeft consultations open when all is over
      * @param openAtDeath requests that the proxy had open when it died
+     * @param openAtRestart consultations that the program had open when it ended
      */
-    record Result(Ledger ledger, int sentAfterGrace, int openLeft, int openAtDeath, int calls,
-            Map<Tally.Kind, Long> tally, int faults) { }
+    record Result(Ledger ledger, int sentAfterGrace, int openLeft, int openAtDeath, int openAtRestart,
+            int calls, Map<Tally.Kind, Long> tally, int faults) { }
 
     private static final int ENDPOINTS = 4;
     private static final int CORES = 4;
@@ -60,6 +45,7 @@
     private static final double CUT_EACH_MS = 250;
     private static final double DEATH_AT = 0.4;
     private static final double DRAIN_AT = 0.6;
+    private static final double RESTART_AT = 0.8;
     private static final int BURST = 250;
     /** From the burst's beginning, so that a part of it is asked, sent and answered. */
     private static final double DEATH_AFTER_MS = 8;
@@ -68,7 +54,7 @@
     private static final double RAMP_PART = 0.1;
     private static final double RAMP_TIME = 0.25;
 
-    private final Front front;
+    private final AgentFront front;
     private final int requests;
     private final long seed;
     private final Contract.Settings settings = Settings.of(true, Settings.type("read", 1,
@@ -76,13 +62,14 @@
             Settings.type("job-submit", 2, Contract.Effect.UNSAFE));
     private final Ledger ledger = new Ledger(settings.classes());
     private final StandInProxy.Drains drains = new StandInProxy.Drains();
-    private final List<String> log = new ArrayList<>();
-    private Engine engine;
-    private Consultations consultations;
+    private final Map<Tally.Kind, Long> tally = new EnumMap<>(Tally.Kind.class);
+    private volatile ProcessorRig processor;
     private int openAtDeath;
+    private int openAtRestart;
+    private int faults;
     private long nextId;
 
-    ProcessorDay(Front front, int requests, long seed) {
+    ProcessorDay(AgentFront front, int requests, long seed) {
         this.front = front;
         this.requests = requests;
         this.seed = seed;
@@ -92,15 +79,16 @@
      * Plays one of which nothing is judged, blocking for as long: the stand-ins and the processor share a
      * JVM, and while that is cold the stand-ins themselves are late.
      */
-    static void warmUp(Front front, long seed) throws IOException {
+    static void warmUp(AgentFront front, long seed) throws IOException {
         new ProcessorDay(front, WARM_UP, seed).play();
     }
 
     /** Plays it; blocks for as long. */
     Result play() throws IOException {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
-            return play(group.next(), group.next());
+            processor = processor();
+            return play(group.next());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -108,49 +96,56 @@
             throw new IOException("a stand-in failed", e.getCause());
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+            processor.close();
         }
     }
 
-    private Result play(EventLoop own, EventLoop others)
-            throws IOException, InterruptedException, ExecutionException {
-        SocketAddress at = processor(own);
+    private ProcessorRig processor() throws IOException {
+        return new ProcessorRig(settings, actions -> new Decide(settings, seed, actions),
+                new Bounds(4000, 2000, 2 * requests, 60_000, 100), list(Contract.Standing.UP))
+                .consulted(front);
+    }
+
+    private Result play(EventLoop others) throws IOException, InterruptedException, ExecutionException {
         LoopTimer timer = new LoopTimer(others);
+        SocketAddress at = processor.address();
         List<StandInProxy> proxies = others.submit(() -> {
             timer.begin();
-            return stage(own, timer, at);
+            return stage(timer, at);
         }).get();
-        TimeUnit.MILLISECONDS.sleep((long) (requests / PER_SECOND * 1000 + TIMEOUT_MS + TAIL_MS));
+        double length = requests / PER_SECOND * 1000;
+        TimeUnit.MILLISECONDS.sleep((long) (RESTART_AT * length));
+        restart(others, proxies);
+        TimeUnit.MILLISECONDS.sleep((long) ((1 - RESTART_AT) * length + TIMEOUT_MS + TAIL_MS));
         int calls = others.submit(() -> proxies.stream().mapToInt(StandInProxy::answers).sum()).get();
-        Map<Tally.Kind, Long> tally = new EnumMap<>(Tally.Kind.class);
-        int left = own.submit(() -> {
-            for (Tally.Kind kind : Tally.Kind.values()) {
-                tally.put(kind, consultations.tally().count(kind));
-            }
-            return consultations.open();
-        }).get();
-        int faults = (int) log.stream().filter(l -> l.startsWith("decision failed")).count();
-        return new Result(ledger, drains.sentAfterGrace, left, openAtDeath, calls, tally, faults);
+        count();
+        int left = processor.ask(() -> processor.consultations().open());
+        return new Result(ledger, drains.sentAfterGrace, left, openAtDeath, openAtRestart, calls, tally,
+                faults);
     }
 
-    private SocketAddress processor(EventLoop loop)
+    private void count() throws IOException {
+        Tally counts = processor.ask(() -> processor.consultations().tally());
+        for (Tally.Kind kind : Tally.Kind.values()) {
+            tally.merge(kind, processor.ask(() -> counts.count(kind)), Long::sum);
+        }
+        faults += processor.faults();
+    }
+
+    // The program ends and another begins. Proxies fail what they had open, closed, and
+    // send none of it anew: the new program can't know what ran.
+    private void restart(EventLoop others, List<StandInProxy> proxies)
             throws IOException, InterruptedException, ExecutionException {
-        LoopTimers timers = new LoopTimers(loop, new Clock());
-        engine = new Engine(timers, settings, actions -> new Decide(settings, seed, actions),
-                list -> consultations.update(list), log::add);
-        consultations = new Consultations(engine, timers, settings,
-                new Bounds(4000, 2000, 2 * requests, 60_000, 100), log::add);
-        loop.submit(() -> engine.start(() -> { }, list(Contract.Standing.UP))).get();
-        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        int most = 2 * PROXIES * CONNECTIONS;
-        ConsultRequest.Names names = new ConsultRequest.Names(settings);
-        return switch (front) {
-            case HTTP -> new ConsultServer(loop, NioServerSocketChannel.class, consultations, names,
-                    new HeaderNames(), new ObjectMapper(), most).listen(any).sync().channel().localAddress();
-            case SPOP -> new SpopServer(loop, NioServerSocketChannel.class, consultations, names, most)
-                    .listen(any).sync().channel().localAddress();
-            case ENVOY -> new ExtProcServer(loop, timers, consultations, names, Map.of(), most, requests)
-                    .listen(any);
-        };
+        count();
+        openAtRestart = processor.ask(() -> processor.consultations().open());
+        processor.close();
+        others.submit(() -> proxies.forEach(StandInProxy::programLost)).get();
+        processor = processor();
+        if (drains.since.containsKey("s0")) {
+            processor.list(list(Contract.Standing.DRAINING));
+        }
+        SocketAddress at = processor.address();
+        others.submit(() -> proxies.forEach(p -> p.programBack(at))).get();
     }
 
     private static EndpointList list(Contract.Standing first) {
@@ -170,19 +165,14 @@
                 : RAMP_TIME + (1 - RAMP_TIME) * (part - RAMP_PART) / (1 - RAMP_PART);
     }
 
-    private List<StandInProxy> stage(EventLoop own, LoopTimer timer, SocketAddress at) {
+    private List<StandInProxy> stage(LoopTimer timer, SocketAddress at) {
         Random dice = new Random(seed);
         Map<String, Workshop> endpoints = new LinkedHashMap<>();
         for (int i = 0; i < ENDPOINTS; i++) {
             endpoints.put("s" + i, new Workshop(new EndpointScript("s" + i, CORES, CORES * CORES,
                     ServiceLaw.exponential(WORK_MS)), dice.nextLong(), timer));
         }
-        ObjectMapper mapper = new ObjectMapper();
-        AgentClient.Protocol protocol = switch (front) {
-            case HTTP -> () -> new ConsultWire(mapper);
-            case SPOP -> SpopWire::new;
-            case ENVOY -> EnvoyWire.protocol();
-        };
+        AgentClient.Protocol protocol = front.protocol();
         List<String> classes = settings.classes().stream().map(Contract.RequestClass::name).toList();
         List<AgentClient> agents = new ArrayList<>();
         List<StandInProxy> proxies = new ArrayList<>();
@@ -217,7 +207,7 @@
         });
         timer.at(DRAIN_AT * length, () -> {
             drains.since.put("s0", timer.now());
-            own.execute(() -> engine.list(Contract.ListKind.FULL, list(Contract.Standing.DRAINING)));
+            processor.list(list(Contract.Standing.DRAINING));
         });
         return proxies;
     }
--- a/src/main/java/cobaltrack/standin/Rehearse.java
+++ b/src/main/java/cobaltrack/standin/Rehearse.java
@@ -17,7 +17,8 @@
  * promise. Exits with 0, with 1 where a promise is broken, and with 2 on bad usage. Alone it lists the names.
  */
 @Command(name = "rehearse", description = "Causes a failure on loopback and prints what came of it.",
-        subcommands = {Rehearse.Room.class, Rehearse.Overload.class, Rehearse.Processor.class, Speed.class})
+        subcommands = {Rehearse.Room.class, Rehearse.Overload.class, Rehearse.Processor.class,
+            Rehearse.Alike.class, ConsultSpeed.class, Speed.class})
 public final class Rehearse implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -73,14 +74,14 @@
         @Option(names = "--requests", description = "Requests over each protocol.")
         private int requests = 20_000;
         @Option(names = "--front", description = "Only this one: ${COMPLETION-CANDIDATES}.")
-        private ProcessorDay.Front only;
+        private AgentFront only;
         @Option(names = "--seed", description = "Seed of all that is drawn.")
         private long seed = 9;
 
         @Override
         public Integer call() throws IOException {
             Promises promises = new Promises(System.out);
-            for (ProcessorDay.Front front : ProcessorDay.Front.values()) {
+            for (AgentFront front : AgentFront.values()) {
                 if (only == null || only == front) {
                     ProcessorDay.warmUp(front, seed + 1);
                     report(promises, front + ", ", new ProcessorDay(front, requests, seed).play());
@@ -96,6 +97,7 @@
             promises.figure(of + "served, share", (double) all.served() / all.asked());
             promises.figure(of + "refused, share", all.refusedShare());
             promises.figure(of + "open at the proxy that died", r.openAtDeath());
+            promises.figure(of + "open at the program's restart", r.openAtRestart());
             promises.rules(of + "broken rules", r.ledger().broken());
             promises.under(of + "sent to a draining endpoint after the grace", r.sentAfterGrace(), 1);
             promises.under(of + "consultations left open", r.openLeft(), 1);
@@ -104,6 +106,49 @@
         }
     }
 
+    /** The same load through each front. */
+    @Command(name = "alike", description = "The same drawn arrivals through HTTP/1.1 and through "
+            + "proxies that ask: the same outcomes and drop percentages.")
+    static final class Alike implements Callable<Integer> {
+        /** Twice what other draws of the module's own changed HTTP/1.1's by; that is printed too. */
+        private static final double APART_MOST = 0.05;
+
+        @Option(names = "--seed", description = "Seed of arrivals and endpoints.")
+        private long seed = 9;
+
+        @Override
+        public Integer call() throws IOException {
+            Promises promises = new Promises(System.out);
+            // The first of each is for the JVM to warm up.
+            new AlikeDay(null, seed + 1, 1).play();
+            AlikeDay.Result plain = new AlikeDay(null, seed, 1).play();
+            report(promises, "HTTP/1.1", plain, plain);
+            report(promises, "HTTP/1.1, other draws", new AlikeDay(null, seed, 2).play(), plain);
+            for (AgentFront front : AgentFront.values()) {
+                new AlikeDay(front, seed + 1, 1).play();
+                report(promises, front.toString(), new AlikeDay(front, seed, 1).play(), plain);
+            }
+            return promises.kept() ? 0 : 1;
+        }
+
+        private static void report(Promises promises, String of, AlikeDay.Result r, AlikeDay.Result plain) {
+            promises.rules(of + ", broken rules", r.ledger().broken());
+            promises.figure(of + ", served", r.served());
+            double apart = Math.abs(r.served() - plain.served());
+            for (int i = 0; i < r.refused().length; i++) {
+                promises.figure(of + ", refused of class " + i, r.refused()[i]);
+                apart = Math.max(apart, Math.abs(r.refused()[i] - plain.refused()[i]));
+            }
+            double dropped = 0;
+            for (Map.Entry<String, Double> d : r.dropped().entrySet()) {
+                promises.figure(of + ", drop percentage of " + d.getKey(), d.getValue());
+                dropped = Math.max(dropped, Math.abs(d.getValue() - plain.dropped().get(d.getKey())));
+            }
+            promises.under(of + ", shares apart from HTTP/1.1", apart, APART_MOST);
+            promises.under(of + ", drop percentages apart from HTTP/1.1", dropped, APART_MOST);
+        }
+    }
+
     /** Goodput against offered load. */
     @Command(name = "overload", description = "Goodput and worth against offered load, beside other "
             + "decisions under a driven clock, or beside HAProxy on sockets.")
--- a/src/main/java/cobaltrack/standin/StandInProxy.java
+++ b/src/main/java/cobaltrack/standin/StandInProxy.java
@@ -1,5 +1,7 @@
 package cobaltrack.standin;
 
+import cobaltrack.Contract;
+import java.net.SocketAddress;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -32,6 +34,7 @@
         final int classIndex;
         final double endBy;
         boolean over;
+        final int program = programs;
 
         One(long id, int classIndex, double endBy) {
             this.id = id;
@@ -50,7 +53,9 @@
     private final double timeout;
     private final Random dice;
     private final Map<Long, One> open = new HashMap<>();
+    private boolean errs = true;
     private boolean dead;
+    private int programs;
     private int answers;
 
     StandInProxy(LoopTimer timer, AgentClient agent, List<String> classes, Map<String, Workshop> endpoints,
@@ -67,6 +72,20 @@
         this.dice = new Random(seed);
     }
 
+    /** One that makes no mistakes, before endpoints that don't drain. */
+    static StandInProxy wellBehaved(LoopTimer timer, AgentClient agent, Contract.Settings settings,
+            Map<String, Workshop> endpoints, Ledger ledger, long seed) {
+        StandInProxy proxy = new StandInProxy(timer, agent, settings.classes().stream()
+                .map(Contract.RequestClass::name).toList(), endpoints, ledger, new Drains(),
+                settings.obligations().drainGrace(), Settings.DEADLINE, seed);
+        proxy.errs = false;
+        return proxy;
+    }
+
+    private boolean errs(int once) {
+        return errs && dice.nextInt(once) == 0;
+    }
+
     /** Calls that were answered. */
     int answers() {
         return answers;
@@ -85,13 +104,13 @@
         ledger.asked(id, classIndex, now, one.endBy);
         timer.at(one.endBy - MARGIN_MS, () -> end(one, Ledger.End.FAILED));
         ask(one);
-        if (dice.nextInt(RESENT) == 0) {
+        if (errs(RESENT)) {
             timer.at(now + dice.nextDouble() * RESEND_WITHIN_MS, () -> ask(one));
         }
     }
 
     private void ask(One one) {
-        if (dead) {
+        if (dead || one.program != programs) {
             return;
         }
         Map<String, String> arguments = new LinkedHashMap<>();
@@ -121,7 +140,7 @@
 
     // A response that its own rules for retries may have it ask again for; otherwise the client gets it.
     private void tryAgain(One one) {
-        if (!one.over && dice.nextBoolean()) {
+        if (!one.over && (!errs || dice.nextBoolean())) {
             ask(one);
         } else {
             end(one, Ledger.End.FAILED);
@@ -161,20 +180,20 @@
         if (how == Workshop.End.DONE) {
             end(one, Ledger.End.SERVED);
         }
-        if (dice.nextInt(UNREPORTED) == 0) {
+        if (errs(UNREPORTED)) {
             return;
         }
         Map<String, String> report = new LinkedHashMap<>();
         report.put("id", Long.toString(one.id));
-        report.put("attempt", dice.nextInt(GARBLED) == 0 ? "9" : attempt);
-        report.put("endpoint", dice.nextInt(GARBLED) == 0 ? "elsewhere" : endpoint);
+        report.put("attempt", errs(GARBLED) ? "9" : attempt);
+        report.put("endpoint", errs(GARBLED) ? "elsewhere" : endpoint);
         report.put("outcome", switch (how) {
             case DONE -> "served";
             case FULL -> "full";
             case DIED -> "reset";
         });
         agent.call("outcome", report, said -> told(one, said));
-        if (dice.nextInt(DOUBLED) == 0) {
+        if (errs(DOUBLED)) {
             agent.call("outcome", report, said -> { });
         }
     }
@@ -187,6 +206,24 @@
         }
     }
 
+    /**
+     * The program that it asks is gone with all that it knew: what is open here fails, closed, and nothing
+     * that it was asked about is asked anew.
+     */
+    void programLost() {
+        agent.die();
+        programs++;
+        List.copyOf(open.values()).forEach(one -> end(one, Ledger.End.FAILED));
+    }
+
+    /** The program is back, at this address. */
+    void programBack(SocketAddress address) {
+        if (!dead) {
+            agent.moved(address);
+            agent.start();
+        }
+    }
+
     /** Its process dies: its clients hear that they failed, and it reports nothing more. */
     void die() {
         dead = true;
--- a/src/test/java/cobaltrack/standin/ProcessorDayTest.java
+++ b/src/test/java/cobaltrack/standin/ProcessorDayTest.java
@@ -11,8 +11,8 @@
 /** A short day of proxies that do all that proxies do wrong, over real connections on loopback. */
 class ProcessorDayTest {
     @ParameterizedTest
-    @EnumSource(ProcessorDay.Front.class)
-    void eachRequestHasOneEndAndNothingUnsafeRunsTwice(ProcessorDay.Front front) throws Exception {
+    @EnumSource(AgentFront.class)
+    void eachRequestHasOneEndAndNothingUnsafeRunsTwice(AgentFront front) throws Exception {
         ProcessorDay.warmUp(front, 8);
         ProcessorDay.Result r = new ProcessorDay(front, 2000, 9).play();
         assertEquals(Map.of(), r.ledger().broken());
@@ -21,6 +21,7 @@
         assertEquals(0, r.faults());
         // What it is for did happen.
         assertTrue(r.openAtDeath() > 0);
+        assertTrue(r.openAtRestart() > 0);
         assertTrue(r.tally().get(Tally.Kind.JOINED) > 0);
         assertTrue(r.tally().get(Tally.Kind.LATE) > 0);
         assertTrue(r.tally().get(Tally.Kind.NOT_REPORTED) > 0);
