--- a/src/main/java/cobaltrack/consult/Consultations.java
+++ b/src/main/java/cobaltrack/consult/Consultations.java
@@ -33,7 +33,7 @@
     private final Engine engine;
     private final Timers timers;
     private final Contract.Settings settings;
-    private final Bounds bounds;
+    private Bounds bounds;
     private final Consumer<String> log;
     private final Map<String, Consultation> open = new HashMap<>();
     private final Map<String, String> addresses = new HashMap<>();
@@ -157,6 +157,12 @@
         return tally;
     }
 
+    /** Other bounds from now on. What is open beyond them stays; ends beyond them are forgotten. */
+    public void bounds(Bounds changed) {
+        bounds = changed;
+        ends.bound(changed.remembered());
+    }
+
     Bounds bounds() {
         return bounds;
     }
--- a/src/main/java/cobaltrack/consult/Ends.java
+++ b/src/main/java/cobaltrack/consult/Ends.java
@@ -14,7 +14,7 @@
     // In the order of their ends. One kept for less than those before it waits for them to go, but counts no
     // more.
     private final Map<String, End> ends = new LinkedHashMap<>();
-    private final int most;
+    private int most;
 
     Ends(int most) {
         this.most = most;
@@ -25,13 +25,24 @@
         expire(now);
         ends.remove(id);
         ends.put(id, new End(directive, now + keep));
-        if (ends.size() <= most) {
-            return true;
-        }
+        return trim();
+    }
+
+    /** Keeps so many from now on. */
+    void bound(int changed) {
+        most = changed;
+        trim();
+    }
+
+    // True if there was room for all.
+    private boolean trim() {
+        boolean room = ends.size() <= most;
         Iterator<String> oldest = ends.keySet().iterator();
-        oldest.next();
-        oldest.remove();
-        return false;
+        while (ends.size() > most) {
+            oldest.next();
+            oldest.remove();
+        }
+        return room;
     }
 
     /** How this request ended, or null. */
--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -85,7 +85,12 @@
             Warmup.run(config.settings());
             Reload reload = new Reload(path, mapper, parts.discovery, Main::log);
             // On the loop, which owns the watch and takes several in their order.
-            Hangup.run(() -> loop.execute(reload));
+            Hangup.run(() -> loop.execute(() -> {
+                reload.run();
+                if (processor != null) {
+                    parts.processor.reload(processorPath);
+                }
+            }));
             parts.server.listen(config.listen()).syncUninterruptibly();
             if (processor != null) {
                 log("processor listens at " + parts.processor.listen());
--- a/src/main/java/cobaltrack/run/Processor.java
+++ b/src/main/java/cobaltrack/run/Processor.java
@@ -30,6 +30,7 @@
     private final Timers timers;
     private final ConsultRequest.Names names;
     private final ObjectMapper mapper;
+    private final Consumer<String> log;
 
     /**
      * Made but idle.
@@ -43,6 +44,7 @@
         this.timers = timers;
         this.names = new ConsultRequest.Names(settings, config.usualClass());
         this.mapper = mapper;
+        this.log = log;
         consultations = new Consultations(engine, timers, settings, config.bounds(), log);
     }
 
@@ -72,6 +74,19 @@
         return at;
     }
 
+    /**
+     * Reads its file again, on the loop, and takes the bounds from it; the rest is what the process was
+     * started with. A bad file changes nothing.
+     */
+    void reload(String path) {
+        try {
+            consultations.bounds(ProcessorConfig.read(path, mapper).bounds());
+            log.accept("processor's file reread: bounds taken over");
+        } catch (IllegalArgumentException e) {
+            log.accept("processor's file not taken over: " + e.getMessage());
+        }
+    }
+
     private static InetSocketAddress bound(ChannelFuture binding) {
         return (InetSocketAddress) binding.syncUninterruptibly().channel().localAddress();
     }
--- a/src/test/java/cobaltrack/run/ConsultApiTest.java
+++ b/src/test/java/cobaltrack/run/ConsultApiTest.java
@@ -13,10 +13,14 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -116,6 +120,41 @@
         assertEquals(200, post("/v1/ask", "{\"id\":\"c\",\"class\":\"status\"}").statusCode());
     }
 
+    @Test
+    void itsFileIsRereadForTheBoundsAndABadOneChangesNothing(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("processor.json");
+        for (String bad : new String[] {"{", CONFIG.replace("open_per", "opn_per")}) {
+            Files.writeString(file, bad);
+            onLoop(Executors.callable(() -> node.processor.reload(file.toString())));
+        }
+        post("/v1/ask", "{\"id\":\"a\",\"class\":\"status\"}");
+        Files.writeString(file, CONFIG.replace("\"open_per_caller\": 2", "\"open_per_caller\": 1"));
+        assertEquals(200, post("/v1/ask", "{\"id\":\"b\",\"class\":\"status\"}").statusCode());
+        assertEquals(204, post("/v1/cancel", "{\"id\":\"b\"}").statusCode());
+        onLoop(Executors.callable(() -> node.processor.reload(file.toString())));
+        assertEquals(429, post("/v1/ask", "{\"id\":\"c\",\"class\":\"status\"}").statusCode());
+    }
+
+    @Test
+    void headersAreCalledWhatTheFileSays() throws Exception {
+        try (TestNode n = new TestNode(ProcessorConfig.parse("""
+                {"http": {"listen": "127.0.0.1:0"}, "class": "status",
+                 "headers": {"id": "X-Id", "class": "X-Kind", "timeout": "X-Wait-Ms"}}""", mapper), 1024,
+                NOWHERE, "ask", "127.0.0.1:7001")) {
+            URI at = URI.create("http://127.0.0.1:" + n.consultPort + "/v1/ask");
+            HttpResponse<String> told = client.send(HttpRequest.newBuilder(at).header("X-Id", "a")
+                    .header("X-Wait-Ms", "700").build(), HttpResponse.BodyHandlers.ofString());
+            assertEquals(200, told.statusCode(), told.body());
+            assertTrue(mapper.readTree(told.body()).get("within_ms").asDouble() <= 700);
+            HttpResponse<String> unknown = client.send(HttpRequest.newBuilder(at).header("X-Id", "b")
+                    .header("X-Kind", "none").build(), HttpResponse.BodyHandlers.ofString());
+            assertEquals("class 'none' is unknown", mapper.readTree(unknown.body()).get("error").asText());
+        }
+        assertThrows(IllegalArgumentException.class, () -> new TestNode(ProcessorConfig.parse(
+                "{\"http\":{\"listen\":\"127.0.0.1:0\"},\"class\":\"none\"}", mapper), 1024, NOWHERE, "ask",
+                "127.0.0.1:7001"));
+    }
+
     @Test
     void aStreamedAnswerEndsWhatIsOwed() throws Exception {
         post("/v1/ask", "{\"id\":\"w1\",\"class\":\"submit\"}");
@@ -163,7 +202,10 @@
     @ValueSource(strings = {"", "[]", "{\"http\":{\"listen\":\"x\"}}", "{\"htp\":{}}", "{\"http\":[]}",
         "{\"http\":{\"listen\":\"127.0.0.1:0\",\"connections\":0}}",
         "{\"http\":{\"listen\":\"127.0.0.1:0\"},\"bounds\":{\"open\":1e9}}",
-        "{\"http\":{\"listen\":\"127.0.0.1:0\"},\"bounds\":{\"opn\":1}}"})
+        "{\"http\":{\"listen\":\"127.0.0.1:0\"},\"bounds\":{\"opn\":1}}",
+        "{\"http\":{\"listen\":\"127.0.0.1:0\"},\"headers\":{\"outcome\":\"x\"}}",
+        "{\"http\":{\"listen\":\"127.0.0.1:0\"},\"headers\":{\"id\":\"a b\"}}",
+        "{\"envoy\":{\"listen\":\"127.0.0.1:0\",\"streams\":0}}"})
     void aBadFileIsOneLine(String text) {
         String why = assertThrows(IllegalArgumentException.class, () -> ProcessorConfig.parse(text, mapper))
                 .getMessage();
--- a/src/test/java/cobaltrack/run/TestNode.java
+++ b/src/test/java/cobaltrack/run/TestNode.java
@@ -20,6 +20,7 @@
     final int consultPort;
     final Map<String, InetSocketAddress> consulted;
     final Consultations consultations;
+    final Processor processor;
 
     /** A sidecar with plenty of sockets that knows these endpoints, named s0, s1 and so on. */
     TestNode(String discovery, String... endpoints) throws Exception {
@@ -45,6 +46,7 @@
         port = ((InetSocketAddress) server.listen(config.listen()).sync().channel().localAddress()).getPort();
         consulted = processor == null ? Map.of() : parts.processor().listen();
         consultPort = consulted.containsKey("http") ? consulted.get("http").getPort() : 0;
+        this.processor = parts.processor();
         consultations = processor == null ? null : parts.processor().consultations();
         loop.submit(parts.start()).get();
     }
