--- a/src/main/java/cobaltrack/front/http1/ClientConnection.java
+++ b/src/main/java/cobaltrack/front/http1/ClientConnection.java
@@ -160,13 +160,14 @@
             since = clock.now();
         }
         phase = next;
+        server.entered(this, phase, since);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
-        since = clock.now();
-        server.opened(this);
+        enter(Phase.SILENT);
+        server.opened();
     }
 
     @Override
--- a/src/main/java/cobaltrack/front/http1/ClientServer.java
+++ b/src/main/java/cobaltrack/front/http1/ClientServer.java
@@ -1,6 +1,7 @@
 package cobaltrack.front.http1;
 
 import cobaltrack.Contract;
+import cobaltrack.admit.Admission;
 import cobaltrack.engine.Ask;
 import cobaltrack.engine.Caller;
 import cobaltrack.engine.Carrier;
@@ -38,8 +39,12 @@
     private static final double RECEIVE_MOST_MS = 2500;
     /** A client that does not read its answer for so long is gone. */
     private static final double WRITE_MOST_MS = 2500;
-    /** A connection without an open request may be closed from then on, when there are many. */
-    private static final double IDLE_LEAST_MS = 2000;
+    /** A connection without an open request is closed from then on, when there are many. */
+    private static final double IDLE_LONG_MS = 2000;
+    /** A request that crosses the closing of its connection is lost; a client asks again sooner or later. */
+    private static final double IDLE_LEAST_MS = 20;
+    /** Of the connections allowed, those that may be new and silent while known ones are closed for them. */
+    private static final int UNKNOWN_SHARE = 4;
     /** A good request has come whole long before; one that has not makes room for a new connection. */
     private static final double SLOW_LEAST_MS = 1000;
     /** An idle connection is closed after a minute in any case. */
@@ -55,6 +60,7 @@
     private final RequestCheck check;
     private final double longestDeadline;
     private final int most;
+    private final Admission<ClientConnection> admission;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final Set<String> openIds = new HashSet<>();
     private Channel listener;
@@ -79,6 +85,8 @@
         this.longestDeadline = settings.classes().stream().mapToDouble(Contract.RequestClass::deadline)
                 .max().orElse(0);
         this.most = most;
+        this.admission = new Admission<>(new Admission.Limits(most, most / UNKNOWN_SHARE, IDLE_LONG_MS,
+                IDLE_LEAST_MS, SLOW_LEAST_MS));
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -131,45 +139,32 @@
         openIds.remove(id);
     }
 
-    void opened(ClientConnection connection) {
+    /** A connection has come, or come into a phase; one beyond those allowed makes another close. */
+    void entered(ClientConnection connection, ClientConnection.Phase phase, double since) {
         connections.add(connection);
-        if (connections.size() > most) {
-            makeRoom(connection);
+        admission.entered(connection, switch (phase) {
+            case SILENT -> Admission.Phase.SILENT;
+            case IDLE -> Admission.Phase.IDLE;
+            case RECEIVING -> Admission.Phase.RECEIVING;
+            case OPEN, ANSWERING, ENDING -> Admission.Phase.HELD;
+        }, since);
+    }
+
+    // Guards against running out of descriptors, and against silent connections that starve good clients, as
+    // they would if accepting stopped.
+    void opened() {
+        ClientConnection close = admission.toClose(clock.now());
+        if (close != null) {
+            close.close();
         }
     }
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
+        admission.left(connection);
         finishDrain();
     }
 
-    // Guards against running out of descriptors, and against silent connections that starve good clients,
-    // as they would if accepting stopped: the longest idle goes, else the longest silent, else the slowest
-    // to send.
-    private void makeRoom(ClientConnection newest) {
-        double now = clock.now();
-        ClientConnection idle = oldest(ClientConnection.Phase.IDLE);
-        ClientConnection silent = oldest(ClientConnection.Phase.SILENT);
-        ClientConnection slow = oldest(ClientConnection.Phase.RECEIVING);
-        if (idle != null && now - idle.since() > IDLE_LEAST_MS) {
-            idle.close();
-        } else if (silent != newest || slow == null || now - slow.since() < SLOW_LEAST_MS) {
-            silent.close();
-        } else {
-            slow.close();
-        }
-    }
-
-    private ClientConnection oldest(ClientConnection.Phase phase) {
-        ClientConnection oldest = null;
-        for (ClientConnection c : connections) {
-            if (c.phase() == phase && (oldest == null || c.since() < oldest.since())) {
-                oldest = c;
-            }
-        }
-        return oldest;
-    }
-
     private void sweep() {
         double now = clock.now();
         for (ClientConnection c : List.copyOf(connections)) {
@@ -188,10 +183,10 @@
         }
         // Guards against clients that ask once and stay: the room they take is wanted by those that ask
         // again.
-        ClientConnection idle = oldest(ClientConnection.Phase.IDLE);
-        while (connections.size() > most / MANY_SHARE && idle != null && now - idle.since() > IDLE_LEAST_MS) {
+        ClientConnection idle = admission.idleFor(now, IDLE_LONG_MS);
+        while (connections.size() > most / MANY_SHARE && idle != null) {
             idle.close();
-            idle = oldest(ClientConnection.Phase.IDLE);
+            idle = admission.idleFor(now, IDLE_LONG_MS);
         }
     }
 
--- a/src/test/java/cobaltrack/PackagesTest.java
+++ b/src/test/java/cobaltrack/PackagesTest.java
@@ -21,6 +21,12 @@
                 .check(CLASSES);
     }
 
+    @Test
+    void admissionDependsOnNothing() {
+        noClasses().that().resideInAPackage("cobaltrack.admit..").should().dependOnClassesThat()
+                .resideOutsideOfPackages("cobaltrack.admit..", "java.lang..", "java.util").check(CLASSES);
+    }
+
     @Test
     void theEngineKnowsNoProtocolLoopOrModule() {
         noClasses().that().resideInAPackage("cobaltrack.engine..").should().dependOnClassesThat()
