Pass on an endpoint's late answer to Envoy; one place for what stand-ins and fronts shared

A report that came after the end of a refused request had Envoy's client told 503 though the endpoint had answered 200: such an answer is now passed on. When a caller over its bound may come again was said by two fronts, each with a constant of its own, and not by SPOP: the consultation core tells it now, in Directive.TooMany.

--- a/src/main/java/cobaltrack/consult/Consultations.java
+++ b/src/main/java/cobaltrack/consult/Consultations.java
@@ -29,6 +29,8 @@
      * and for the clocks of callers.
      */
     private static final double VALID_SHARE = 0.25;
+    /** What a caller over its bound is told to wait: some ends of what it holds, most likely. */
+    private static final double TOO_MANY_RETRY = 1000;
 
     private final Engine engine;
     private final Timers timers;
@@ -82,7 +84,7 @@
             reply.told(ended);
         } else if (open.size() >= bounds.open() || peer.open() >= bounds.openPerCaller()) {
             note(Tally.Kind.TOO_MANY, id);
-            reply.told(new Directive.TooMany());
+            reply.told(new Directive.TooMany(TOO_MANY_RETRY));
         } else {
             Contract.Effect effect = settings.classes().get(ask.classIndex()).effect();
             Consultation c = new Consultation(this, id, peer, effect, timers.now() + ask.timeout(), reply);
--- a/src/main/java/cobaltrack/consult/Directive.java
+++ b/src/main/java/cobaltrack/consult/Directive.java
@@ -66,8 +66,12 @@
         }
     }
 
-    /** It was not taken, for this caller, or all callers together, hold as many as they may. */
-    record TooMany() implements Directive {
+    /**
+     * It was not taken, for this caller, or all callers together, hold as many as they may.
+     *
+     * @param retryAfter milliseconds to tell the client
+     */
+    record TooMany(double retryAfter) implements Directive {
         @Override
         public String word() {
             return "too_many";
--- a/src/main/java/cobaltrack/front/consult/ConsultConnection.java
+++ b/src/main/java/cobaltrack/front/consult/ConsultConnection.java
@@ -35,8 +35,6 @@
     private static final String DENY = "deny";
     private static final int DENY_LEAST = 400;
     private static final int DENY_MOST = 599;
-    /** What a caller over its bound is told to wait. */
-    private static final double TOO_MANY_RETRY_MS = 1000;
 
     private final Consultations consultations;
     private final ConsultRequest.Names names;
@@ -161,9 +159,9 @@
         } else if (directive instanceof Directive.AlreadyOut) {
             body.put("do", directive.word());
             status = HttpResponseStatus.CONFLICT;
-        } else if (directive instanceof Directive.TooMany) {
+        } else if (directive instanceof Directive.TooMany tooMany) {
             body.put("do", directive.word());
-            retryAfter = TOO_MANY_RETRY_MS;
+            retryAfter = tooMany.retryAfter();
             status = HttpResponseStatus.TOO_MANY_REQUESTS;
         } else {
             body.put("do", directive.word());
--- a/src/main/java/cobaltrack/front/extproc/ExtProcAnswers.java
+++ b/src/main/java/cobaltrack/front/extproc/ExtProcAnswers.java
@@ -27,8 +27,6 @@
     private static final String NAMESPACE = "whinlead";
     /** By which Envoy picks the subset of a cluster. */
     private static final String SUBSET_NAMESPACE = "envoy.lb";
-    /** What a caller over its bound is told to wait. */
-    private static final double TOO_MANY_RETRY_MS = 1000;
 
     private ExtProcAnswers() { }
 
@@ -78,8 +76,8 @@
     static ProcessingResponse over(Directive directive) {
         if (directive instanceof Directive.Refused refused) {
             return immediate(StatusCode.ServiceUnavailable, directive, refused.retryAfter());
-        } else if (directive instanceof Directive.TooMany) {
-            return immediate(StatusCode.TooManyRequests, directive, TOO_MANY_RETRY_MS);
+        } else if (directive instanceof Directive.TooMany tooMany) {
+            return immediate(StatusCode.TooManyRequests, directive, tooMany.retryAfter());
         } else if (directive instanceof Directive.Failed) {
             return immediate(StatusCode.BadGateway, directive, 0);
         }
--- a/src/main/java/cobaltrack/front/extproc/ExtProcStream.java
+++ b/src/main/java/cobaltrack/front/extproc/ExtProcStream.java
@@ -82,7 +82,7 @@
     }
 
     private void ask(ProcessingRequest message) {
-        if (state != State.NEW || sent != null) {
+        if (state != State.NEW) {
             breach("request headers twice");
             return;
         }
@@ -128,8 +128,11 @@
         sent = null;
         consultations.outcome(id, attempt.attempt(), ended.endpoint(), ended.outcome(), ended.report(), null);
         Directive over = consultations.ended(id);
-        if (over instanceof Directive.Refused || over instanceof Directive.Failed && !details.ofEndpoint()) {
-            // What Envoy would answer on its own does not tell whether another try does harm.
+        boolean served = ended.outcome() == Contract.Outcome.SERVED;
+        if (over instanceof Directive.Refused && !served
+                || over instanceof Directive.Failed && !details.ofEndpoint()) {
+            // What Envoy would answer on its own does not tell whether another try does harm. An endpoint's
+            // answer that comes after the end is an answer still.
             end(ExtProcAnswers.over(over));
         } else {
             end(ExtProcAnswers.goOn(message.getRequestCase()));
--- a/src/main/java/cobaltrack/front/http1/ClientServer.java
+++ b/src/main/java/cobaltrack/front/http1/ClientServer.java
@@ -139,7 +139,7 @@
         openIds.remove(id);
     }
 
-    /** A connection has come, or come into a phase; one beyond those allowed makes another close. */
+    /** A connection has come, or come into a phase. */
     void entered(ClientConnection connection, ClientConnection.Phase phase, double since) {
         connections.add(connection);
         admission.entered(connection, switch (phase) {
@@ -150,8 +150,10 @@
         }, since);
     }
 
-    // Guards against running out of descriptors, and against silent connections that starve good clients, as
-    // they would if accepting stopped.
+    /**
+     * One has come: beyond those allowed it makes one close. Guards against running out of descriptors, and
+     * against silent connections that starve good clients, as they would if accepting stopped.
+     */
     void opened() {
         ClientConnection close = admission.toClose(clock.now());
         if (close != null) {
--- a/src/main/java/cobaltrack/front/spop/SpopConnection.java
+++ b/src/main/java/cobaltrack/front/spop/SpopConnection.java
@@ -176,6 +176,8 @@
             SpopFrame.setVariable(out, "attempt", Integer.toString(send.attempt()));
         } else if (directive instanceof Directive.Refused refused && refused.retryAfter() > 0) {
             SpopFrame.setVariable(out, "retry_after", Decimals.seconds(refused.retryAfter()));
+        } else if (directive instanceof Directive.TooMany tooMany) {
+            SpopFrame.setVariable(out, "retry_after", Decimals.seconds(tooMany.retryAfter()));
         }
         ctx.writeAndFlush(SpopFrame.end(out));
     }
--- a/src/main/java/cobaltrack/standin/AlikeDay.java
+++ b/src/main/java/cobaltrack/standin/AlikeDay.java
@@ -5,8 +5,6 @@
 import cobaltrack.decide.Decide;
 import cobaltrack.membership.EndpointList;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -79,17 +77,7 @@
 
     /** Plays it; blocks for as long. */
     Result play() throws IOException {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        try {
-            return play(group.next());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted", e);
-        } catch (ExecutionException e) {
-            throw new IOException("a stand-in failed", e.getCause());
-        } finally {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-        }
+        return OwnLoop.play(this::play);
     }
 
     private Result play(EventLoop loop) throws IOException, InterruptedException, ExecutionException {
--- a/src/main/java/cobaltrack/standin/ConsultSpeed.java
+++ b/src/main/java/cobaltrack/standin/ConsultSpeed.java
@@ -5,8 +5,6 @@
 import cobaltrack.decide.Decide;
 import cobaltrack.membership.EndpointList;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
@@ -56,17 +54,7 @@
 
     @Override
     public Integer call() throws IOException {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        try {
-            return measure(group.next());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted", e);
-        } catch (ExecutionException e) {
-            throw new IOException("a stand-in failed", e.getCause());
-        } finally {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-        }
+        return OwnLoop.play(this::measure);
     }
 
     private int measure(EventLoop loop) throws IOException, InterruptedException, ExecutionException {
--- a/src/main/java/cobaltrack/standin/ProcessorDay.java
+++ b/src/main/java/cobaltrack/standin/ProcessorDay.java
@@ -6,8 +6,6 @@
 import cobaltrack.decide.Decide;
 import cobaltrack.membership.EndpointList;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayList;
@@ -85,17 +83,10 @@
 
     /** Plays it; blocks for as long. */
     Result play() throws IOException {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        processor = processor();
         try {
-            processor = processor();
-            return play(group.next());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted", e);
-        } catch (ExecutionException e) {
-            throw new IOException("a stand-in failed", e.getCause());
+            return OwnLoop.play(this::play);
         } finally {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
             processor.close();
         }
     }
--- a/src/main/java/cobaltrack/standin/SocketDay.java
+++ b/src/main/java/cobaltrack/standin/SocketDay.java
@@ -2,8 +2,6 @@
 
 import cobaltrack.Contract;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -67,21 +65,12 @@
 
     /** The same; {@code eachSecond} sees the time and the ledger so far, on the stand-ins' loop. */
     public Ledger play(BiConsumer<Double, Ledger> eachSecond) throws IOException {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        EventLoop loop = group.next();
-        LoopTimer timer = new LoopTimer(loop);
-        StandInDiscovery discovery = new StandInDiscovery(timer);
-        try {
+        return OwnLoop.play(loop -> {
+            LoopTimer timer = new LoopTimer(loop);
+            StandInDiscovery discovery = new StandInDiscovery(timer);
             discovery.start();
             return play(timer, discovery, eachSecond);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted", e);
-        } catch (ExecutionException e) {
-            throw new IOException("a stand-in failed", e.getCause());
-        } finally {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-        }
+        });
     }
 
     private Ledger play(LoopTimer timer, StandInDiscovery discovery, BiConsumer<Double, Ledger> eachSecond)
--- a/src/test/java/cobaltrack/consult/ConsultationsTest.java
+++ b/src/test/java/cobaltrack/consult/ConsultationsTest.java
@@ -214,7 +214,7 @@
         for (int i = 0; i < 5; i++) {
             ask("r" + i, READ);
         }
-        assertEquals(new Directive.TooMany(), last());
+        assertEquals(new Directive.TooMany(1000), last());
         all.ask(new Peer(), "other", new Ask(READ, -1, TIMEOUT, false), told::add);
         assertInstanceOf(Directive.Send.class, last());
         assertEquals(5, all.open());
