--- a/src/main/java/cobaltrack/standin/StandInProxy.java
+++ b/src/main/java/cobaltrack/standin/StandInProxy.java
@@ -10,16 +10,19 @@
 
 /**
  * A stand-in for other people's proxies: asks for each request, sends it where it is told, reports, and does
- * all that proxies do wrong by a seed: resends on its own, loses, doubles and garbles reports, is cut off,
- * dies. What truly ran goes into the ledger. For one loop.
+ * all that proxies do wrong by a seed: resends on its own, loses, delays, doubles and garbles reports, is cut
+ * off, dies. What truly ran goes into the ledger. For one loop.
  */
 final class StandInProxy {
     /** One request in so many is resent on its own, and so on. */
     private static final int RESENT = 25;
     private static final int UNREPORTED = 200;
+    private static final int BELATED = 100;
     private static final int DOUBLED = 100;
     private static final int GARBLED = 200;
     private static final double RESEND_WITHIN_MS = 40;
+    /** So long after the client's time a belated report comes. */
+    private static final double BELATED_MS = 50;
     /** Kept of the client's time, for this proxy's own answer. */
     private static final double MARGIN_MS = 20;
 
@@ -192,12 +195,22 @@
             case FULL -> "full";
             case DIED -> "reset";
         });
-        agent.call("outcome", report, said -> told(one, said));
+        if (errs(BELATED)) {
+            timer.at(one.endBy + BELATED_MS, () -> report(one, report));
+            return;
+        }
+        report(one, report);
         if (errs(DOUBLED)) {
             agent.call("outcome", report, said -> { });
         }
     }
 
+    private void report(One one, Map<String, String> report) {
+        if (!dead) {
+            agent.call("outcome", report, said -> told(one, said));
+        }
+    }
+
     private void end(One one, Ledger.End how) {
         if (!one.over) {
             one.over = true;
