--- a/src/main/java/cobaltrack/decide/ColdBudget.java
+++ b/src/main/java/cobaltrack/decide/ColdBudget.java
@@ -9,8 +9,7 @@
     private static final double RATE = 1.5;
     // The most tokens saved up: one request and a half, so that hundreds of half-full buckets are no burst.
     private static final double SAVE = 1.5;
-    // Weight of a period in the rate that a warm server gets, and the percentage from which it is
-    // not counted.
+    // Weight of a period in the rate that a warm server gets; the percentage from which it is not counted.
     private static final double WARM_WEIGHT = 0.05;
     private static final double WARM_SHUT = 0.5;
 
@@ -56,8 +55,8 @@
         return true;
     }
 
-    // Learns what a warm server gets from here. Cold and shut-out ones do not count; with no warm one left
-    // the last figure stands: in a rolling deploy budgets would else shrink with the traffic they allow.
+    // Learns what a warm server gets from here. With no warm one left the last figure stands: in a rolling
+    // deploy budgets would else shrink.
     void period(double now, Node[] subset) {
         Arrays.stream(subset).filter(n -> n.percentage < WARM_SHUT && warmth(now, n) >= 1)
                 .mapToDouble(n -> n.sendRate).average()
--- a/src/main/java/cobaltrack/decide/Controller.java
+++ b/src/main/java/cobaltrack/decide/Controller.java
@@ -7,14 +7,12 @@
     // How far one bad period takes the percentage on towards 100; the whole of it from so much excess on.
     private static final double STEP_UP = 0.5;
     private static final double STEP_WHOLE_AT = 0.5;
-    // What a good or an idle period takes off: this part of what passes, and a little for a server shut out
-    // wholly. By fixed steps a jammed server would get far too much before the first outcome tells.
+    // What a good or an idle period takes off: this part of what passes, and a little for one wholly shut.
     private static final double STEP_DOWN = 0.08;
     private static final double STEP_DOWN_LEAST = 0.004;
     // What stays of the evidence from period to period, so that 0 to 2 outcomes a period still add up.
     private static final double KEEP = 0.7;
-    // Outcomes of the whole subset that stand in for a server's own: one bad answer is no trend, and with few
-    // outcomes what all servers show together is the only sign of an overload.
+    // Outcomes of the whole subset that stand in for a server's own: one bad answer is no trend.
     private static final double PRIOR = 2.0;
     // What the subset does not accept beyond this counts: single servers' troubles stay theirs.
     private static final double POOL_TARGET = 0.25;
@@ -46,8 +44,7 @@
                 count++;
             }
         }
-        // Guards against a single request without an answer, which would count anew in each period it is out:
-        // a second one, or its time-out, must bear it out. A server that vanishes is known one attempt later.
+        // A single request without an answer would count anew in each period: a second must bear it out.
         if (count > 1) {
             bad += lateOut;
             all += count;
@@ -57,7 +54,7 @@
         if (excess > 0) {
             n.percentage += (1 - n.percentage) * STEP_UP * Math.min(1, excess / STEP_WHOLE_AT);
         } else {
-            // Falling keeps pace with the outcomes: slower by as much as the answers take longer than usual.
+            // Slower by as much as the answers take longer than usual.
             double fall = STEP_DOWN * lateness.pace;
             n.percentage = Math.max(0, n.percentage - fall * (1 - n.percentage) - STEP_DOWN_LEAST);
         }
--- a/src/main/java/cobaltrack/decide/Crowding.java
+++ b/src/main/java/cobaltrack/decide/Crowding.java
@@ -1,9 +1,6 @@
 package cobaltrack.decide;
 
-/**
- * Guards against a burst, or a server gone slow, within one period, for outcomes come later than that: the
- * server that holds more than the subset's mean, or than it would hold when well, passes less.
- */
+/** Against a burst, or a slow server, before outcomes tell: one that holds over its share passes less. */
 final class Crowding {
     // What is out at a server beyond the subset's mean is drawn against, with this slack.
     private static final double SLACK = 0.5;
@@ -16,15 +13,13 @@
     private static final double SHUT = 0.97;
     // A server is taken to hold so many when well, whatever it answered: one attempt out is no crowd.
     private static final double WELL_LEAST = 1;
-    // For so many periods nothing is known of a new server. Where it does not report either, all sidecars
-    // together may hold a first window there meanwhile (RFC 6928).
+    // For so many periods nothing is known of a new server; all sidecars may hold a first window (RFC 6928).
     private static final int FRESH = 20;
     private static final double WINDOW = 10;
 
     private final Controller controller;
-    // For so long a server's own word of what it holds stands.
+    // For so long a server's own word of what it holds stands; without any, what it may hold at first.
     private final double reportStands;
-    // Servers tell nothing of their load; what they may hold at first.
     private final boolean unreported;
     private final double first;
     // Mean of what the servers looked at hold, as of the walk under way.
@@ -37,8 +32,7 @@
         this.reportStands = shortestAim;
     }
 
-    // Before a walk over these servers. One that is shut and holds none, for it is dead, is not counted: else
-    // all the others would hold more than the mean.
+    // Before a walk over these servers. One that is shut and holds none is dead, and lowers no mean.
     void look(double now, Node[] nodes) {
         double sum = 0;
         int open = 0;
@@ -52,12 +46,15 @@
 
     // The share to turn away from a server that holds more than when well, or than the mean while not sound.
     double share(double now, Node n) {
-        double well = Math.max(n.periods < FRESH ? first : WELL_LEAST, n.wellHeld);
+        double well = Math.max(least(n), n.wellHeld);
         return Math.max(share(well * room(n), n.out.counted()), uneven(now, n) * (1 - sound(n)));
     }
 
-    // By how much a server's answers vouch for it. Where servers report, their own word tells more: at the
-    // onset of an overload the answers are good still.
+    double least(Node n) {
+        return n.periods < FRESH ? first : WELL_LEAST;
+    }
+
+    // By how much a server's answers vouch for it. Where servers report, their own word tells sooner.
     double sound(Node n) {
         return unreported ? controller.soundness(n) : 0;
     }
@@ -75,9 +72,7 @@
     }
 
     // How many times what it holds when well a server has room for, by its own word or its answers. Guards
-    // against a draw that holds itself down: what is refused brings no answers, and fewer answers let less
-    // through; and against new servers, of which no answers are known. Where reports are late, a server that
-    // has just filled is sent too much until its answers raise the percentage.
+    // against a draw that holds itself down: what is refused brings no answers, and fewer let less through.
     private double room(Node n) {
         double told = ROOM_BELOW / Math.max(ROOM_BELOW / ROOM_MOST, n.reported.util);
         return Math.max(1 + (SOUND - 1) * sound(n), told);
--- a/src/main/java/cobaltrack/decide/Decide.java
+++ b/src/main/java/cobaltrack/decide/Decide.java
@@ -6,10 +6,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Decides for one sidecar.
- *
- * <p>For each server a drop percentage is learned from this sidecar's own outcomes. A request walks a small
- * random subset in random order; the first server whose draw passes gets it, and if none passes it is
+ * Decides for one sidecar. For each server a drop percentage is learned from its outcomes. A request walks a
+ * small random subset in random order; the first server whose draw passes gets it, and if none passes it is
  * refused at once. docs/design.md names what is kept of the source and when each exception acts.
  */
 public final class Decide implements Contract.Events {
@@ -30,13 +28,14 @@
     private final Lateness lateness;
     private final Controller controller;
     private final Crowding crowding;
+    private final Ceiling ceiling = new Ceiling();
+    private final boolean unreported;
     private final ColdBudget cold;
     private final Retries retries;
     private final Probes probes;
     private final Relief relief = new Relief();
     private final Strain strain;
-    private double lastWake;
-    private double wakeAt;
+    private double lastWake, wakeAt;
 
     /** A module for one sidecar. */
     public Decide(Contract.Settings settings, long seed, Contract.Actions out) {
@@ -49,10 +48,10 @@
         this.list = new ServerList(settings, random, out);
         this.subset = new Subset(settings.sidecars(), period);
         this.worth = new Worth(settings, random);
+        this.unreported = settings.reporting() == Contract.Reporting.NONE;
         this.lateness = new Lateness(settings.classes());
         this.controller = new Controller(lateness);
-        this.crowding = new Crowding(controller, aim, settings.reporting() == Contract.Reporting.NONE,
-                settings.sidecars());
+        this.crowding = new Crowding(controller, aim, unreported, settings.sidecars());
         this.cold = new ColdBudget(settings.obligations());
         this.retries = new Retries(settings.limits());
         this.probes = new Probes(settings, aim);
@@ -111,6 +110,10 @@
 
     // The walk: the subset in random order, an independent draw at each server, the first that passes.
     private Node walk(double now, Call c) {
+        double over = unreported ? ceiling.share(subset.ranked, crowding) : 0;
+        if (over > 0 && random.nextDouble() < worth.dropShare(c.level, over)) {
+            return null;
+        }
         // A small subset rarely holds another server that would discard a repeat: such a retry looks at all.
         Node[] s = c.grouped() ? subset.usable : subset.walked;
         crowding.look(now, s);
@@ -190,13 +193,15 @@
             case SERVED -> {
                 n.failing.note(k, settings.classes().size(), false);
                 controller.note(n, lateness.of(took, k));
-                // A server's strain, by its report, counts as outcomes of its own.
                 n.evidence.note(strain, strain > 0 ? Reported.OUTCOMES : 0);
                 n.answered += lateness.usual(k);
+                ceiling.answered(lateness.usual(k), settings.classes().get(k).aim());
                 lateness.answered(took, k);
                 relief.answered++;
             }
-            case FULL, CONNECT_FAILED, RESET, TIMED_OUT -> controller.note(n, 1);
+            case FULL, RESET, TIMED_OUT -> controller.note(n, 1);
+            // Tells of one server, or of the way to it, and not of load.
+            case CONNECT_FAILED -> n.evidence.note(1, 1);
             case ERROR -> n.failing.note(k, settings.classes().size(), true);
             default -> { }
         }
@@ -253,6 +258,7 @@
         if (subset.period()) {
             subset.pick(now, list.nodes.values());
         }
+        ceiling.period(span);
         controller.period();
         cold.period(now, subset.ranked);
         subset.weigh();
--- a/src/main/java/cobaltrack/decide/Failing.java
+++ b/src/main/java/cobaltrack/decide/Failing.java
@@ -2,10 +2,7 @@
 
 import java.util.SplittableRandom;
 
-/**
- * What one server fails of each class. A server may fail one class and serve the rest: an error raises that
- * class's percentage there and no other. One outcome tells much: a light sidecar seldom meets a class there.
- */
+/** What one server fails of each class: an error raises that class's percentage there and no other. */
 final class Failing {
     // Weight of an outcome, and what stays from period to period.
     private static final double WEIGHT = 0.5;
--- a/src/main/java/cobaltrack/decide/Lateness.java
+++ b/src/main/java/cobaltrack/decide/Lateness.java
@@ -14,12 +14,11 @@
     private static final double FIRST_USUAL = 0.3;
     // What stays of the sums of times from period to period: about a second of outcomes.
     private static final double KEEP = 0.95;
-    // No usual time counts as less than this share of the aim: nobody is served worse for it. Guards against
-    // pauses of this sidecar's own, and against refusing what a server that was fast once serves well.
+    // No usual time counts as less than this share of the aim: nobody is served worse for it, and this
+    // sidecar's own pauses are longer.
     private static final double FLOOR = 0.1;
     // The more is refused, beyond this share, for another reason than load, the faster the usual time rises
-    // to the recent one, at most by this part a period, and up to this share of the aim: from there late
-    // answers count again before they are worth nothing. Answers that are faster bring it down at once.
+    // to the recent one, at most by this part a period, and up to this share of the aim.
     private static final double RAISE_FROM = 0.5;
     private static final double RAISE = 0.1;
     private static final double RAISED_MOST = 0.4;
--- a/src/main/java/cobaltrack/decide/Node.java
+++ b/src/main/java/cobaltrack/decide/Node.java
@@ -15,15 +15,13 @@
     final Reported reported = new Reported();
     ColdBudget.Bucket bucket;
     Contract.Server entry;
-    // What goes to it; what it holds of ours when it answers at the rate that it does and as fast as usual.
+    // What goes to it; what it holds of ours at the rate that it answers, when as fast as usual.
     double sendRate;
     double wellHeld;
     // Of this period: sends, and the usual times of the answers.
-    double sends;
-    double answered;
-    // Periods in the subset.
+    double sends, answered;
+    // Periods in the subset; the drop percentage, as a share.
     int periods;
-    // The drop percentage, as a share.
     double percentage;
     // The start of its process: an entry that goes back in it is of an older list.
     double startedAt;
--- a/src/main/java/cobaltrack/decide/Outstanding.java
+++ b/src/main/java/cobaltrack/decide/Outstanding.java
@@ -1,15 +1,11 @@
 package cobaltrack.decide;
 
-/**
- * The attempts out at one server, oldest first, and which of them say nothing of a queue: those that attempts
- * sent later have overtaken by far.
- */
+/** The attempts out at one server, oldest first; those that later ones overtook by far tell of no queue. */
 final class Outstanding {
     // Attempts looked at in one go; keeps the work of a period and of an outcome bounded.
     static final int LOOK = 64;
     // From so many later attempts on that its server served, each in this part of the time that it has been
-    // out, an attempt tells nothing of a queue. With less, long work in shared cores would pass for lost and
-    // the servers be overdriven.
+    // out, an attempt tells nothing of a queue. With less, long work in shared cores would pass for lost.
     static final double OVERTAKEN_PART = 0.3;
     private static final int OVERTAKEN = 2;
 
@@ -47,9 +43,8 @@
     }
 
     // Later attempts served far faster than an older one has waited show that the server is at work and that
-    // the older one is lost, or heavy: it is no sign of a queue. Guards against connections that fall silent,
-    // requests that are never taken up and work that hangs, which would shut a sound server meanwhile.
-    // Where a server starves old work for new, its queue shows in the answers' times and the outcomes alone.
+    // the older one is lost, or heavy. Guards against silent connections and work that hangs, which would
+    // shut a sound server. One that starves old work for new shows its queue in answers' times alone.
     void overtake(double now, Attempt served, double took) {
         double longest = took / OVERTAKEN_PART;
         int looked = 0;
--- a/src/main/java/cobaltrack/decide/Probes.java
+++ b/src/main/java/cobaltrack/decide/Probes.java
@@ -2,10 +2,7 @@
 
 import cobaltrack.Contract;
 
-/**
- * Probes the subset in turn, as far as requests pay for it, spread over the time between them: right after a
- * request they are out of date when a light sidecar's next one comes.
- */
+/** Probes the subset in turn, as far as requests pay for it, spread over the time between them. */
 final class Probes {
     // What probes may cost, in the site's own price for a probe a request, and the most of them a request.
     private static final double SPEND = 0.008;
@@ -15,9 +12,7 @@
 
     private final double perRequest;
     private final double reportStands;
-    private double tokens;
-    private double earned;
-    private double rate;
+    private double tokens, earned, rate;
     private int next;
 
     Probes(Contract.Settings settings, double shortestAim) {
@@ -37,7 +32,6 @@
         for (int i = 0; i < subset.length && tokens >= 1; i++) {
             next = (next + 1) % subset.length;
             Node n = subset[next];
-            // One known to be busy is passed by anyway; the probe is better spent on where a request may go.
             if (now - n.reported.heldAt > reportStands || crowding.held(now, n) < 1) {
                 out.probe(n.entry.id());
                 tokens--;
--- a/src/main/java/cobaltrack/decide/Relief.java
+++ b/src/main/java/cobaltrack/decide/Relief.java
@@ -4,9 +4,8 @@
 
 /**
  * Tells when what is refused is refused for another reason than load: far less is answered than lately was,
- * and the servers don't call themselves busy. Guards against a state that holds itself up: what was learned
- * at a faster time calls every answer late, and few answers are let through to tell otherwise. After BBR's
- * bottleneck bandwidth, the windowed highest rate of delivery.
+ * and no server calls itself busy. Guards against a state that holds itself up: what was learned at a faster
+ * time calls every answer late, and few come to tell otherwise. After BBR's highest rate of delivery.
  */
 final class Relief {
     // Weight of a period in the share refused and in the rate answered; what stays of the highest rate.
@@ -17,12 +16,8 @@
     private static final double EASE = 0.5;
 
     // Counts of this period.
-    int asked;
-    int refused;
-    int answered;
-    private double refusedShare;
-    private double rate;
-    private double highest;
+    int asked, refused, answered;
+    private double refusedShare, rate, highest;
 
     // The share lately refused, where load is not the reason, else 0.
     double period(double span, Node[] subset) {
--- a/src/main/java/cobaltrack/decide/Reported.java
+++ b/src/main/java/cobaltrack/decide/Reported.java
@@ -6,7 +6,7 @@
 final class Reported {
     // The busy share that is wanted; beyond it a report counts as this many outcomes not accepted in part.
     private static final double UTIL_WANTED = 0.9;
-    // Its busy share tells of room from this one down, and of ease from that one down.
+    // Its busy share tells of room from this one down, of ease from that one.
     private static final double UTIL_ROOM = 0.7;
     private static final double UTIL_EASY = 0.3;
     static final int OUTCOMES = 3;
@@ -30,10 +30,8 @@
     boolean any;
 
     // Takes in a report that came with an answer, and tells how far the busy share is over the wanted one, as
-    // the paper's overloaded node reckons it. That guards what a light sidecar cannot see in its own
-    // attempts: the load of all the others. It counts less the more of the server's traffic is our own.
-    // Requests a second by busy share are the server's size, so that slow, cold and shared machines come
-    // later in the walk.
+    // the paper's overloaded node reckons it: the load of all the others. It counts less the more of the
+    // server's traffic is our own. Requests a second by busy share are the server's size.
     double strain(Contract.Report r, double sendRate) {
         if (r == null || !(r.util() >= 0 && r.util() <= UTIL_MOST && r.perSecond() > 0)
                 || r.perSecond() == Double.POSITIVE_INFINITY) {
@@ -54,7 +52,6 @@
         return any ? Math.max(0, Math.min(1, (UTIL_ROOM - util) / (UTIL_ROOM - UTIL_EASY))) : 1;
     }
 
-    // Takes in the report of a probe.
     void probed(double now, Contract.Report r) {
         if (r != null && r.inflight() >= 0 && r.inflight() < Double.POSITIVE_INFINITY) {
             held = r.inflight();
--- a/src/main/java/cobaltrack/decide/Retries.java
+++ b/src/main/java/cobaltrack/decide/Retries.java
@@ -19,15 +19,16 @@
         tokens = Math.min(SAVE, tokens + EARN);
     }
 
-    // Whether the request may go out again after this outcome; if so, that is paid for.
+    // Whether it may go out again, which is paid for, but after a failed connect: that put load on nobody.
     boolean take(double now, Call c, Contract.Outcome last) {
-        if (last == Contract.Outcome.NEVER_SENT || tokens < 1 || c.attempts.size() >= attemptsMost) {
+        double price = last == Contract.Outcome.CONNECT_FAILED ? 0 : 1;
+        if (last == Contract.Outcome.NEVER_SENT || tokens < price || c.attempts.size() >= attemptsMost) {
             return false;
         }
         boolean useful = now < (c.type.lateWorth() > 0 ? c.endAt : Math.min(c.aimAt, c.endAt));
         boolean may = useful && (c.mayHaveRun == null || c.type.effect() != Contract.Effect.UNSAFE);
         if (may) {
-            tokens--;
+            tokens -= price;
         }
         return may;
     }
--- a/src/main/java/cobaltrack/decide/ServerList.java
+++ b/src/main/java/cobaltrack/decide/ServerList.java
@@ -11,8 +11,7 @@
     // Waits before asking for the list again, doubled up to the longest.
     private static final double ASK_FIRST = 300;
     private static final double ASK_LONGEST = 4000;
-    // All sidecars' calls are spread over so much time each, at most over this share of the time after which
-    // one that has not asked counts as told.
+    // All sidecars' calls are spread over so much time each, at most over this share of `askWithin`.
     private static final double ASK_EACH = 10;
     private static final double ASK_SPREAD_MOST = 0.4;
 
@@ -42,8 +41,7 @@
     // True if there is anything new.
     boolean told(double now, Contract.ListKind kind, List<Contract.Server> entries) {
         if (kind == Contract.ListKind.FAILED) {
-            // A list service that starts or comes back must not be met by every sidecar at once: it would
-            // turn most away, and they would keep it so. Spread by their number, and doubled waits.
+            // A list service that comes back must not be met by every sidecar at once.
             askAt = now + askWait * (0.5 + random.nextDouble()) + spread * random.nextDouble();
             if (askWait == ASK_FIRST) {
                 out.log("server list out of reach: deciding on the last one");
--- a/src/main/java/cobaltrack/decide/Strain.java
+++ b/src/main/java/cobaltrack/decide/Strain.java
@@ -2,10 +2,7 @@
 
 import cobaltrack.Contract;
 
-/**
- * This sidecar's own percentage, for when it has too little processor: its loop is late whatever the servers
- * do, and theirs must not move for it. Learned by the same law, and drawn against before any server's.
- */
+/** This sidecar's own percentage, for too little processor, drawn first: servers' must not move for it. */
 final class Strain {
     // Weight of a period in how late the loop is; the share of the shortest aim that is let be.
     private static final double WEIGHT = 0.1;
--- a/src/main/java/cobaltrack/decide/Subset.java
+++ b/src/main/java/cobaltrack/decide/Subset.java
@@ -7,8 +7,7 @@
 /** The small random subset of servers that this sidecar uses, and how many it needs for its traffic. */
 final class Subset {
     // The least subset. While all sidecars together open fewer than so many connections a server there is
-    // room for so many servers, and so many for each attempt out. In a large fleet a wide subset costs
-    // handshakes, fills the servers' tables and leaves a light sidecar no evidence on any one server.
+    // room for so many servers, and so many for each attempt out: a wide one costs handshakes and evidence.
     private static final int LEAST = 3;
     private static final double CONNECTIONS = 12;
     private static final double FREE = 8;
@@ -24,9 +23,8 @@
     Node[] ranked = walked;
     // Every server that the list calls up.
     Node[] usable = walked;
-    // What the subset holds when well, for the traffic it lately got; what it does hold; the size for that.
-    private double width;
-    private double held;
+    // What the subset holds when well; what it does hold; the size for that.
+    private double width, held;
     private int size = LEAST;
 
     Subset(int sidecars, double period) {
@@ -74,8 +72,8 @@
         return wanted > size || wanted < size - 1;
     }
 
-    // As many as the traffic holds attempts when well. What is out counts only while there is room for its
-    // connections: in a large fleet a jam would widen every subset, and the wider subsets keep the jam.
+    // As many as the traffic holds when well. What is out counts while there is room for its connections: a
+    // jam would widen every subset, and they would keep the jam.
     private int wanted() {
         double room = usable.length * CONNECTIONS / Math.max(1, sidecars);
         double free = Math.min(room, Math.max(FREE, FREE_PER_HELD * held));
--- a/src/main/java/cobaltrack/decide/Worth.java
+++ b/src/main/java/cobaltrack/decide/Worth.java
@@ -41,8 +41,7 @@
         this.tenantSeen = new double[settings.tenants().size()];
     }
 
-    // Counts a request and tells its level. What is beyond a tenant's share counts at the lower worth; the
-    // excess is chosen by chance.
+    // Counts a request and tells its level: the lower one for what is beyond its tenant's share, by chance.
     int arrived(Contract.Request r) {
         int level = within[r.classIndex];
         if (r.tenantIndex >= 0) {
