Warm up against plain bytes, not codecs, so that more is warm in the same time

Its own client and endpoint ran Netty's codecs and aggregators, interpreted, on the core that is short. They now see where a message ends and no more.

--- a/src/main/java/cobaltrack/run/Warmup.java
+++ b/src/main/java/cobaltrack/run/Warmup.java
@@ -12,6 +12,7 @@
 import cobaltrack.transport.EndpointPool;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -23,20 +24,10 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -55,7 +46,10 @@
     private static final int REQUESTS = 600;
     /** A restarted sidecar is missed: on a very short core it had better serve cold than late. */
     private static final long MOST_MS = 1500;
-    private static final byte[] BODY = new byte[256];
+    /** Ends with a byte that no head ends with. */
+    private static final byte[] BODY = "-".repeat(255).concat("~").getBytes(StandardCharsets.US_ASCII);
+    /** In "HTTP/1.1 200". */
+    private static final int STATUS_AT = 9;
 
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     private final CountDownLatch done = new CountDownLatch(1);
@@ -112,33 +106,68 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(serves ? new HttpServerCodec() : new HttpClientCodec(),
-                        new HttpObjectAggregator(HttpAsk.BODY_MOST),
-                        serves ? new Endpoint() : new Application());
+                channel.pipeline().addLast(serves ? new Endpoint() : new Application());
             }
         };
     }
 
-    private static final class Endpoint extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /**
+     * Sees where messages end and no more: codecs here would be interpreted, and compiled, on the core that is
+     * short, for what a sidecar never does. One message is under way at a time.
+     */
+    private abstract static class Plain extends SimpleChannelInboundHandler<ByteBuf> {
+        private boolean begun;
+        private boolean bodied;
+
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.OK, Unpooled.wrappedBuffer(BODY));
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY.length).set(LoadReport.HEADER,
-                    "util=0.5,qps=10.5,eps=0");
-            ctx.writeAndFlush(response);
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
+            if (!begun) {
+                begun = true;
+                bodied = hasBody(in);
+            }
+            if (in.getByte(in.writerIndex() - 1) == (bodied ? BODY[BODY.length - 1] : '\n')) {
+                begun = false;
+                came(ctx, bodied);
+            }
+        }
+
+        abstract boolean hasBody(ByteBuf begin);
+
+        abstract void came(ChannelHandlerContext ctx, boolean bodied);
+
+        static void say(ChannelHandlerContext ctx, String head, byte[] body) {
+            ctx.writeAndFlush(Unpooled.wrappedBuffer(head.getBytes(StandardCharsets.US_ASCII), body));
         }
     }
 
-    private final class Application extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private static final class Endpoint extends Plain {
+        @Override
+        boolean hasBody(ByteBuf begin) {
+            return begin.getByte(begin.readerIndex()) == 'P';
+        }
+
+        @Override
+        void came(ChannelHandlerContext ctx, boolean bodied) {
+            say(ctx, "HTTP/1.1 200 OK\r\nContent-Length: " + BODY.length + "\r\n" + LoadReport.HEADER
+                    + ": util=0.5,qps=10.5,eps=0\r\n\r\n", BODY);
+        }
+    }
+
+    private final class Application extends Plain {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             ask(ctx);
         }
 
+        /** Only an answer of 200 has one. */
+        @Override
+        boolean hasBody(ByteBuf begin) {
+            return begin.readableBytes() > STATUS_AT && begin.getByte(begin.readerIndex() + STATUS_AT) == '2';
+        }
+
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.status().equals(HttpResponseStatus.OK)) {
+        void came(ChannelHandlerContext ctx, boolean bodied) {
+            if (bodied) {
                 served = REQUESTS - left;
             }
             ask(ctx);
@@ -150,14 +179,10 @@
                 return;
             }
             Contract.RequestClass k = settings.classes().get(left % settings.classes().size());
-            boolean safe = k.effect() == Contract.Effect.SAFE;
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    safe ? HttpMethod.GET : HttpMethod.POST, "/api?obj=warm", Unpooled.wrappedBuffer(BODY, 0,
-                    safe ? 0 : BODY.length));
-            request.headers().set("Request-Id", "warm" + left).set("Request-Class", k.name())
-                    .set("Idempotency-Key", "warm").set(HttpAsk.TIMEOUT, "5.000")
-                    .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
-            ctx.writeAndFlush(request);
+            byte[] body = k.effect() == Contract.Effect.SAFE ? new byte[0] : BODY;
+            say(ctx, (body.length == 0 ? "GET" : "POST") + " /api?obj=warm HTTP/1.1\r\nRequest-Id: warm" + left
+                    + "\r\nRequest-Class: " + k.name() + "\r\nIdempotency-Key: warm\r\n" + HttpAsk.TIMEOUT
+                    + ": 5.000\r\nContent-Length: " + body.length + "\r\n\r\n", body);
         }
     }
 }
