--- a/src/main/java/cobaltrack/run/Warmup.java
+++ b/src/main/java/cobaltrack/run/Warmup.java
@@ -112,7 +112,7 @@
     }
 
     /**
-     * Sees where messages end and no more: codecs here would be interpreted, and compiled, on the core that is
+     * Sees where messages end and no more: codecs here would be interpreted, and compiled, on a core that is
      * short, for what a sidecar never does. One message is under way at a time.
      */
     private abstract static class Plain extends SimpleChannelInboundHandler<ByteBuf> {
@@ -180,8 +180,8 @@
             }
             Contract.RequestClass k = settings.classes().get(left % settings.classes().size());
             byte[] body = k.effect() == Contract.Effect.SAFE ? new byte[0] : BODY;
-            say(ctx, (body.length == 0 ? "GET" : "POST") + " /api?obj=warm HTTP/1.1\r\nRequest-Id: warm" + left
-                    + "\r\nRequest-Class: " + k.name() + "\r\nIdempotency-Key: warm\r\n" + HttpAsk.TIMEOUT
+            say(ctx, (body.length == 0 ? "GET" : "POST") + " /api?obj=warm HTTP/1.1\r\nRequest-Id: warm"
+                    + left + "\r\nRequest-Class: " + k.name() + "\r\nIdempotency-Key: warm\r\n" + HttpAsk.TIMEOUT
                     + ": 5.000\r\nContent-Length: " + body.length + "\r\n\r\n", body);
         }
     }
