Tell a server silent to one class from load; resets are no sign of a queue

A trace of every draw, and of the outcomes by server and class, showed five of ten servers leaving one class without any answer while they served the rest. Decide.grade counted each such time-out against the whole server, so half of the fleet was shut to all classes. Resets, one attempt in eight and not of load, kept Controller.soundness at 0, so that Crowding let each server hold half of what it may where answers are good.

A time-out is now its class's alone where another class's later attempt was served in time and none of its own was, or where that class mostly failed there lately. A reset raises the percentage as before and no longer counts in the soundness.

ExtProcTest no longer races with the closing of its own connections.

--- a/src/main/java/cobaltrack/decide/Attempt.java
+++ b/src/main/java/cobaltrack/decide/Attempt.java
@@ -6,8 +6,9 @@
     final Node node;
     final double sentAt;
     boolean out = true;
-    // True once an attempt sent later to the same server was served; how many of those were far faster.
+    // Whether any sent there later was served, and any of its own class; how many of those were far faster.
     boolean passed;
+    boolean passedByOwn;
     int overtaken;
     Attempt older;
     Attempt newer;
--- a/src/main/java/cobaltrack/decide/Call.java
+++ b/src/main/java/cobaltrack/decide/Call.java
@@ -9,8 +9,7 @@
     final Contract.Request request;
     final Contract.RequestClass type;
     final int level;
-    final double aimAt;
-    final double endAt;
+    final double aimAt, endAt;
     final List<Attempt> attempts = new ArrayList<>(1);
     boolean ended;
     // The first attempt that may have run; null while every one is known not to have.
--- a/src/main/java/cobaltrack/decide/Controller.java
+++ b/src/main/java/cobaltrack/decide/Controller.java
@@ -31,6 +31,12 @@
         pool.note(badness, 1);
     }
 
+    void broke(Node n) {
+        note(n, 1);
+        n.evidence.broken++;
+        pool.broken++;
+    }
+
     void step(double now, Node n) {
         double bad = n.evidence.bad;
         double all = n.evidence.all;
@@ -39,7 +45,7 @@
         Attempt a = n.out.mark.newer;
         for (int i = 0; i < Outstanding.LOOK && a != n.out.mark; i++, a = a.newer) {
             double late = lateness.of(now - a.sentAt, a.call.request.classIndex);
-            if (late > 0 && !a.passed) {
+            if (late > 0 && !a.passed && !n.failing.mostly(a.call.request.classIndex)) {
                 lateOut += late;
                 count++;
             }
@@ -66,6 +72,10 @@
         return Math.max(0, 1 - Math.max(n.evidence.share(), pool.share()) / TARGET);
     }
 
+    boolean timely(Node n) {
+        return n.evidence.share() < TARGET;
+    }
+
     void period() {
         pool.fade(POOL_KEEP);
     }
--- a/src/main/java/cobaltrack/decide/Decide.java
+++ b/src/main/java/cobaltrack/decide/Decide.java
@@ -176,7 +176,7 @@
         if (!outcome.neverRan && c.mayHaveRun == null) {
             c.mayHaveRun = a;
         }
-        grade(n, outcome, took, request.classIndex, n.reported.strain(report, n.sendRate));
+        grade(n, a, outcome, took, request.classIndex, n.reported.strain(report, n.sendRate));
         c.ended |= finished || outcome == Contract.Outcome.SERVED;
         if (c.ended) {
             return;
@@ -188,8 +188,11 @@
         }
     }
 
-    private void grade(Node n, Contract.Outcome outcome, double took, int k, double strain) {
-        switch (outcome) {
+    private void grade(Node n, Attempt a, Contract.Outcome outcome, double took, int k, double strain) {
+        // While the server answers other classes in time, a time-out tells of its own, as an error does.
+        boolean silent = outcome == Contract.Outcome.TIMED_OUT && !a.passedByOwn
+                && (a.passed && controller.timely(n) || n.failing.mostly(k));
+        switch (silent ? Contract.Outcome.ERROR : outcome) {
             case SERVED -> {
                 n.failing.note(k, settings.classes().size(), false);
                 controller.note(n, lateness.of(took, k));
@@ -199,7 +202,8 @@
                 lateness.answered(took, k);
                 relief.answered++;
             }
-            case FULL, RESET, TIMED_OUT -> controller.note(n, 1);
+            case FULL, TIMED_OUT -> controller.note(n, 1);
+            case RESET -> controller.broke(n);
             // Tells of one server, or of the way to it, and not of load.
             case CONNECT_FAILED -> n.evidence.note(1, 1);
             case ERROR -> n.failing.note(k, settings.classes().size(), true);
--- a/src/main/java/cobaltrack/decide/Failing.java
+++ b/src/main/java/cobaltrack/decide/Failing.java
@@ -7,6 +7,7 @@
     // Weight of an outcome, and what stays from period to period.
     private static final double WEIGHT = 0.5;
     private static final double KEEP = 0.998;
+    private static final double MOSTLY = 0.4;
 
     // The percentage of each class, as a share; null while there were no errors.
     private double[] shares;
@@ -20,15 +21,18 @@
         }
     }
 
+    // True once most of this class failed lately: one more without an answer tells nothing of the others.
+    boolean mostly(int classIndex) {
+        return shares != null && shares[classIndex] > MOSTLY;
+    }
+
     boolean passes(int classIndex, SplittableRandom random) {
         return shares == null || random.nextDouble() >= shares[classIndex];
     }
 
     void period() {
-        if (shares != null) {
-            for (int k = 0; k < shares.length; k++) {
-                shares[k] *= KEEP;
-            }
+        for (int k = 0; shares != null && k < shares.length; k++) {
+            shares[k] *= KEEP;
         }
     }
 }
--- a/src/main/java/cobaltrack/decide/Outstanding.java
+++ b/src/main/java/cobaltrack/decide/Outstanding.java
@@ -50,6 +50,7 @@
         int looked = 0;
         for (Attempt o = served.older; o != mark && looked < LOOK; o = o.older, looked++) {
             o.passed = true;
+            o.passedByOwn |= o.call.request.classIndex == served.call.request.classIndex;
             if (now - o.sentAt > longest && ++o.overtaken == OVERTAKEN) {
                 stuck++;
             }
--- a/src/main/java/cobaltrack/decide/Reported.java
+++ b/src/main/java/cobaltrack/decide/Reported.java
@@ -30,8 +30,8 @@
     boolean any;
 
     // Takes in a report that came with an answer, and tells how far the busy share is over the wanted one, as
-    // the paper's overloaded node reckons it: the load of all the others. It counts less the more of the
-    // server's traffic is our own. Requests a second by busy share are the server's size.
+    // the paper's overloaded node reckons it: the load of all the others, so it counts less the more of it is
+    // our own. Requests a second by busy share are the server's size.
     double strain(Contract.Report r, double sendRate) {
         if (r == null || !(r.util() >= 0 && r.util() <= UTIL_MOST && r.perSecond() > 0)
                 || r.perSecond() == Double.POSITIVE_INFINITY) {
--- a/src/main/java/cobaltrack/decide/ServerList.java
+++ b/src/main/java/cobaltrack/decide/ServerList.java
@@ -20,8 +20,7 @@
     private final long salt;
     private final double spread;
     final Map<String, Node> nodes = new LinkedHashMap<>();
-    private double askAt = Double.NaN;
-    private double askWait = ASK_FIRST;
+    private double askAt = Double.NaN, askWait = ASK_FIRST;
     private boolean asked;
 
     ServerList(Contract.Settings settings, SplittableRandom random, Contract.Actions out) {
@@ -57,10 +56,7 @@
             askWait = ASK_FIRST;
         }
         if (kind != Contract.ListKind.CHANGES) {
-            for (Node n : nodes.values()) {
-                n.usable = false;
-                n.listed = false;
-            }
+            nodes.values().forEach(n -> n.usable = n.listed = false);
         }
         for (Contract.Server e : entries) {
             learn(now, e);
--- a/src/main/java/cobaltrack/decide/Subset.java
+++ b/src/main/java/cobaltrack/decide/Subset.java
@@ -35,15 +35,11 @@
     void pick(double now, Collection<Node> nodes) {
         usable = nodes.stream().filter(n -> n.usable).sorted(Comparator.<Node>comparingLong(n -> n.rank)
                 .thenComparing(n -> n.entry.id())).toArray(Node[]::new);
-        for (Node n : ranked) {
-            n.leftAt = now;
-        }
+        Arrays.stream(ranked).forEach(n -> n.leftAt = now);
         size = wanted();
         ranked = Arrays.copyOf(usable, Math.min(usable.length, size));
         walked = ranked.clone();
-        for (Node n : ranked) {
-            Controller.idle(n, (now - n.leftAt) / period);
-        }
+        Arrays.stream(ranked).forEach(n -> Controller.idle(n, (now - n.leftAt) / period));
         weigh();
     }
 
--- a/src/main/java/cobaltrack/decide/Worth.java
+++ b/src/main/java/cobaltrack/decide/Worth.java
@@ -12,11 +12,8 @@
     private final Contract.Settings settings;
     private final SplittableRandom random;
     // Levels, lowest first: that of each class within and over its tenant's share.
-    private final int[] within;
-    private final int[] over;
-    private final double[] mix;
-    private final double[] below;
-    private final double[] tenantSeen;
+    private final int[] within, over;
+    private final double[] mix, below, tenantSeen;
     private double seen;
 
     Worth(Contract.Settings settings, SplittableRandom random) {
@@ -48,8 +45,7 @@
             seen++;
             double fraction = ++tenantSeen[r.tenantIndex] / seen;
             double share = settings.tenants().get(r.tenantIndex).share();
-            boolean isOver = fraction > share && random.nextDouble() * fraction > share;
-            level = isOver ? over[r.classIndex] : level;
+            level = fraction > share && random.nextDouble() * fraction > share ? over[r.classIndex] : level;
         }
         mix[level]++;
         return level;
@@ -61,10 +57,7 @@
             return 0;
         }
         double own = below[level + 1] - below[level];
-        if (own <= 0) {
-            return p > below[level] ? 1 : 0;
-        }
-        return (p - below[level]) / own;
+        return own > 0 ? (p - below[level]) / own : p > below[level] ? 1 : 0;
     }
 
     void period() {
@@ -77,8 +70,6 @@
         }
         below[mix.length] = 1;
         seen *= MIX_KEEP;
-        for (int i = 0; i < tenantSeen.length; i++) {
-            tenantSeen[i] *= MIX_KEEP;
-        }
+        Arrays.setAll(tenantSeen, i -> tenantSeen[i] * MIX_KEEP);
     }
 }
--- a/src/test/java/cobaltrack/run/ExtProcTest.java
+++ b/src/test/java/cobaltrack/run/ExtProcTest.java
@@ -394,6 +394,15 @@
         for (Socket s : sockets) {
             s.close();
         }
+        // The program hears of that in its own time: until then it closes this one, too.
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakeServer.PATIENCE_S);
+        int first = -1;
+        while (first == -1) {
+            assertTrue(System.nanoTime() < end, "closed connections still count");
+            try (Socket again = new Socket("127.0.0.1", node.consulted.get("envoy").getPort())) {
+                first = again.getInputStream().read();
+            }
+        }
         sent(new Stream(channel(), true).ask("r", "status").answer());
     }
 
