Admit connections by a gate: limits by client, a reserve, shortages of descriptors

The module `admit` has a Gate (rate, the client's cap, the reserve, the places), Client (address prefixes), Clients (token bucket, good requests with decay, a segmented LRU for those away), Budget (descriptors by purpose) and Admission, which now chooses among any part of the connections. The sidecar's own front asks the gate; PROXY_ADMISSION names the operator's file, and without it nothing is limited by client.

A process under `ulimit -n 200` that was told of 1,024 descriptors ended under a flood of 400 silent connections: with none left the first line of Netty's log could not open the JVM's file of time zones, and that error ended the event loop. The file is opened at the start now, and a failed accept closes the least valuable connection, lowers the places and pauses for 10 to 500 ms (DescriptorsTest).

--- a/src/main/java/cobaltrack/admit/Admission.java
+++ b/src/main/java/cobaltrack/admit/Admission.java
@@ -3,9 +3,10 @@
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
- * Decides which connection makes room when there are more than may be open. It knows no socket, clock or
+ * Chooses the connection that makes room, by what each does and for how long. It knows no socket, clock or
  * thread: it is told what connections come to do, and asked for one to close. Those that never carried a
  * request are unknown; an idle one has carried a good request and is known. What holds a taken request is
  * never chosen.
@@ -26,19 +27,18 @@
     }
 
     /**
-     * How many, and who goes first. Times are milliseconds.
+     * Who goes first. Times are milliseconds.
      *
-     * @param most connections at once; at least 1
-     * @param unknownMost silent connections that may stay while known ones are closed for them; a new one has
-     *     so many arrivals of time to say something
+     * @param unknownPart of the places, as a share, those that silent connections may have while known ones
+     *     are closed for them; a new one has so many arrivals of time to say something
      * @param idleLong an idle connection goes before all others from then on
      * @param idleLeast one that has been idle for less is not closed: its next request may be on its way
      * @param slowLeast a good request has come whole long before
      */
-    public record Limits(int most, int unknownMost, double idleLong, double idleLeast, double slowLeast) {
+    public record Limits(double unknownPart, double idleLong, double idleLeast, double slowLeast) {
         /** Checks the ranges. */
         public Limits {
-            if (most < 1 || unknownMost < 0 || !(idleLeast >= 0) || !(idleLong >= idleLeast)
+            if (!(unknownPart >= 0 && unknownPart <= 1) || !(idleLeast >= 0) || !(idleLong >= idleLeast)
                     || !(slowLeast >= 0)) {
                 throw new IllegalArgumentException("limits out of range");
             }
@@ -77,38 +77,36 @@
         return connections.size();
     }
 
-    /** The one to close now, or null while there is room, or nobody may be closed. */
-    public C toClose(double now) {
-        if (open() <= limits.most()) {
-            return null;
-        }
-        C idle = oldest(Phase.IDLE, now, limits.idleLeast());
-        C silent = oldest(Phase.SILENT, now, 0);
+    /** The one to close now of these, which have so many places; null if none of them may be closed. */
+    public C choose(double now, Predicate<C> of, int places) {
+        C idle = oldest(Phase.IDLE, now, limits.idleLeast(), of);
+        C silent = oldest(Phase.SILENT, now, 0, of);
         if (idle != null && now - phases.get(Phase.IDLE).get(idle) > limits.idleLong()) {
             return idle;
         }
-        if (silent != null && phases.get(Phase.SILENT).size() > limits.unknownMost()) {
+        long silents = phases.get(Phase.SILENT).keySet().stream().filter(of).count();
+        if (silents > (int) (limits.unknownPart() * places)) {
             return silent;
         }
         if (idle != null) {
             return idle;
         }
-        C slow = oldest(Phase.RECEIVING, now, limits.slowLeast());
+        C slow = oldest(Phase.RECEIVING, now, limits.slowLeast(), of);
         // The only silent one is the newest, which has had no time to say anything.
-        boolean newcomerOnly = phases.get(Phase.SILENT).size() == 1;
+        boolean newcomerOnly = silents == 1;
         return silent == null || newcomerOnly && slow != null ? slow : silent;
     }
 
     /** The one that has idled for longest, if that is longer than told; or null. */
     public C idleFor(double now, double millis) {
-        return oldest(Phase.IDLE, now, millis);
+        return oldest(Phase.IDLE, now, millis, c -> true);
     }
 
-    private C oldest(Phase phase, double now, double least) {
+    private C oldest(Phase phase, double now, double least, Predicate<C> of) {
         C oldest = null;
         double since = now - least;
         for (Map.Entry<C, Double> c : phases.get(phase).entrySet()) {
-            if (c.getValue() < since || oldest == null && c.getValue() <= since) {
+            if ((c.getValue() < since || oldest == null && c.getValue() <= since) && of.test(c.getKey())) {
                 oldest = c.getKey();
                 since = c.getValue();
             }
--- a/src/main/java/cobaltrack/front/http1/ClientConnection.java
+++ b/src/main/java/cobaltrack/front/http1/ClientConnection.java
@@ -167,7 +167,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
         enter(Phase.SILENT);
-        server.opened();
+        server.opened(this, channel.remoteAddress());
     }
 
     @Override
@@ -264,6 +264,7 @@
             return;
         }
         heldId = request.id();
+        server.asked(this, true);
         enter(Phase.OPEN);
         Engine.Held<HttpAnswer> taken = server.take(request.ask(),
                 new HttpAsk(request.method(), request.uri(), request.headers(), body.toByteArray()), this);
@@ -303,6 +304,7 @@
     }
 
     private void reject(HttpResponseStatus status) {
+        server.asked(this, false);
         enter(Phase.ENDING);
         giveUp();
         end(response(status));
--- a/src/main/java/cobaltrack/front/http1/ClientServer.java
+++ b/src/main/java/cobaltrack/front/http1/ClientServer.java
@@ -2,6 +2,8 @@
 
 import cobaltrack.Contract;
 import cobaltrack.admit.Admission;
+import cobaltrack.admit.Budget;
+import cobaltrack.admit.Gate;
 import cobaltrack.engine.Ask;
 import cobaltrack.engine.Caller;
 import cobaltrack.engine.Carrier;
@@ -15,6 +17,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -44,7 +47,7 @@
     /** A request that crosses the closing of its connection is lost; a client asks again sooner or later. */
     private static final double IDLE_LEAST_MS = 20;
     /** Of the connections allowed, those that may be new and silent while known ones are closed for them. */
-    private static final int UNKNOWN_SHARE = 4;
+    private static final double UNKNOWN_PART = 0.25;
     /** A good request has come whole long before; one that has not makes room for a new connection. */
     private static final double SLOW_LEAST_MS = 1000;
     /** An idle connection is closed after a minute in any case. */
@@ -60,7 +63,8 @@
     private final RequestCheck check;
     private final double longestDeadline;
     private final int most;
-    private final Admission<ClientConnection> admission;
+    private final Budget budget;
+    private final Gate<ClientConnection> gate;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final Set<String> openIds = new HashSet<>();
     private Channel listener;
@@ -70,13 +74,25 @@
     private boolean accepting = true;
 
     /**
-     * A server for one application.
+     * A server for one application, whose clients are limited by nothing but their connections in all.
      *
      * @param transport carries requests to endpoints
      * @param most connections from the application at once; beyond that, room is made
      */
     public ClientServer(EventLoop loop, Clock clock, Engine engine,
             Function<HttpAsk, Carrier<HttpAnswer>> transport, Contract.Settings settings, int most) {
+        this(loop, clock, engine, transport, settings, Gate.Limits.none(),
+                Budget.fixed(Budget.Purpose.CLIENTS, most));
+    }
+
+    /**
+     * A server whose connections are limited by client, too.
+     *
+     * @param budget says how many connections there may be at once
+     */
+    public ClientServer(EventLoop loop, Clock clock, Engine engine,
+            Function<HttpAsk, Carrier<HttpAnswer>> transport, Contract.Settings settings,
+            Gate.Limits clients, Budget budget) {
         this.loop = loop;
         this.clock = clock;
         this.engine = engine;
@@ -84,9 +100,10 @@
         this.check = new RequestCheck(settings);
         this.longestDeadline = settings.classes().stream().mapToDouble(Contract.RequestClass::deadline)
                 .max().orElse(0);
-        this.most = most;
-        this.admission = new Admission<>(new Admission.Limits(most, most / UNKNOWN_SHARE, IDLE_LONG_MS,
-                IDLE_LEAST_MS, SLOW_LEAST_MS));
+        this.budget = budget;
+        this.most = budget.may(Budget.Purpose.CLIENTS);
+        this.gate = new Gate<>(clients, new Admission.Limits(UNKNOWN_PART, IDLE_LONG_MS, IDLE_LEAST_MS,
+                SLOW_LEAST_MS), most);
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -98,6 +115,7 @@
                     protected void initChannel(Channel channel) {
                         // On the loop and before the first connection, which needs it.
                         listener = channel;
+                        channel.pipeline().addLast(new NoDescriptor<>(gate, clock, ClientConnection::close));
                     }
                 })
                 .childHandler(new ChannelInitializer<>() {
@@ -141,8 +159,7 @@
 
     /** A connection has come, or come into a phase. */
     void entered(ClientConnection connection, ClientConnection.Phase phase, double since) {
-        connections.add(connection);
-        admission.entered(connection, switch (phase) {
+        gate.entered(connection, switch (phase) {
             case SILENT -> Admission.Phase.SILENT;
             case IDLE -> Admission.Phase.IDLE;
             case RECEIVING -> Admission.Phase.RECEIVING;
@@ -154,16 +171,30 @@
      * One has come: beyond those allowed it makes one close. Guards against running out of descriptors, and
      * against silent connections that starve good clients, as they would if accepting stopped.
      */
-    void opened() {
-        ClientConnection close = admission.toClose(clock.now());
+    void opened(ClientConnection connection, SocketAddress from) {
+        connections.add(connection);
+        gate.places(budget.may(Budget.Purpose.CLIENTS));
+        long before = gate.closed(Gate.Why.FULL);
+        byte[] address = ((InetSocketAddress) from).getAddress().getAddress();
+        ClientConnection close = gate.arrived(connection, address, clock.now());
+        if (gate.closed(Gate.Why.FULL) > before) {
+            budget.refused(Budget.Purpose.CLIENTS);
+        }
+        budget.used(Budget.Purpose.CLIENTS, gate.open());
         if (close != null) {
             close.close();
         }
     }
 
+    /** A request has come that is taken, or had to be turned away. */
+    void asked(ClientConnection connection, boolean well) {
+        gate.asked(connection, well, clock.now());
+    }
+
     void closed(ClientConnection connection) {
         connections.remove(connection);
-        admission.left(connection);
+        gate.left(connection, clock.now());
+        budget.used(Budget.Purpose.CLIENTS, gate.open());
         finishDrain();
     }
 
@@ -185,10 +216,10 @@
         }
         // Guards against clients that ask once and stay: the room they take is wanted by those that ask
         // again.
-        ClientConnection idle = admission.idleFor(now, IDLE_LONG_MS);
+        ClientConnection idle = gate.idleFor(now, IDLE_LONG_MS);
         while (connections.size() > most / MANY_SHARE && idle != null) {
             idle.close();
-            idle = admission.idleFor(now, IDLE_LONG_MS);
+            idle = gate.idleFor(now, IDLE_LONG_MS);
         }
     }
 
--- /dev/null
+++ b/src/main/java/cobaltrack/run/AdmissionConfig.java
@@ -0,0 +1,106 @@
+package cobaltrack.run;
+
+import cobaltrack.admit.Client;
+import cobaltrack.admit.Gate;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Set;
+
+/**
+ * What clients may have open, as an operator's file says ({@code docs/admission.md}). Unknown fields are
+ * errors: a misspelt cap would be no cap.
+ *
+ * @param clients limits by client
+ * @param moves whether descriptors move between clients and endpoints as the need does
+ */
+record AdmissionConfig(Gate.Limits clients, boolean moves) {
+    private static final Set<String> FIELDS = Set.of("ipv4_prefix", "ipv6_prefix", "connections",
+            "connections_known", "new_per_second", "burst", "reserve", "remembered", "known_half_life_ms",
+            "move_descriptors");
+    private static final int IPV4_PREFIX = 32;
+    private static final int IPV6_PREFIX = 64;
+    private static final int IPV6_PREFIX_MOST = 128;
+    /** No more descriptors than the platform allows could be used. */
+    private static final int CONNECTIONS_MOST = 1024;
+    private static final int PER_SECOND_MOST = 1_000_000;
+    /** Some 200 bytes each. */
+    private static final int REMEMBERED = 4096;
+    private static final int REMEMBERED_MOST = 65_536;
+    private static final int HALF_LIFE_MS = 60_000;
+    private static final int HALF_LIFE_MOST_MS = 86_400_000;
+
+    /** No limits by client, and shares that stay: what holds where no file says otherwise. */
+    static AdmissionConfig usual() {
+        return new AdmissionConfig(Gate.Limits.none(), false);
+    }
+
+    /**
+     * Reads the file.
+     *
+     * @throws IllegalArgumentException with one line that says what is missing or malformed
+     */
+    static AdmissionConfig read(String path, ObjectMapper mapper) {
+        try {
+            return parse(Files.readString(Path.of(path)), mapper);
+        } catch (IOException | InvalidPathException e) {
+            throw new IllegalArgumentException("cannot read " + path, e);
+        }
+    }
+
+    /**
+     * Reads its text.
+     *
+     * @throws IllegalArgumentException with one line that says what is missing or malformed
+     */
+    static AdmissionConfig parse(String text, ObjectMapper mapper) {
+        JsonNode json;
+        try {
+            json = mapper.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("admission: not JSON: " + e.getOriginalMessage(), e);
+        }
+        if (!json.isObject()) {
+            throw new IllegalArgumentException("admission is no object");
+        }
+        json.fieldNames().forEachRemaining(name -> {
+            if (!FIELDS.contains(name)) {
+                throw new IllegalArgumentException("admission." + name + " is unknown");
+            }
+        });
+        JsonNode moves = json.path("move_descriptors");
+        if (!moves.isMissingNode() && !moves.isBoolean()) {
+            throw new IllegalArgumentException("admission.move_descriptors is neither true nor false");
+        }
+        int connections = whole(json, "connections", CONNECTIONS_MOST, 1, CONNECTIONS_MOST);
+        int known = whole(json, "connections_known", connections, 1, CONNECTIONS_MOST);
+        if (known < connections) {
+            throw new IllegalArgumentException("admission.connections_known is under connections");
+        }
+        int perSecond = whole(json, "new_per_second", PER_SECOND_MOST, 1, PER_SECOND_MOST);
+        return new AdmissionConfig(new Gate.Limits(new Client.Prefixes(
+                whole(json, "ipv4_prefix", IPV4_PREFIX, 0, IPV4_PREFIX),
+                whole(json, "ipv6_prefix", IPV6_PREFIX, 0, IPV6_PREFIX_MOST)), connections, known, perSecond,
+                whole(json, "burst", perSecond, 1, PER_SECOND_MOST),
+                whole(json, "reserve", 0, 0, CONNECTIONS_MOST),
+                whole(json, "remembered", REMEMBERED, 1, REMEMBERED_MOST),
+                whole(json, "known_half_life_ms", HALF_LIFE_MS, 1, HALF_LIFE_MOST_MS)),
+                moves.asBoolean(false));
+    }
+
+    private static int whole(JsonNode json, String field, int absent, int least, int most) {
+        JsonNode value = json.path(field);
+        if (value.isMissingNode()) {
+            return absent;
+        }
+        if (!value.isInt() || value.asInt() < least || value.asInt() > most) {
+            throw new IllegalArgumentException("admission." + field + " is not a whole number from " + least
+                    + " to " + most);
+        }
+        return value.asInt();
+    }
+}
--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -1,6 +1,7 @@
 package cobaltrack.run;
 
 import cobaltrack.Contract;
+import cobaltrack.admit.Budget;
 import cobaltrack.decide.Decide;
 import cobaltrack.engine.Clock;
 import cobaltrack.engine.Engine;
@@ -18,10 +19,13 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.time.ZoneId;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -41,8 +45,13 @@
      */
     private static final int ENDPOINT_SHARE = 6;
     private static final int SHARES = 16;
+    /** Of its first share, what a purpose keeps whatever another needs. */
+    private static final int LEAST_PART = 2;
+    private static final long BUDGET_TICK_MS = 200;
     /** Names the file of the external processor; without it there is none. */
     private static final String PROCESSOR = "PROXY_PROCESSOR";
+    /** Names the file of limits by client; without it there are none. */
+    private static final String ADMISSION = "PROXY_ADMISSION";
 
     private Main() { }
 
@@ -77,11 +86,17 @@
         try {
             String path = configuration();
             Config config = Config.read(path, mapper);
-            String processorPath = System.getenv(PROCESSOR);
-            ProcessorConfig processor = processorPath == null || processorPath.isEmpty() ? null
+            String processorPath = file(PROCESSOR);
+            ProcessorConfig processor = processorPath == null ? null
                     : ProcessorConfig.read(processorPath, mapper);
+            String admissionPath = file(ADMISSION);
+            AdmissionConfig admission = admissionPath == null ? AdmissionConfig.usual()
+                    : AdmissionConfig.read(admissionPath, mapper);
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-            Parts parts = wire(config, processor, mapper, loop);
+            // Guards against a loop that ends for want of a descriptor: a line of its log needs the file of
+            // time zones, which the JVM opens for the first one.
+            ZoneId.systemDefault().getRules();
+            Parts parts = wire(config, admission, processor, mapper, loop);
             Warmup.run(config.settings());
             Reload reload = new Reload(path, mapper, parts.discovery, Main::log);
             // On the loop, which owns the watch and takes several in their order.
@@ -108,9 +123,14 @@
         }
     }
 
+    private static String file(String variable) {
+        String path = System.getenv(variable);
+        return path == null || path.isEmpty() ? null : path;
+    }
+
     private static String configuration() {
-        String path = System.getenv("PROXY_CONFIG");
-        if (path == null || path.isEmpty()) {
+        String path = file("PROXY_CONFIG");
+        if (path == null) {
             throw new IllegalArgumentException("PROXY_CONFIG is not set");
         }
         return path;
@@ -120,10 +140,14 @@
     record Parts(ClientServer server, Discovery discovery, Processor processor, Runnable start) { }
 
     /** Makes the parts. Nothing is asked of discovery before a failed bind could still end the process. */
-    static Parts wire(Config config, ProcessorConfig consulted, ObjectMapper mapper, EventLoop loop) {
+    static Parts wire(Config config, AdmissionConfig admission, ProcessorConfig consulted,
+            ObjectMapper mapper, EventLoop loop) {
         Clock clock = new Clock();
+        Budget budget = new Budget(Map.of(Budget.Purpose.CLIENTS, share(config, CLIENT_SHARE, admission),
+                Budget.Purpose.ENDPOINTS, share(config, ENDPOINT_SHARE, admission)));
+        loop.scheduleAtFixedRate(budget::tick, BUDGET_TICK_MS, BUDGET_TICK_MS, TimeUnit.MILLISECONDS);
         EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, clock, config.connectTimeout(),
-                config.endpointIdle(), Math.max(1, config.sockets() * ENDPOINT_SHARE / SHARES));
+                config.endpointIdle(), budget);
         Contract.Settings settings = config.settings();
         Timers timers = new LoopTimers(loop, clock);
         List<Consumer<EndpointList>> followers = new ArrayList<>();
@@ -138,13 +162,18 @@
         Discovery discovery = new Discovery(loop, config.discovery(), mapper,
                 !settings.listMustBeAsked(), config.seed(), config.known(), engine);
         ClientServer server = new ClientServer(loop, clock, engine, pool::carrier, settings,
-                Math.max(1, config.sockets() * CLIENT_SHARE / SHARES));
+                admission.clients(), budget);
         return new Parts(server, discovery, processor, () -> {
             engine.start(discovery, config.known());
             server.ready();
         });
     }
 
+    private static Budget.Share share(Config config, int sixteenths, AdmissionConfig admission) {
+        int first = Math.max(1, config.sockets() * sixteenths / SHARES);
+        return new Budget.Share(first, admission.moves() ? Math.max(1, first / LEAST_PART) : first);
+    }
+
     /** Runs while the process ends on SIGTERM: it goes on for as long as this has not returned. */
     private static void drain(EventLoop loop, ClientServer server) {
         CountDownLatch drained = new CountDownLatch(1);
--- a/src/main/java/cobaltrack/run/Warmup.java
+++ b/src/main/java/cobaltrack/run/Warmup.java
@@ -1,6 +1,7 @@
 package cobaltrack.run;
 
 import cobaltrack.Contract;
+import cobaltrack.admit.Budget;
 import cobaltrack.decide.Decide;
 import cobaltrack.engine.Clock;
 import cobaltrack.engine.Engine;
@@ -73,7 +74,8 @@
         Clock clock = new Clock();
         int sockets = 8;
         EndpointPool pool =
-                new EndpointPool(loop, NioSocketChannel.class, clock, (int) MOST_MS, MOST_MS, sockets);
+                new EndpointPool(loop, NioSocketChannel.class, clock, (int) MOST_MS, MOST_MS,
+                        Budget.fixed(Budget.Purpose.ENDPOINTS, sockets));
         Engine engine = new Engine(new LoopTimers(loop, clock), settings,
                 actions -> new Decide(settings, 0, actions), pool::update, line -> { });
         ClientServer server = new ClientServer(loop, clock, engine, pool::carrier, settings, sockets);
--- a/src/main/java/cobaltrack/standin/ProcessorRig.java
+++ b/src/main/java/cobaltrack/standin/ProcessorRig.java
@@ -1,6 +1,7 @@
 package cobaltrack.standin;
 
 import cobaltrack.Contract;
+import cobaltrack.admit.Budget;
 import cobaltrack.consult.Bounds;
 import cobaltrack.consult.Consultations;
 import cobaltrack.engine.Clock;
@@ -55,7 +56,8 @@
     ProcessorRig(Contract.Settings settings, Function<Contract.Actions, Contract.Events> module,
             Bounds bounds, EndpointList known) throws IOException {
         this.settings = settings;
-        pool = new EndpointPool(loop, NioSocketChannel.class, clock, CONNECT_MS, IDLE_MS, CONNECTIONS_MOST);
+        pool = new EndpointPool(loop, NioSocketChannel.class, clock, CONNECT_MS, IDLE_MS,
+                Budget.fixed(Budget.Purpose.ENDPOINTS, CONNECTIONS_MOST));
         engine = new Engine(timers, settings, module, this::follow, log::add);
         consultations = new Consultations(engine, timers, settings, bounds, log::add);
         ask(() -> {
--- a/src/main/java/cobaltrack/transport/EndpointPool.java
+++ b/src/main/java/cobaltrack/transport/EndpointPool.java
@@ -1,6 +1,7 @@
 package cobaltrack.transport;
 
 import cobaltrack.Contract;
+import cobaltrack.admit.Budget;
 import cobaltrack.engine.Carrier;
 import cobaltrack.engine.Clock;
 import cobaltrack.http.HttpAnswer;
@@ -71,7 +72,7 @@
     private final Clock clock;
     private final Bootstrap bootstrap;
     private final double idleMost;
-    private final int most;
+    private final Budget budget;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private final ArrayDeque<Connection> resting = new ArrayDeque<>();
     private boolean restTimer;
@@ -82,14 +83,14 @@
      *
      * @param channels the kind of connections
      * @param endpointIdle milliseconds after which an endpoint closes an idle connection
-     * @param most connections open at once to all endpoints together
+     * @param budget says how many connections to all endpoints together may be open at once
      */
     public EndpointPool(EventLoop loop, Class<? extends Channel> channels, Clock clock, int connectTimeout,
-            double endpointIdle, int most) {
+            double endpointIdle, Budget budget) {
         this.loop = loop;
         this.clock = clock;
         this.idleMost = endpointIdle * IDLE_SHARE;
-        this.most = most;
+        this.budget = budget;
         this.bootstrap = new Bootstrap().group(loop).channel(channels)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout);
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -131,10 +132,11 @@
         Connection idle = endpoint.takeIdle(clock.now());
         if (idle != null) {
             idle.write(attempt);
-        } else if (open < most || closeOldestIdle()) {
+        } else if (open < budget.may(Budget.Purpose.ENDPOINTS) || closeOldestIdle()) {
             connect(endpoint, attempt);
         } else {
             // Guards against running out of descriptors: nothing was sent, and the module may go elsewhere.
+            budget.refused(Budget.Purpose.ENDPOINTS);
             attempt.end(Contract.Outcome.CONNECT_FAILED, null, null);
         }
         return attempt;
@@ -142,7 +144,7 @@
 
     private void connect(Endpoint endpoint, Attempt attempt) {
         Connection connection = new Connection(endpoint);
-        open++;
+        count(1);
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -154,11 +156,11 @@
             // Guards against counting for ever what never was: with no descriptor left there is no channel
             // to close.
             if (!f.isSuccess()) {
-                open--;
+                count(-1);
                 attempt.end(Contract.Outcome.CONNECT_FAILED, null, null);
                 return;
             }
-            connection.channel.closeFuture().addListener(closed -> open--);
+            connection.channel.closeFuture().addListener(closed -> count(-1));
             if (attempt.over) {
                 // Given up while connecting: the endpoint has paid for the connection, so the next request
                 // has it.
@@ -169,6 +171,11 @@
         });
     }
 
+    private void count(int more) {
+        open += more;
+        budget.used(Budget.Purpose.ENDPOINTS, open);
+    }
+
     private void sweep() {
         for (Endpoint e : endpoints.values()) {
             e.idleMost = Math.min(idleMost, e.idleMost * IDLE_REGAIN);
--- a/src/test/java/cobaltrack/PackagesTest.java
+++ b/src/test/java/cobaltrack/PackagesTest.java
@@ -24,7 +24,9 @@
     @Test
     void admissionDependsOnNothing() {
         noClasses().that().resideInAPackage("cobaltrack.admit..").should().dependOnClassesThat()
-                .resideOutsideOfPackages("cobaltrack.admit..", "java.lang..", "java.util").check(CLASSES);
+                .resideOutsideOfPackages("cobaltrack.admit..", "java.lang..", "java.util", "java.util.function",
+                        "java.util.stream")
+                .check(CLASSES);
     }
 
     @Test
--- a/src/test/java/cobaltrack/run/EndpointPoolTest.java
+++ b/src/test/java/cobaltrack/run/EndpointPoolTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import cobaltrack.Contract;
+import cobaltrack.admit.Budget;
 import cobaltrack.engine.Clock;
 import cobaltrack.http.HttpAsk;
 import cobaltrack.membership.EndpointList;
@@ -38,7 +39,8 @@
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         try (FakeServer e = new FakeServer((r, w) -> w.ok("done"))) {
             // Room for one connection only, so that one wrongly counted as open would be one too many.
-            EndpointPool pool = new EndpointPool(loop, ScarceChannel.class, new Clock(), 1000, 60000, 1);
+            EndpointPool pool = new EndpointPool(loop, ScarceChannel.class, new Clock(), 1000, 60000,
+                    Budget.fixed(Budget.Purpose.ENDPOINTS, 1));
             loop.submit(() -> pool.update(new EndpointList(1, true, List.of(new EndpointList.Entry(
                     new Contract.Server("s", Contract.Standing.UP, 1, "a", 0, 0),
                     EndpointList.address(e.address())))))).get();
--- a/src/test/java/cobaltrack/run/FaultTest.java
+++ b/src/test/java/cobaltrack/run/FaultTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cobaltrack.Contract;
+import cobaltrack.admit.Budget;
 import cobaltrack.decide.Decide;
 import cobaltrack.engine.Ask;
 import cobaltrack.engine.Caller;
@@ -38,7 +39,8 @@
             Clock clock = new Clock();
             BlockingQueue<String> log = new LinkedBlockingQueue<>();
             BlockingQueue<String> ends = new LinkedBlockingQueue<>();
-            EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, clock, 250, 1000, 8);
+            EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, clock, 250, 1000,
+                    Budget.fixed(Budget.Purpose.ENDPOINTS, 8));
             Engine engine = new Engine(new LoopTimers(loop, clock), settings,
                     actions -> new Decide(settings, 1, actions), pool::update, log::add);
             // To connect to no address throws.
--- a/src/test/java/cobaltrack/run/TestNode.java
+++ b/src/test/java/cobaltrack/run/TestNode.java
@@ -35,12 +35,18 @@
     /** The same with an external processor beside it, or null for none. */
     TestNode(ProcessorConfig processor, int sockets, String discovery, String how, String... endpoints)
             throws Exception {
+        this(AdmissionConfig.usual(), processor, sockets, discovery, how, endpoints);
+    }
+
+    /** The same with limits by client. */
+    TestNode(AdmissionConfig admission, ProcessorConfig processor, int sockets, String discovery, String how,
+            String... endpoints) throws Exception {
         String json = config("127.0.0.1:0", discovery, sockets, endpoints)
                 .replace("\"discovery\":\"ask\"", "\"discovery\":\"" + how + "\"");
         ObjectMapper mapper = new ObjectMapper();
         Config config = Config.parse(json, mapper);
         var loop = group.next();
-        Main.Parts parts = Main.wire(config, processor, mapper, loop);
+        Main.Parts parts = Main.wire(config, admission, processor, mapper, loop);
         server = parts.server();
         watch = parts.discovery();
         port = ((InetSocketAddress) server.listen(config.listen()).sync().channel().localAddress()).getPort();
