--- a/src/main/java/cobaltrack/admit/Gate.java
+++ b/src/main/java/cobaltrack/admit/Gate.java
@@ -207,11 +207,6 @@
         return admission.open();
     }
 
-    /** True if one was lately closed, or would be, for want of places. */
-    public boolean full(double now) {
-        return admission.open() >= placesNow(now);
-    }
-
     /** Connections closed for this reason, since the start. */
     public long closed(Why why) {
         return closed.getOrDefault(why, 0L);
