--- a/src/main/java/cobaltrack/decide/Call.java
+++ b/src/main/java/cobaltrack/decide/Call.java
@@ -54,9 +54,7 @@
     }
 
     // A refusal is true only where it is known that a retry does no harm.
-    boolean mayRefuse(double now) {
-        return now < endAt && (mayHaveRun == null || clientMayRepeat());
-    }
+    boolean mayRefuse(double now) { return now < endAt && (mayHaveRun == null || clientMayRepeat()); }
 
     boolean clientMayRepeat() {
         return type.effect() == Contract.Effect.SAFE
--- a/src/main/java/cobaltrack/decide/Ceiling.java
+++ b/src/main/java/cobaltrack/decide/Ceiling.java
@@ -18,9 +18,7 @@
 
     private double answered, well, highest;
 
-    void answered(double usual, double aim) {
-        answered += Math.max(usual, aim * FLOOR);
-    }
+    void answered(double usual, double aim) { answered += Math.max(usual, aim * FLOOR); }
 
     void period(double span) {
         well += (answered / span - well) * WEIGHT;
--- a/src/main/java/cobaltrack/decide/Decide.java
+++ b/src/main/java/cobaltrack/decide/Decide.java
@@ -51,7 +51,7 @@
         this.lateness = new Lateness(settings.classes());
         this.controller = new Controller(lateness);
         this.crowding = new Crowding(controller, aim, unreported, settings.sidecars());
-        this.cold = new ColdBudget(settings.obligations());
+        this.cold = new ColdBudget(settings, aim);
         this.retries = new Retries(settings.limits());
         this.probes = new Probes(settings, aim);
         this.strain = new Strain(aim);
@@ -123,7 +123,7 @@
             Node n = s[j];
             s[j] = s[left - 1];
             s[left - 1] = n;
-            if (!c.mayGo(now, n) || !passes(now, c, n)) {
+            if (n.reach.shuns(now, n.out.count) || !c.mayGo(now, n) || !passes(now, c, n)) {
                 continue;
             }
             // A small server comes later in the walk, and a sound one that is crowded; that refuses nothing.
@@ -131,14 +131,14 @@
             // Handshakes cost a busy server work: where we hold some, one with a free connection comes first.
             boolean free = n.out.count == 0 || out.connected(c.request, n.entry.id());
             if (free && (first >= 1 || random.nextDouble() < first)) {
-                if (cold.take(now, n)) {
+                if (cold.take(now, n, subset.spread())) {
                     return n;
                 }
             } else if (spare == null) {
                 spare = n;
             }
         }
-        return spare != null && cold.take(now, spare) ? spare : null;
+        return spare != null && cold.take(now, spare, subset.spread()) ? spare : null;
     }
 
     // The draws against a server: its percentage, and what it fails of this class.
@@ -174,6 +174,7 @@
         }
         n.out.remove(a);
         n.reported.since--;
+        n.reach.ended(now, period, outcome);
         list.forget(n);
         if (!outcome.neverRan && c.mayHaveRun == null) {
             c.mayHaveRun = a;
@@ -200,6 +201,7 @@
                 controller.note(n, lateness.of(took, k));
                 n.evidence.note(strain, strain > 0 ? Reported.OUTCOMES : 0);
                 n.answered += lateness.usual(k);
+                cold.answered(n);
                 ceiling.answered(lateness.usual(k), settings.classes().get(k).aim());
                 lateness.answered(took, k);
                 relief.answered++;
--- a/src/main/java/cobaltrack/decide/Lateness.java
+++ b/src/main/java/cobaltrack/decide/Lateness.java
@@ -27,8 +27,7 @@
 
     private final double[] aim;
     // Recent mean time of each class's answers, and the usual one: the lowest that the recent one has been.
-    private final double[] recent;
-    private final double[] usual;
+    private final double[] recent, usual;
     private double stall, usualSum = 1, tookSum = 1;
     // How fast answers come, against the usual: 1, or less.
     double pace = 1;
@@ -40,9 +39,7 @@
     }
 
     // How long an answer of this class usually takes, and no less than what can be told apart.
-    double usual(int k) {
-        return Math.max(usual[k], aim[k] * FLOOR + stall);
-    }
+    double usual(int k) { return Math.max(usual[k], aim[k] * FLOOR + stall); }
 
     // From 0, as fast as usual, to 1.
     double of(double took, int k) {
--- a/src/main/java/cobaltrack/decide/Node.java
+++ b/src/main/java/cobaltrack/decide/Node.java
@@ -13,7 +13,8 @@
     Evidence evidence = new Evidence();
     Failing failing = new Failing();
     final Reported reported = new Reported();
-    ColdBudget.Bucket bucket;
+    Unreachable reach = new Unreachable();
+    ColdBudget.Bucket bucket = new ColdBudget.Bucket();
     Contract.Server entry;
     // What goes to it; what it holds of ours at the rate that it answers, when as fast as usual.
     double sendRate;
@@ -31,10 +32,9 @@
     double weight = 1;
     double leftAt;
 
-    Node(long rank, double now, double startedAt) {
+    Node(long rank, double startedAt) {
         this.rank = rank;
         this.startedAt = startedAt;
-        this.bucket = new ColdBudget.Bucket(now);
     }
 
     void period(double span) {
@@ -46,12 +46,13 @@
     }
 
     // A restarted process owes nothing to the past of the one before; the cold ramp guards it.
-    void restarted(double now, double at) {
+    void restarted(double at) {
         percentage = 0;
         evidence = new Evidence();
         failing = new Failing();
         reported.capacity = 0;
-        bucket = new ColdBudget.Bucket(now);
+        reach = new Unreachable();
+        bucket = new ColdBudget.Bucket();
         startedAt = at;
     }
 }
--- a/src/main/java/cobaltrack/decide/Probes.java
+++ b/src/main/java/cobaltrack/decide/Probes.java
@@ -20,9 +20,7 @@
         this.reportStands = shortestAim / 2;
     }
 
-    void arrived() {
-        earned += perRequest;
-    }
+    void arrived() { earned += perRequest; }
 
     void period(double now, Node[] subset, Crowding crowding, Contract.Actions out) {
         rate += (earned - rate) * WEIGHT;
--- a/src/main/java/cobaltrack/decide/Reported.java
+++ b/src/main/java/cobaltrack/decide/Reported.java
@@ -48,9 +48,7 @@
     }
 
     // From 1, where it has little to do or tells nothing, to 0.
-    double ease() {
-        return any ? Math.max(0, Math.min(1, (UTIL_ROOM - util) / (UTIL_ROOM - UTIL_EASY))) : 1;
-    }
+    double ease() { return any ? Math.max(0, Math.min(1, (UTIL_ROOM - util) / (UTIL_ROOM - UTIL_EASY))) : 1; }
 
     void probed(double now, Contract.Report r) {
         if (r != null && r.inflight() >= 0 && r.inflight() < Double.POSITIVE_INFINITY) {
--- a/src/main/java/cobaltrack/decide/ServerList.java
+++ b/src/main/java/cobaltrack/decide/ServerList.java
@@ -59,7 +59,7 @@
             nodes.values().forEach(n -> n.usable = n.listed = false);
         }
         for (Contract.Server e : entries) {
-            learn(now, e);
+            learn(e);
         }
         // What is off the list goes at once or with its last attempt: nothing piles up over rolling deploys.
         nodes.values().removeIf(n -> !n.listed && n.out.count == 0);
@@ -81,13 +81,13 @@
         }
     }
 
-    private void learn(double now, Contract.Server e) {
+    private void learn(Contract.Server e) {
         Node n = nodes.get(e.id());
         if (n == null) {
-            n = new Node(new SplittableRandom(salt + e.id().hashCode()).nextLong(), now, e.startedAt());
+            n = new Node(new SplittableRandom(salt + e.id().hashCode()).nextLong(), e.startedAt());
             nodes.put(e.id(), n);
         } else if (e.startedAt() > n.startedAt) {
-            n.restarted(now, e.startedAt());
+            n.restarted(e.startedAt());
         }
         n.entry = e;
         n.usable = e.standing() == Contract.Standing.UP;
--- a/src/main/java/cobaltrack/decide/Strain.java
+++ b/src/main/java/cobaltrack/decide/Strain.java
@@ -16,9 +16,7 @@
     private double late;
     double percentage;
 
-    Strain(double shortestAim) {
-        this.target = shortestAim * TARGET;
-    }
+    Strain(double shortestAim) { this.target = shortestAim * TARGET; }
 
     // With this share of the places free, where so much of the traffic is worth less than the most.
     double share(double room, double lesser) {
--- a/src/main/java/cobaltrack/decide/Subset.java
+++ b/src/main/java/cobaltrack/decide/Subset.java
@@ -43,10 +43,11 @@
         weigh();
     }
 
+    // Of so many sidecars one uses a server, where their subsets are as large as this.
+    double spread() { return (double) usable.length / ranked.length; }
+
     // The mean percentage, as a share; 1 where there is no server.
-    double shut() {
-        return Arrays.stream(walked).mapToDouble(n -> n.percentage).average().orElse(1);
-    }
+    double shut() { return Arrays.stream(walked).mapToDouble(n -> n.percentage).average().orElse(1); }
 
     // Each server's size against the largest of the subset: by its reports, else by the list.
     void weigh() {
