Believe no list that names an endpoint twice or goes back in its version

A lagging or broken discovery could bring back what was told as draining: Discovery took any list that parsed, whatever its version, twice named or however long, and the module's table grew with changes without bound.

membership.Roster now decides, pure, which lists are believed; one that is not is a failed call, and the last good one stands. A second list in a row with an older version is a source that counts anew: the whole list is asked for. Ruled out: taking the last of two entries of one id (it may be the wrong one), and never believing an older version (a discovery restarted with nothing kept would be ignored for good).

--- a/src/main/java/cobaltrack/membership/Discovery.java
+++ b/src/main/java/cobaltrack/membership/Discovery.java
@@ -51,9 +51,9 @@
     private final boolean pushed;
     private final Random random;
     private final Membership membership;
+    private final Roster roster;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
-    private Long seq;
     /** The watch under way; others that have not ended yet are no longer heeded. */
     private Call current;
     private double backoff = BACKOFF_FIRST_MS;
@@ -66,7 +66,7 @@
         this.mapper = mapper;
         this.pushed = pushed;
         this.random = new Random(seed);
-        this.seq = known == null ? null : known.seq();
+        this.roster = new Roster(known);
         this.membership = membership;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
@@ -104,7 +104,7 @@
             return;
         }
         address = next;
-        seq = null;
+        roster.moved();
         Call old = current;
         // The end of the old watch is meant and no failure, and what it still has to say is out of date.
         current = null;
@@ -134,7 +134,8 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            String uri = PATH + "?watch=1" + (seq == null ? "" : "&after=" + seq);
+            Long after = roster.after();
+            String uri = PATH + "?watch=1" + (after == null ? "" : "&after=" + after);
             DefaultFullHttpRequest request =
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
             request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
@@ -190,7 +191,10 @@
                 ctx.close();
                 return;
             }
-            seq = list.seq();
+            if (roster.take(list) != null) {
+                ctx.close();
+                return;
+            }
             backoff = BACKOFF_FIRST_MS;
             membership.list(list.whole() ? Contract.ListKind.FULL : Contract.ListKind.CHANGES, list);
         }
--- a/src/test/java/cobaltrack/bench/EngineBenchmark.java
+++ b/src/test/java/cobaltrack/bench/EngineBenchmark.java
@@ -42,7 +42,7 @@
     private static final int WARM = 10_000;
 
     /** Servers on the list. */
-    @Param({"3", "100"})
+    @Param({"3", "12", "60", "600"})
     public int servers;
 
     private final DrivenClock clock = new DrivenClock();
--- a/src/test/java/cobaltrack/decide/ColdFleetTest.java
+++ b/src/test/java/cobaltrack/decide/ColdFleetTest.java
@@ -6,6 +6,7 @@
 import cobaltrack.standin.DrivenClock;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,16 +27,22 @@
     private static final double WARM = 30;
     private static final double AWAY = 90;
     private static final int SERVERS = 20;
+    /** A machine that is cut off says nothing: a connect fails after so long. */
+    private static final double CONNECT = 250;
 
     private final DrivenClock clock = new DrivenClock();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Sidecar> sidecars = new ArrayList<>();
+    private int asked;
     private int served;
+    private int sentToNotUp;
     private double worst;
 
     /** One after the other, as fast as it is warm. */
     private final class Server {
-        private final double born;
+        private double born;
+        private Contract.Standing standing = Contract.Standing.UP;
+        private boolean silent;
         private final ArrayDeque<Double> arrivals = new ArrayDeque<>();
         private double busyUntil;
 
@@ -66,6 +73,7 @@
         private final Contract.Events module;
         private final double perSecond;
         private final Random dice;
+        private final Map<Long, Integer> attempts = new HashMap<>();
         private long ids;
 
         private Sidecar(int ordinal, int of, double perSecond) {
@@ -87,12 +95,14 @@
 
         private void list() {
             module.servers(clock.now(), Contract.ListKind.FULL, servers.entrySet().stream()
-                    .map(e -> new Contract.Server(e.getKey(), Contract.Standing.UP, 1, "z", 0, e.getValue().born))
+                    .filter(e -> e.getValue().standing != Contract.Standing.GONE)
+                    .map(e -> new Contract.Server(e.getKey(), e.getValue().standing, 1, "z", 0, e.getValue().born))
                     .toList());
         }
 
         private void next() {
             clock.after(-Math.log(1 - dice.nextDouble()) * 1000 / perSecond, () -> {
+                asked++;
                 module.request(clock.now(), new Contract.Request(ids++, 0, -1, DEADLINE, false));
                 next();
             });
@@ -101,12 +111,21 @@
         @Override
         public void send(Contract.Request request, String server, double within) {
             double sentAt = clock.now();
-            double at = servers.get(server).arrives();
+            int attempt = attempts.merge(request.id, 1, Integer::sum) - 1;
+            Server s = servers.get(server);
+            sentToNotUp += s.standing == Contract.Standing.UP ? 0 : 1;
+            if (s.silent) {
+                clock.at(sentAt + CONNECT, () -> module.outcome(clock.now(), request, attempt,
+                        Contract.Outcome.CONNECT_FAILED, CONNECT, false, null));
+                return;
+            }
+            double at = s.arrives();
             boolean late = at > sentAt + DEADLINE;
             clock.at(Math.min(at, sentAt + DEADLINE), () -> {
                 served += at <= sentAt + AIM ? 1 : 0;
-                module.outcome(clock.now(), request, 0, late ? Contract.Outcome.TIMED_OUT : Contract.Outcome.SERVED,
-                        clock.now() - sentAt, true, null);
+                attempts.remove(request.id);
+                module.outcome(clock.now(), request, attempt, late ? Contract.Outcome.TIMED_OUT
+                        : Contract.Outcome.SERVED, clock.now() - sentAt, true, null);
             });
         }
 
@@ -181,6 +200,77 @@
         assertTrue(served - before > 400, "served in 4 s of some 1,160 that they can do: " + (served - before));
     }
 
+    private void warm() {
+        for (int i = 0; i < SERVERS; i++) {
+            servers.put("s" + i, new Server(0));
+        }
+    }
+
+    private void tell() {
+        sidecars.forEach(Sidecar::list);
+    }
+
+    /** The share served in time of what is asked until then. */
+    private double until(double end) {
+        double from = clock.now();
+        int a = asked;
+        int s = served;
+        clock.runTo(end);
+        double share = (double) (served - s) / (asked - a);
+        return from < end ? share : 0;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3", "14", "50"})
+    void aZoneIsLostAndComesBackCold(int count) {
+        warm();
+        fleet(count, 0.45);
+        clock.runTo(10_000);
+        List<Server> zone = servers.values().stream().limit(7).toList();
+        zone.forEach(s -> s.silent = true);
+        double unknown = until(13_000);
+        zone.forEach(s -> s.standing = Contract.Standing.GONE);
+        tell();
+        double known = until(18_000);
+        zone.forEach(s -> {
+            s.silent = false;
+            s.born = clock.now();
+            s.standing = Contract.Standing.UP;
+        });
+        tell();
+        double back = until(26_000);
+        assertTrue(unknown > 0.85, "while nobody is told, a third of the servers silent: " + unknown);
+        assertTrue(known > 0.95, "once it is known: " + known);
+        assertTrue(back > 0.95, "after they are back, cold: " + back);
+        assertTrue(worst < FALL_MULTIPLE, "at most, of what a cold one can do: " + worst);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3", "14", "50"})
+    void sixInTenAreReplacedWithinSevenSeconds(int count) {
+        warm();
+        fleet(count, 0.35);
+        clock.runTo(10_000);
+        List<Server> old = servers.values().stream().limit(12).toList();
+        old.forEach(s -> s.standing = Contract.Standing.DRAINING);
+        tell();
+        int before = sentToNotUp;
+        double during = 0;
+        for (int i = 0; i < 12; i++) {
+            servers.put("n" + i, new Server(clock.now()));
+            tell();
+            double share = until(clock.now() + 580);
+            during += share / 12;
+        }
+        old.forEach(s -> s.standing = Contract.Standing.GONE);
+        tell();
+        double after = until(25_000);
+        assertTrue(sentToNotUp == before, "sent to those told as draining: " + (sentToNotUp - before));
+        assertTrue(during > 0.85, "while they are replaced: " + during);
+        assertTrue(after > 0.95, "and after: " + after);
+        assertTrue(worst < FALL_MULTIPLE, "at most, of what a cold one can do: " + worst);
+    }
+
     @Test
     void withNoWarmServerSeenALightSidecarIsServedToo() {
         clock.runTo(1);
--- a/src/test/java/cobaltrack/run/DiscoveryTest.java
+++ b/src/test/java/cobaltrack/run/DiscoveryTest.java
@@ -89,6 +89,57 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "{'seq':50,'whole':true,'hosts':[{'host':'x','dial':'127.0.0.1:9'},{'host':'x','dial':'127.0.0.1:9'}]}",
+        "{'seq':50,'whole':true,'hosts':[{'host':'x','health':'ready','dial':'127.0.0.1:9'},"
+            + "{'host':'x','health':'draining','dial':'127.0.0.1:9'}]}",
+        "{'seq':7,'whole':true,'hosts':[]}",
+        "{'seq':50,'whole':true,'hosts':[{'host':'x','health':'ready','dial':'127.0.0.1:9'"})
+    void aListThatIsNotBelievedIsAFailedCall(String list) throws Exception {
+        try (FakeServer e = new FakeServer((r, w) -> w.ok("done"));
+                FakeServer d = failing(WATCH + chunk(list.replace('\'', '"')));
+                TestNode n = new TestNode(d.address(), e.address()); TestClient c = n.client()) {
+            d.awaitRequest();
+            assertTrue(d.awaitRequest().line().contains("after=41 "));
+            assertEquals("done", c.ask(TestClient.submit("5")).body());
+        }
+    }
+
+    @Test
+    void whatWasToldAsDrainingGetsNothingNewByListsCutOffUnreadableOrOld() throws Exception {
+        FakeServer[] self = new FakeServer[1];
+        try (FakeServer old = new FakeServer((r, w) -> w.ok("old"));
+                FakeServer next = new FakeServer((r, w) -> w.ok("next"))) {
+            String both = TestNode.list(41, true, TestNode.host("s0", old.address(), "ready"),
+                    TestNode.host("s1", next.address(), "ready"));
+            String drains = TestNode.list(60, true, TestNode.host("s0", old.address(), "draining"),
+                    TestNode.host("s1", next.address(), "ready"));
+            List<String> calls = List.of(chunk(drains), chunk(both), "fff\r\n" + both.substring(0, 90),
+                    chunk("{" + both));
+            try (FakeServer d = new FakeServer((r, w) -> {
+                int call = self[0].requests.size() - 1;
+                w.text(WATCH + (call < calls.size() ? calls.get(call) : chunk("")));
+                if (call < calls.size()) {
+                    w.socket().shutdownOutput();
+                }
+            })) {
+                self[0] = d;
+                try (TestNode n = new TestNode(d.address(), old.address()); TestClient c = n.client()) {
+                    askUntil(c, "next");
+                    int before = old.requests.size();
+                    for (int i = 0; i <= calls.size(); i++) {
+                        d.awaitRequest();
+                        for (int j = 0; j < 20; j++) {
+                            assertEquals("next", c.ask(TestClient.submit("5")).body());
+                        }
+                    }
+                    assertEquals(before, old.requests.size());
+                }
+            }
+        }
+    }
+
     @Test
     void aWatchThatFallsSilentIsBrokenAndAskedForAgain() throws Exception {
         try (FakeServer e = new FakeServer((r, w) -> w.ok("done"));
