--- a/src/test/java/cobaltrack/decide/ColdFleetTest.java
+++ b/src/test/java/cobaltrack/decide/ColdFleetTest.java
@@ -69,7 +69,7 @@
         }
     }
 
-    private final class Sidecar implements Contract.Actions {
+    private final class Sidecar extends NoActions {
         private final Contract.Events module;
         private final double perSecond;
         private final Random dice;
@@ -133,27 +133,6 @@
         public void wake(double at) {
             clock.at(at, () -> module.wake(clock.now()));
         }
-
-        @Override
-        public void cancel(Contract.Request request, int attempt) { }
-
-        @Override
-        public void refuse(Contract.Request request, double retryAfter) { }
-
-        @Override
-        public void fail(Contract.Request request) { }
-
-        @Override
-        public void probe(String server) { }
-
-        @Override
-        public void watchServers() { }
-
-        @Override
-        public void tellPeers(byte[] text) { }
-
-        @Override
-        public void log(String line) { }
     }
 
     /** So many sidecars; the first has half of the traffic, a part of what the warm servers can do. */
--- a/src/test/java/cobaltrack/decide/ListHerdTest.java
+++ b/src/test/java/cobaltrack/decide/ListHerdTest.java
@@ -23,7 +23,7 @@
     private double down;
     private final List<Double> times = new ArrayList<>();
 
-    private final class Sidecar implements Contract.Actions {
+    private final class Sidecar extends NoActions {
         private final int of;
         private final Contract.Events module;
         private boolean had;
@@ -60,27 +60,6 @@
         public void wake(double at) {
             clock.at(at, () -> module.wake(clock.now()));
         }
-
-        @Override
-        public void send(Contract.Request request, String server, double within) { }
-
-        @Override
-        public void cancel(Contract.Request request, int attempt) { }
-
-        @Override
-        public void refuse(Contract.Request request, double retryAfter) { }
-
-        @Override
-        public void fail(Contract.Request request) { }
-
-        @Override
-        public void probe(String server) { }
-
-        @Override
-        public void tellPeers(byte[] text) { }
-
-        @Override
-        public void log(String line) { }
     }
 
     private int mostInASecond() {
--- /dev/null
+++ b/src/test/java/cobaltrack/decide/NoActions.java
@@ -0,0 +1,30 @@
+package cobaltrack.decide;
+
+import cobaltrack.Contract;
+
+/** Carries nothing out; tests override what they look at. */
+abstract class NoActions implements Contract.Actions {
+    @Override
+    public void send(Contract.Request request, String server, double within) { }
+
+    @Override
+    public void cancel(Contract.Request request, int attempt) { }
+
+    @Override
+    public void refuse(Contract.Request request, double retryAfter) { }
+
+    @Override
+    public void fail(Contract.Request request) { }
+
+    @Override
+    public void probe(String server) { }
+
+    @Override
+    public void watchServers() { }
+
+    @Override
+    public void tellPeers(byte[] text) { }
+
+    @Override
+    public void log(String line) { }
+}
