Check a list before any of it is noted, so that a change of one entry costs one

Read over again: Roster copied all known ids for each change, up to 10,000 for one entry, on the event loop. It counts first now and changes in place. Decide's constructor has its Javadoc back, DecideBenchmark extends NoActions instead of repeating it, and an assertion of UnreachableTest says what it means.

--- a/src/main/java/cobaltrack/decide/Decide.java
+++ b/src/main/java/cobaltrack/decide/Decide.java
@@ -37,6 +37,7 @@
     private final Strain strain;
     private double lastWake, wakeAt;
 
+    /** A module for one sidecar; the same seed and events give the same actions. */
     public Decide(Contract.Settings settings, long seed, Contract.Actions out) {
         this.settings = settings;
         this.out = out;
--- a/src/main/java/cobaltrack/decide/Retries.java
+++ b/src/main/java/cobaltrack/decide/Retries.java
@@ -23,9 +23,7 @@
         }
         boolean useful = now < (c.type.lateWorth() > 0 ? c.endAt : Math.min(c.aimAt, c.endAt));
         boolean may = useful && (c.mayHaveRun == null || c.type.effect() != Contract.Effect.UNSAFE);
-        if (may) {
-            tokens -= price;
-        }
+        tokens -= may ? price : 0;
         return may;
     }
 }
--- a/src/main/java/cobaltrack/membership/Roster.java
+++ b/src/main/java/cobaltrack/membership/Roster.java
@@ -18,7 +18,7 @@
      */
     private static final int ANEW = 2;
 
-    private Set<String> ids = new HashSet<>();
+    private final Set<String> ids = new HashSet<>();
     private Long seq;
     private int backwards;
 
@@ -53,23 +53,29 @@
             }
             return "version goes backwards";
         }
-        Set<String> next = list.whole() ? new HashSet<>() : new HashSet<>(ids);
+        // Nothing is changed before all is checked, and a change of one entry costs one.
         Set<String> named = new HashSet<>();
+        Set<String> here = new HashSet<>();
+        int known = list.whole() ? 0 : ids.size();
         for (EndpointList.Entry e : list.entries()) {
             String id = e.server().id();
             if (!named.add(id)) {
                 return "an endpoint is named twice";
             }
-            if (e.server().standing() == Contract.Standing.GONE) {
-                next.remove(id);
-            } else {
-                next.add(id);
+            if (e.server().standing() != Contract.Standing.GONE) {
+                here.add(id);
             }
+            known += (here.contains(id) ? 1 : 0) - (!list.whole() && ids.contains(id) ? 1 : 0);
         }
-        if (next.size() > ENDPOINTS_MOST) {
+        if (known > ENDPOINTS_MOST) {
             return "more than " + ENDPOINTS_MOST + " endpoints";
         }
-        ids = next;
+        if (list.whole()) {
+            ids.clear();
+        } else {
+            ids.removeAll(named);
+        }
+        ids.addAll(here);
         seq = list.seq();
         backwards = 0;
         return null;
--- a/src/test/java/cobaltrack/bench/DecideBenchmark.java
+++ b/src/test/java/cobaltrack/bench/DecideBenchmark.java
@@ -2,6 +2,7 @@
 
 import cobaltrack.Contract;
 import cobaltrack.decide.Decide;
+import cobaltrack.decide.NoActions;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -80,7 +81,7 @@
         return r;
     }
 
-    private static final class Sink implements Contract.Actions {
+    private static final class Sink extends NoActions {
         private int attempts;
         private double wakeAt;
 
@@ -93,26 +94,5 @@
         public void wake(double at) {
             wakeAt = at;
         }
-
-        @Override
-        public void cancel(Contract.Request request, int attempt) { }
-
-        @Override
-        public void refuse(Contract.Request request, double retryAfter) { }
-
-        @Override
-        public void fail(Contract.Request request) { }
-
-        @Override
-        public void probe(String server) { }
-
-        @Override
-        public void watchServers() { }
-
-        @Override
-        public void tellPeers(byte[] text) { }
-
-        @Override
-        public void log(String line) { }
     }
 }
--- a/src/test/java/cobaltrack/decide/NoActions.java
+++ b/src/test/java/cobaltrack/decide/NoActions.java
@@ -3,7 +3,7 @@
 import cobaltrack.Contract;
 
 /** Carries nothing out; tests override what they look at. */
-abstract class NoActions implements Contract.Actions {
+public abstract class NoActions implements Contract.Actions {
     @Override
     public void send(Contract.Request request, String server, double within) { }
 
--- a/src/test/java/cobaltrack/decide/UnreachableTest.java
+++ b/src/test/java/cobaltrack/decide/UnreachableTest.java
@@ -1,6 +1,5 @@
 package cobaltrack.decide;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -65,7 +64,7 @@
                     break;
                 }
             }
-            assertEquals(1, gone ? 1 : Math.min(1, rig.sends(r)), "served");
+            assertTrue(gone || rig.sends(r) > 0, "sent at " + now);
         }
         assertTrue(late > 30, "of 100 requests in the last 2 s: " + late);
     }
--- a/src/test/java/cobaltrack/membership/RosterTest.java
+++ b/src/test/java/cobaltrack/membership/RosterTest.java
@@ -9,6 +9,7 @@
 import cobaltrack.Contract;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -67,7 +68,7 @@
         assertEquals(1, roster.after());
         assertNull(roster.take(new EndpointList(2, false, List.of(entry("s0", Contract.Standing.GONE),
                 entry("one-more", Contract.Standing.UP)))), "in place of one that is gone");
-        String[] more = java.util.Arrays.copyOf(most, most.length + 1);
+        String[] more = Arrays.copyOf(most, most.length + 1);
         more[most.length] = "t";
         assertNotNull(roster.take(list(3, true, more)));
     }
