--- a/src/test/java/cobaltrack/run/DiscoveryTest.java
+++ b/src/test/java/cobaltrack/run/DiscoveryTest.java
@@ -140,6 +140,51 @@
         }
     }
 
+    @Test
+    void aListThatComesLateBringsBackNothingThatDrains() throws Exception {
+        CountDownLatch late = new CountDownLatch(1);
+        FakeServer[] self = new FakeServer[1];
+        try (FakeServer old = new FakeServer((r, w) -> w.ok("old"));
+                FakeServer next = new FakeServer((r, w) -> w.ok("next"))) {
+            String both = chunk(TestNode.list(41, true, TestNode.host("s0", old.address(), "ready"),
+                    TestNode.host("s1", next.address(), "ready")));
+            String drains = chunk(TestNode.list(60, true, TestNode.host("s0", old.address(), "draining"),
+                    TestNode.host("s1", next.address(), "ready")));
+            try (FakeServer d = new FakeServer((r, w) -> {
+                switch (self[0].requests.size()) {
+                    case 1 -> {
+                        w.text(WATCH + drains);
+                        w.socket().shutdownOutput();
+                    }
+                    // What a replica that lags says, half of it at once and the rest when it gets to it.
+                    case 2 -> {
+                        w.text(WATCH + both.substring(0, both.length() / 2));
+                        await(late);
+                        w.text(both.substring(both.length() / 2));
+                    }
+                    default -> w.text(WATCH + chunk(""));
+                }
+            })) {
+                self[0] = d;
+                try (TestNode n = new TestNode(d.address(), old.address()); TestClient c = n.client()) {
+                    d.awaitRequest();
+                    askUntil(c, "next");
+                    int before = old.requests.size();
+                    assertTrue(d.awaitRequest().line().contains("after=60 "));
+                    for (int i = 0; i < 20; i++) {
+                        assertEquals("next", c.ask(TestClient.submit("5")).body());
+                    }
+                    late.countDown();
+                    assertTrue(d.awaitRequest().line().contains("after=60 "), "a failed call, and asked anew");
+                    for (int i = 0; i < 20; i++) {
+                        assertEquals("next", c.ask(TestClient.submit("5")).body());
+                    }
+                    assertEquals(before, old.requests.size());
+                }
+            }
+        }
+    }
+
     @Test
     void aWatchThatFallsSilentIsBrokenAndAskedForAgain() throws Exception {
         try (FakeServer e = new FakeServer((r, w) -> w.ok("done"));
