Simulate fronts, lines and clients round the real decisions, for a capacity planner

Operators ask before a release what breaks first. Closed forms know no drops by worth, subsets, cold fronts or clients that come back; a fluid copy of the module would have to be kept in step with it. So the planner simulates what is round the module and runs the module itself.

The package `cobaltrack.plan` is pure (PackagesTest): the queueing core of a front, a fleet by its description, a load, and the simulation, which counts what became of every try and how far each limit was used.

Twelve random fleets with changes, thrashing and short connections: each try ends once, no core does more than it can. Sixteen seeds give the same outcome to the bit on one thread and on eight.

--- a/src/test/java/cobaltrack/PackagesTest.java
+++ b/src/test/java/cobaltrack/PackagesTest.java
@@ -29,6 +29,14 @@
                 .check(CLASSES);
     }
 
+    @Test
+    void thePlannerDependsOnTheDecisionsAndOnNothingElse() {
+        noClasses().that().resideInAPackage("cobaltrack.plan").should().dependOnClassesThat()
+                .resideOutsideOfPackages("cobaltrack", "cobaltrack.plan", "cobaltrack.decide", "java.lang..",
+                        "java.util", "java.util.function", "java.util.stream")
+                .check(CLASSES);
+    }
+
     @Test
     void theEngineKnowsNoProtocolLoopOrModule() {
         noClasses().that().resideInAPackage("cobaltrack.engine..").should().dependOnClassesThat()
--- a/src/test/java/cobaltrack/decide/FleetSumsTest.java
+++ b/src/test/java/cobaltrack/decide/FleetSumsTest.java
@@ -16,7 +16,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** What a fleet of light sidecars holds open at one server, makes anew and probes: the sums of docs/large-fleet.md. */
+/**
+ * What a fleet of light sidecars holds open at one server, makes anew and probes: the sums of
+ * docs/large-fleet.md.
+ */
 class FleetSumsTest {
     private static final int SERVERS = 60;
     private static final double PER_SECOND = 2;
@@ -80,7 +83,8 @@
             module = new Decide(new Contract.Settings(List.of(type), List.of(), 1,
                     new Contract.Limits(6, false, true, probing, false, true, 2000, PROBE_COST),
                     new Contract.Obligations(2000, 4, 1500, 0.12, 24_000, 10_000), probing
-                    ? Contract.Reporting.WITH_PROBES : Contract.Reporting.NONE, false, of, ordinal), ordinal, this);
+                    ? Contract.Reporting.WITH_PROBES : Contract.Reporting.NONE, false, of, ordinal),
+                    ordinal, this);
             dice = new Random(ordinal);
         }
 
@@ -113,7 +117,8 @@
             clock.after(ANSWER * (0.5 + dice.nextDouble()), () -> {
                 line.answered(clock.now());
                 attempts.remove(request.id);
-                module.outcome(clock.now(), request, attempt, Contract.Outcome.SERVED, clock.now() - sentAt, true,
+                module.outcome(clock.now(), request, attempt, Contract.Outcome.SERVED, clock.now() - sentAt,
+                        true,
                         null);
             });
         }
@@ -139,7 +144,9 @@
         clock.runTo(SPAN);
     }
 
-    /** As stated: eight servers while all together have room for them, the room's part beyond, three at least. */
+    /**
+     * As stated: eight servers while all together have room for them, the room's part beyond, three at least.
+     */
     private static int subset(int count) {
         return Math.max(3, Math.min(8, (int) Math.ceil(SERVERS * 12.0 / count)));
     }
@@ -160,10 +167,12 @@
                 open += line == null ? 0 : line.open(now);
                 if (line != null) {
                     double bound = line.mostOut * (1 + SPAN / IDLE);
-                    assertTrue(line.made <= bound, line.made + " handshakes by one sidecar, at most " + bound);
+                    assertTrue(line.made <= bound,
+                            line.made + " handshakes by one sidecar, at most " + bound);
                 }
             }
-            assertTrue(users <= mean + 4 * Math.sqrt(mean) + 1, users + " sidecars at " + id + ", on average " + mean);
+            assertTrue(users <= mean + 4 * Math.sqrt(mean) + 1,
+                    users + " sidecars at " + id + ", on average " + mean);
         }
         for (Sidecar s : sidecars) {
             assertTrue(s.lines.size() <= subset(count), s.lines.size() + " servers of " + subset(count));
--- /dev/null
+++ b/src/test/java/cobaltrack/plan/SimulationTest.java
@@ -0,0 +1,167 @@
+package cobaltrack.plan;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cobaltrack.Contract;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Sidecars before modelled fronts: what holds whatever is described, and that descriptions mean what they
+ * say.
+ */
+class SimulationTest {
+    private static Outcome play(Fleet f, Load load, long seed) {
+        return new Simulation(f, seed).play(load.arrivals(seed));
+    }
+
+    @Test
+    void aLightLoadIsServedAndUsesWhatItShould() {
+        Fleet f = Fleets.fleet(3, Contract.Reporting.NONE);
+        Outcome o = play(f, Fleets.load(f, 0.4, 30_000), 1);
+        assertTrue(o.worth() > 0.995, "served: " + o.worth());
+        assertEquals(0.4, o.use().cores(), 0.02);
+        assertEquals(0, o.use().room());
+        assertEquals(0, o.use().places());
+    }
+
+    @Test
+    void twiceTheCapacityIsServedAsFarAsThereIsCapacity() {
+        Fleet f = Fleets.fleet(3, Contract.Reporting.WITH_ANSWERS);
+        Outcome o = play(f, Fleets.load(f, 2, 30_000), 1);
+        assertTrue(o.use().cores() > 0.85, "busy: " + o.use().cores());
+        assertTrue((double) o.good() / o.asked() < 0.5, "no more than can be: " + o.good());
+        assertTrue((double) o.good() / o.asked() > 0.35, "most of what can be: " + o.good());
+        assertTrue(o.refused() > o.failed(), "the rest refused: " + o.refused() + ", failed " + o.failed());
+        assertTrue(o.worth() > (double) o.good() / o.asked(), "what is worth most first");
+    }
+
+    @Test
+    void aQuarterSlowedCostsLessThanAQuarterGoneForLong() {
+        Fleet f = Fleets.fleet(3, Contract.Reporting.WITH_ANSWERS);
+        Load load = Fleets.load(f, 0.8, 20_000);
+        double calm = play(f, load, 2).worth();
+        double slowed = play(f.changes(List.of(new Fleet.Change(Fleet.Kind.SLOWED, null, 0.25, 0.4, 5000,
+                20_000, 0))),
+                load, 2).worth();
+        assertTrue(slowed < calm - 0.002 && slowed > 0.8, "calm " + calm + ", slowed " + slowed);
+    }
+
+    @Test
+    void aLostZoneComesBackColdAndIsUsedAgain() {
+        Fleet f = Fleets.fleet(3, Contract.Reporting.WITH_ANSWERS).changes(List.of(
+                new Fleet.Change(Fleet.Kind.ZONE_LOST, "a", 1, 0, 5000, 12_000, 2000)));
+        Outcome o = play(f, Fleets.load(f, 0.5, 40_000), 3);
+        double[] s = o.worthBySecond();
+        assertTrue(s[3] > 0.98, "before: " + s[3]);
+        double least = Arrays.stream(s, 4, 8).min().orElseThrow();
+        assertTrue(least < 0.995, "while nobody is told: " + least);
+        double after = Arrays.stream(s, 30, 40).min().orElseThrow();
+        assertTrue(after > 0.97, "after: " + after);
+    }
+
+    @Test
+    void refusalsThatComeBackAsLoadAreCounted() {
+        Fleet once = Fleets.fleet(3, Contract.Reporting.WITH_ANSWERS);
+        Fleet thrice = new Fleet(once.settings(), once.models(), once.zones(), once.fronts(), once.work(),
+                once.front(),
+                once.sidecar(), once.shares(), new Fleet.Clients(3, 100, 0.5), List.of());
+        Load load = Fleets.load(once, 1.5, 10_000);
+        assertTrue(play(thrice, load, 4).asked() > 1.4 * play(once, load, 4).asked());
+    }
+
+    @Test
+    void placesAndConnectionsAndTheProcessorOfASidecarBind() {
+        Fleet f = Fleets.fleet(3, Contract.Reporting.NONE);
+        Load load = Fleets.load(f, 0.6, 10_000);
+        Outcome places = play(with(f, new Fleet.Sidecar(0.1, 5, 1000, 250, 60_000)), load, 5);
+        assertTrue(places.use().places() > 0.1, "places: " + places.use());
+        Outcome lines = play(with(f, new Fleet.Sidecar(0.1, 1000, 4, 250, 60_000)), load, 5);
+        assertTrue(lines.use().connections() > 0.1, "connections: " + lines.use());
+        Outcome busy = play(with(f, new Fleet.Sidecar(10, 1000, 1000, 250, 60_000)), load, 5);
+        assertTrue(busy.use().sidecar() > 0.99, "processor: " + busy.use());
+        assertTrue(busy.worth() < 0.7, "which costs service: " + busy.worth());
+    }
+
+    private static Fleet with(Fleet f, Fleet.Sidecar s) {
+        return new Fleet(f.settings(), f.models(), f.zones(), f.fronts(), f.work(), f.front(), s,
+                f.shares(), f.clients(),
+                f.changes());
+    }
+
+    @Test
+    void theSameSeedGivesTheSameOutcomeOnOneThreadAndOnEight() {
+        Fleet f = Fleets.fleet(3, Contract.Reporting.WITH_ANSWERS).changes(List.of(
+                new Fleet.Change(Fleet.Kind.ZONE_LOST, "b", 1, 0, 1000, 2000, 500)));
+        Load load = Fleets.load(f, 0.9, 4000);
+        List<Outcome> alone = LongStream.range(0, 16).mapToObj(s -> play(f, load, s)).toList();
+        List<Outcome> together = LongStream.range(0, 16).parallel().mapToObj(s -> play(f, load, s)).toList();
+        for (int i = 0; i < 16; i++) {
+            Outcome a = alone.get(i);
+            Outcome b = together.get(i);
+            assertEquals(a.worthGood(), b.worthGood());
+            assertEquals(a.use(), b.use());
+            assertEquals(a.asked() + a.good() * 7 + a.refused() * 31,
+                    b.asked() + b.good() * 7 + b.refused() * 31);
+            assertArrayEquals(a.worthBySecond(), b.worthBySecond());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void whateverIsDescribedEachTryEndsOnceAndCoresDoNoMoreThanTheyCan(long seed) {
+        Random dice = new Random(seed);
+        int sidecars = 1 + dice.nextInt(5);
+        Fleet f = Fleets.fleet(sidecars, dice.nextBoolean() ? Contract.Reporting.NONE
+                : Contract.Reporting.WITH_ANSWERS);
+        List<Fleet.Change> changes = new ArrayList<>();
+        for (int i = dice.nextInt(4); i > 0; i--) {
+            double from = dice.nextDouble() * 4000;
+            changes.add(dice.nextBoolean()
+                    ? new Fleet.Change(Fleet.Kind.SLOWED, null, dice.nextDouble(), dice.nextDouble(), from,
+                    from + 2000, 0)
+                    : new Fleet.Change(Fleet.Kind.ZONE_LOST, dice.nextBoolean() ? "a" : "b", 1, 0, from,
+                    from + 2000,
+                            dice.nextDouble() * 1500));
+        }
+        Fleet odd = new Fleet(f.settings(), f.models(), f.zones(), 1 + dice.nextInt(12), f.work(),
+                new Fleet.Front(dice.nextBoolean(), 1 + dice.nextInt(20), 1 + dice.nextInt(30),
+                20 * dice.nextDouble(),
+                        0.2, 5000, dice.nextBoolean() ? 0 : 6, 0.5, 2, dice.nextBoolean()),
+                new Fleet.Sidecar(dice.nextDouble(), 5 + dice.nextInt(200), 1 + dice.nextInt(100), 250,
+                        dice.nextInt(3000)), f.shares(), new Fleet.Clients(1 + dice.nextInt(3), 50,
+                        dice.nextDouble()),
+                changes);
+        odd.check();
+        Outcome o = play(odd, new Load(Fleets.capacity(odd) * 2 * dice.nextDouble(), List.of(0.5, 0.5),
+                List.of(new Load.Burst(1000, 1500, 5)), 6000), seed);
+        assertEquals(o.asked(), o.good() + o.late() + o.refused() + o.failed(), "each ends once");
+        assertTrue(o.use().cores() <= 1 + 1e-9 && o.use().busiest() <= 1 + 1e-9, "busy: " + o.use());
+        assertTrue(o.worthGood() <= o.worthAsked());
+    }
+
+    @Test
+    void whatContradictsItselfIsNamed() {
+        Fleet f = Fleets.fleet(3, Contract.Reporting.NONE);
+        Fleet zones = new Fleet(f.settings(), f.models(), List.of(new Fleet.Zone("a", 0.5, 1)), 3, f.work(),
+                f.front(),
+                f.sidecar(), f.shares(), f.clients(), List.of());
+        assertTrue(assertThrows(IllegalArgumentException.class,
+                zones::check).getMessage().startsWith("zones:"));
+        Fleet nowhere = f.changes(List.of(new Fleet.Change(Fleet.Kind.ZONE_LOST, "x", 1, 0, 0, 1, 0)));
+        assertEquals("changes: no zone x", assertThrows(IllegalArgumentException.class,
+                nowhere::check).getMessage());
+        for (double bad : new double[] {-1, Double.NaN, Double.POSITIVE_INFINITY}) {
+            assertThrows(IllegalArgumentException.class, () -> new Law(bad, 0));
+        }
+    }
+}
