--- a/src/main/java/cobaltrack/plan/Fleet.java
+++ b/src/main/java/cobaltrack/plan/Fleet.java
@@ -63,9 +63,26 @@
      * @param cancelStops whether an attempt that was given up is worked on no further
      */
     public record Front(boolean sharing, double roomPerCore, int connections, double handshake,
-            double coldShare,
-            double coldTime, double thrashAbove, double thrashSpeed, double thrashUntil,
-            boolean cancelStops) { }
+            double coldShare, double coldTime, double thrashAbove, double thrashSpeed, double thrashUntil,
+            boolean cancelStops) {
+        /** The same with another room. */
+        public Front room(double perCore) {
+            return new Front(sharing, perCore, connections, handshake, coldShare, coldTime, thrashAbove,
+                    thrashSpeed, thrashUntil, cancelStops);
+        }
+
+        /** The same with so many connections. */
+        public Front connections(int most) {
+            return new Front(sharing, roomPerCore, most, handshake, coldShare, coldTime, thrashAbove,
+                    thrashSpeed, thrashUntil, cancelStops);
+        }
+
+        /** The same with handshakes of so much work. */
+        public Front handshake(double millis) {
+            return new Front(sharing, roomPerCore, connections, millis, coldShare, coldTime, thrashAbove,
+                    thrashSpeed, thrashUntil, cancelStops);
+        }
+    }
 
     /**
      * What every sidecar is like.
@@ -76,7 +93,22 @@
      * @param connectTimeout until a connect to a front that says nothing has failed
      * @param idle until a connection that nobody uses is closed
      */
-    public record Sidecar(double work, int places, int connections, double connectTimeout, double idle) { }
+    public record Sidecar(double work, int places, int connections, double connectTimeout, double idle) {
+        /** The same with so much work. */
+        public Sidecar work(double millis) {
+            return new Sidecar(millis, places, connections, connectTimeout, idle);
+        }
+
+        /** The same with so many places. */
+        public Sidecar places(int most) {
+            return new Sidecar(work, most, connections, connectTimeout, idle);
+        }
+
+        /** The same with so many connections. */
+        public Sidecar connections(int most) {
+            return new Sidecar(work, places, most, connectTimeout, idle);
+        }
+    }
 
     /**
      * Clients.
@@ -111,6 +143,26 @@
         return new Fleet(settings, models, zones, count, work, front, sidecar, shares, clients, changes);
     }
 
+    /** The same with other models. */
+    public Fleet with(List<Model> others) {
+        return new Fleet(settings, others, zones, fronts, work, front, sidecar, shares, clients, changes);
+    }
+
+    /** The same with other fronts. */
+    public Fleet with(Front other) {
+        return new Fleet(settings, models, zones, fronts, work, other, sidecar, shares, clients, changes);
+    }
+
+    /** The same with other sidecars. */
+    public Fleet with(Sidecar other) {
+        return new Fleet(settings, models, zones, fronts, work, front, other, shares, clients, changes);
+    }
+
+    /** The same with other clients. */
+    public Fleet with(Clients other) {
+        return new Fleet(settings, models, zones, fronts, work, front, sidecar, shares, other, changes);
+    }
+
     /** The same with these changes. */
     public Fleet changes(List<Change> befalls) {
         return new Fleet(settings, models, zones, fronts, work, front, sidecar, shares, clients, befalls);
--- a/src/main/java/cobaltrack/plan/Outcome.java
+++ b/src/main/java/cobaltrack/plan/Outcome.java
@@ -27,10 +27,11 @@
      * @param sidecar busy share of the processor of the busiest sidecar
      * @param places share of tries that found no place at their sidecar
      * @param retries attempts a try that reached a front, beyond the first
+     * @param repeats tries a request of a client, beyond the first
      */
     public record Use(double cores, double busiest, double room, double connections, double handshakes,
             double sidecar,
-            double places, double retries) { }
+            double places, double retries, double repeats) { }
 
     /** Share of the worth that was got; 1 where nothing was asked. */
     public double worth() {
--- a/src/main/java/cobaltrack/plan/Simulation.java
+++ b/src/main/java/cobaltrack/plan/Simulation.java
@@ -42,6 +42,7 @@
     private final Random clients;
     private final List<double[]> seconds = new ArrayList<>();
     private double lastAt;
+    private long first;
     private long asked;
     private long good;
     private long late;
@@ -200,7 +201,7 @@
         return new Outcome.Use(span == 0 ? 0 : busy / cores, busiest, part(full, attempts),
                 part(unconnected, attempts),
                 worked == 0 ? 0 : handshakes / worked, span == 0 ? 0 : sidecar / span, part(placeless, asked),
-                tried == 0 ? 0 : (double) attempts / tried - 1);
+                tried == 0 ? 0 : (double) attempts / tried - 1, first == 0 ? 0 : (double) asked / first - 1);
     }
 
     private static double part(long of, long all) {
@@ -211,6 +212,7 @@
         Contract.RequestClass type = fleet.settings().classes().get(a.kind());
         Try t = new Try(sidecar, a, tries, type, calendar.now());
         asked++;
+        first += tries == 1 ? 1 : 0;
         worthAsked += type.worth();
         second(t.askedAt)[0] += type.worth();
         sidecar.arrives(t);
