Play a description on sockets too, beside what the planner says: rehearse plan

No figure of the planner had been checked against sockets. The stand-ins learned what the description says: others that are waited for, handshakes that cost work, a limit on connections, several sidecars, and lists that tell of a return with its start. A zone whose processes end is a change of its own, for a silent zone can't be had on loopback without rights. Which front is which is decided in one place (`Machines`), for both.

--- a/src/main/java/cobaltrack/plan/Fleet.java
+++ b/src/main/java/cobaltrack/plan/Fleet.java
@@ -124,7 +124,9 @@
         /** A part of the fronts has a part of its speed. */
         SLOWED,
         /** A zone says nothing, is off the list after a time, and comes back cold. */
-        ZONE_LOST
+        ZONE_LOST,
+        /** A zone's processes end, what they hold is reset, and they come back cold after the same. */
+        ZONE_DIED
     }
 
     /**
@@ -185,7 +187,7 @@
         for (Change c : changes) {
             require(c.zone() == null || zones.stream().anyMatch(z -> z.name().equals(c.zone())),
                     "changes: no zone " + c.zone());
-            require(c.kind() != Kind.ZONE_LOST || c.zone() != null, "changes: a lost zone wants its name");
+            require(c.kind() == Kind.SLOWED || c.zone() != null, "changes: a lost zone wants its name");
             require(c.to() >= c.from(), "changes: one ends before it begins");
         }
         require(front.thrashAbove() == 0 || front.thrashUntil() <= front.thrashAbove(),
--- a/src/main/java/cobaltrack/plan/Simulation.java
+++ b/src/main/java/cobaltrack/plan/Simulation.java
@@ -5,7 +5,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -26,8 +25,6 @@
     private static final double SECOND = 1000;
     /** Weight of an answer in the busy share and rate that a front reports. */
     private static final double REPORT_WEIGHT = 0.1;
-    /** Its multiples are spread evenly over a turn, however many there are. */
-    private static final double GOLDEN = (Math.sqrt(5) - 1) / 2;
     /** Keeps the seeds of different purposes apart: odd, from the golden ratio. */
     private static final long PURPOSE = 0x9E3779B97F4A7C15L;
 
@@ -64,9 +61,9 @@
         this.whose = dice(seed, 1);
         this.work = dice(seed, 2);
         this.clients = dice(seed, 3);
-        Random machines = dice(seed, 4);
-        for (int i = 0; i < fleet.fronts(); i++) {
-            Front f = new Front("f" + i, model(i), zone(i), machines);
+        Machines machines = Machines.of(fleet, seed);
+        for (Machines.Machine m : machines.all()) {
+            Front f = new Front(m);
             fronts.add(f);
             byName.put(f.id, f);
         }
@@ -77,7 +74,9 @@
             sharesTo[i] = sum;
             sidecars.add(new Sidecar(i, seed * sharesTo.length + i));
         }
-        fleet.changes().forEach(c -> befalls(c, machines));
+        for (int i = 0; i < fleet.changes().size(); i++) {
+            befalls(fleet.changes().get(i), machines.met().get(i).stream().map(fronts::get).toList());
+        }
         sidecars.forEach(Sidecar::start);
     }
 
@@ -85,59 +84,14 @@
         return new Random(seed * PURPOSE + purpose);
     }
 
-    // By largest remainder as fronts are added, so that one more front changes none of those before it.
-    private static int next(double[] shares, int[] given, int count) {
-        int best = 0;
-        double most = Double.NEGATIVE_INFINITY;
-        for (int k = 0; k < shares.length; k++) {
-            double owed = shares[k] * (count + 1) - given[k];
-            if (owed > most + 1e-9) {
-                most = owed;
-                best = k;
-            }
-        }
-        return best;
-    }
-
-    private static int[] kinds(double[] shares, int count) {
-        int[] given = new int[shares.length];
-        int[] kinds = new int[count];
-        for (int i = 0; i < count; i++) {
-            kinds[i] = next(shares, given, i);
-            given[kinds[i]]++;
-        }
-        return kinds;
-    }
-
-    private Fleet.Model model(int i) {
-        return fleet.models().get(kinds(fleet.models().stream().mapToDouble(Fleet.Model::share).toArray(),
-                i + 1)[i]);
-    }
-
-    // By a sequence of low discrepancy, lest a zone gets all fronts of a model.
-    private Fleet.Zone zone(int i) {
-        double at = (i + 1) * GOLDEN % 1;
-        for (Fleet.Zone z : fleet.zones()) {
-            at -= z.share();
-            if (at < 0) {
-                return z;
-            }
-        }
-        return fleet.zones().get(fleet.zones().size() - 1);
-    }
-
-    private void befalls(Fleet.Change c, Random machines) {
-        List<Front> there = new ArrayList<>(fronts.stream()
-                .filter(f -> c.zone() == null || f.zone.name().equals(c.zone())).toList());
-        Collections.shuffle(there, machines);
-        List<Front> met = there.subList(0, (int) Math.round(there.size() * c.share()));
+    private void befalls(Fleet.Change c, List<Front> met) {
         switch (c.kind()) {
             case SLOWED -> {
                 calendar.at(c.from(), () -> met.forEach(f -> f.slow(c.speed())));
                 calendar.at(c.to(), () -> met.forEach(f -> f.slow(1)));
             }
-            case ZONE_LOST -> {
-                calendar.at(c.from(), () -> met.forEach(Front::lose));
+            case ZONE_LOST, ZONE_DIED -> {
+                calendar.at(c.from(), () -> met.forEach(f -> f.lose(c.kind() == Fleet.Kind.ZONE_LOST)));
                 calendar.at(c.from() + c.notice(), () -> tell(met));
                 calendar.at(c.to(), () -> met.forEach(Front::back));
                 calendar.at(c.to() + c.notice(), () -> tell(met));
@@ -341,15 +295,16 @@
         private int connections;
         private int lives;
         private boolean lost;
+        private boolean silent;
         private double util;
         private double gap;
         private double lastAnswer;
 
-        private Front(String id, Fleet.Model model, Fleet.Zone zone, Random machines) {
-            this.id = id;
-            this.model = model;
-            this.zone = zone;
-            this.own = model.slowest() + (model.fastest() - model.slowest()) * machines.nextDouble();
+        private Front(Machines.Machine machine) {
+            this.id = machine.id();
+            this.model = machine.model();
+            this.zone = machine.zone();
+            this.own = machine.speed();
             Fleet.Front f = fleet.front();
             this.core = new FrontModel(calendar, model.cores(), f.sharing(),
                     (int) Math.min(Integer.MAX_VALUE, Math.round(f.roomPerCore() * model.cores())),
@@ -380,8 +335,9 @@
             }
         }
 
-        private void lose() {
+        private void lose(boolean says) {
             lost = true;
+            silent = says;
             core.lose();
             sidecars.forEach(s -> s.dropped(this));
             connections = 0;
@@ -539,7 +495,7 @@
             double wait = Math.min(within > 0 ? within : Double.MAX_VALUE, t.endAt - now);
             boolean reused = hasFree(f);
             if (f.lost) {
-                double fails = Math.min(wait, fleet.sidecar().connectTimeout());
+                double fails = Math.min(wait, f.silent ? fleet.sidecar().connectTimeout() : 2 * f.zone.way());
                 calendar.at(now + fails, () -> a.ends(Contract.Outcome.CONNECT_FAILED));
                 return;
             }
@@ -587,8 +543,12 @@
                             full++;
                             answer(a, 0, Contract.Outcome.FULL);
                         }
-                        // It says nothing any more.
-                        case LOST -> { }
+                        case LOST -> {
+                            if (!a.front.silent) {
+                                calendar.at(calendar.now() + a.front.zone.way(),
+                                        () -> a.ends(Contract.Outcome.RESET));
+                            }
+                        }
                     }
                 }
             });
--- a/src/main/java/cobaltrack/plan/tool/Description.java
+++ b/src/main/java/cobaltrack/plan/tool/Description.java
@@ -16,6 +16,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 
 /**
@@ -50,6 +51,15 @@
         }
     }
 
+    /** One that is in the jar. */
+    public static Description of(String resource) {
+        try (InputStream in = Description.class.getResourceAsStream(resource)) {
+            return parse(new ObjectMapper().readTree(in));
+        } catch (IOException e) {
+            throw new IllegalStateException(resource + " can't be read", e);
+        }
+    }
+
     /** The same from what was read. */
     public static Description parse(JsonNode root) {
         check(root);
@@ -124,8 +134,9 @@
     private static List<Fleet.Change> changes(JsonNode list) {
         List<Fleet.Change> changes = new ArrayList<>();
         for (JsonNode c : list) {
-            changes.add(new Fleet.Change(c.get("kind").textValue().equals("slowed") ? Fleet.Kind.SLOWED
-                    : Fleet.Kind.ZONE_LOST, c.has("zone") ? c.get("zone").textValue() : null,
+            changes.add(new Fleet.Change(Fleet.Kind.valueOf(
+                    c.get("kind").textValue().toUpperCase(Locale.ROOT)), c.has("zone")
+                    ? c.get("zone").textValue() : null,
                     number(c, "share", 1), number(c, "speed", 1), c.get("from").doubleValue(),
                     c.get("to").doubleValue(), number(c, "notice", 0)));
         }
--- a/src/main/java/cobaltrack/standin/OpenLoopClients.java
+++ b/src/main/java/cobaltrack/standin/OpenLoopClients.java
@@ -68,12 +68,21 @@
     private final ArrayDeque<Connection> idle = new ArrayDeque<>();
     private final Bootstrap bootstrap;
     private final ArrayDeque<Try> waiting = new ArrayDeque<>();
+    private final long idStep;
     private long nextId;
     private int open;
     private int connections;
 
     OpenLoopClients(InetSocketAddress sidecar, List<Contract.RequestClass> classes, List<Load> loads,
             double length, LoopTimer timer, Ledger ledger, long seed) {
+        this(sidecar, classes, loads, length, timer, ledger, seed, 0, 1);
+    }
+
+    /** Those of one sidecar of several, whose ids begin with {@code first} and go up by {@code step}. */
+    OpenLoopClients(InetSocketAddress sidecar, List<Contract.RequestClass> classes, List<Load> loads,
+            double length, LoopTimer timer, Ledger ledger, long seed, long first, long step) {
+        this.nextId = first;
+        this.idStep = step;
         this.sidecar = sidecar;
         this.classes = classes;
         this.timer = timer;
@@ -121,7 +130,8 @@
 
     private void ask(Load load, int tries, double at) {
         Contract.RequestClass k = classes.get(load.classIndex());
-        Try t = new Try(nextId++, load, tries, at + k.deadline());
+        Try t = new Try(nextId, load, tries, at + k.deadline());
+        nextId += idStep;
         open++;
         ledger.asked(t.id(), load.classIndex(), at, t.deadline() + LATE_MOST_MS);
         Connection c = idle.pollLast();
--- a/src/main/java/cobaltrack/standin/SocketDay.java
+++ b/src/main/java/cobaltrack/standin/SocketDay.java
@@ -18,9 +18,18 @@
     private static final double TAIL_MS = 200;
     private static final long TICK_MS = 1000;
 
+    /**
+     * Something that the list tells at a time.
+     *
+     * @param startedAt when the endpoint's process started, in milliseconds since the run began; NaN for
+     *     long ago
+     */
+    public record Notice(double at, String id, String health, double startedAt) { }
+
     private final Contract.Settings settings;
     private final List<EndpointScript> fleet;
-    private final List<Load> loads;
+    private final List<List<Load>> loads;
+    private final List<Notice> notices;
     private final double length;
     private final long seed;
 
@@ -31,9 +40,16 @@
      */
     public SocketDay(Contract.Settings settings, List<EndpointScript> fleet, List<Load> loads, double length,
             long seed) {
+        this(settings, fleet, List.of(loads), List.of(), length, seed);
+    }
+
+    /** One of several sidecars, each with loads of its own. */
+    SocketDay(Contract.Settings settings, List<EndpointScript> fleet, List<List<Load>> loads,
+            List<Notice> notices, double length, long seed) {
         this.settings = settings;
         this.fleet = fleet;
         this.loads = loads;
+        this.notices = notices;
         this.length = length;
         this.seed = seed;
     }
@@ -70,12 +86,21 @@
         }
         loop.submit(() -> endpoints.forEach(e -> discovery.set(e.id(), e.dial(), "ready"))).get();
         String known = loop.submit(discovery::whole).get();
-        try (FrontProcess process = SidecarProcess.start(List.of(), settings, discovery.dial(), known, seed)) {
+        List<FrontProcess> processes = new ArrayList<>();
+        try {
+            for (int i = 0; i < loads.size(); i++) {
+                processes.add(SidecarProcess.start(List.of(), numbered(i), discovery.dial(), known,
+                        seed + i));
+            }
             loop.submit(() -> {
                 timer.begin();
                 endpoints.forEach(SocketEndpoint::run);
-                new OpenLoopClients(process.address(), settings.classes(), loads, length, timer, ledger, seed)
-                        .run();
+                notices.forEach(n -> timer.at(n.at(), () -> tell(n, endpoints, discovery, timer)));
+                for (int i = 0; i < loads.size(); i++) {
+                    new OpenLoopClients(processes.get(i).address(), settings.classes(), loads.get(i),
+                            length, timer,
+                            ledger, seed + i, i, loads.size()).run();
+                }
                 loop.scheduleAtFixedRate(() -> eachSecond.accept(timer.now(), ledger), TICK_MS, TICK_MS,
                         TimeUnit.MILLISECONDS);
             }).get();
@@ -87,7 +112,25 @@
                 endpoints.forEach(SocketEndpoint::stop);
                 discovery.stop();
             }).get();
+        } finally {
+            for (FrontProcess p : processes) {
+                p.close();
+            }
         }
         return ledger;
     }
+
+    private Contract.Settings numbered(int ordinal) {
+        return new Contract.Settings(settings.classes(), settings.tenants(), settings.overShareWorth(),
+                settings.limits(), settings.obligations(), settings.reporting(), settings.listMustBeAsked(),
+                loads.size(), ordinal);
+    }
+
+    private static void tell(Notice n, List<SocketEndpoint> endpoints, StandInDiscovery discovery,
+            LoopTimer timer) {
+        long startedAt = Double.isNaN(n.startedAt()) ? 0
+                : Math.round(System.currentTimeMillis() - timer.now() + n.startedAt());
+        endpoints.stream().filter(e -> e.id().equals(n.id())).findFirst()
+                .ifPresent(e -> discovery.set(e.id(), e.dial(), n.health(), startedAt));
+    }
 }
--- a/src/main/java/cobaltrack/standin/SocketEndpoint.java
+++ b/src/main/java/cobaltrack/standin/SocketEndpoint.java
@@ -86,6 +86,10 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         connections.add(channel);
+                        if (connections.size() > script.lines().most()) {
+                            reset(channel);
+                            return;
+                        }
                         channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY_MOST),
                                 new Visits());
                     }
@@ -114,6 +118,8 @@
     }
 
     private final class Visits extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private boolean known;
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             long id = Long.parseLong(request.headers().get("Request-Id"));
@@ -127,12 +133,19 @@
                 reset(ctx.channel());
                 return;
             }
+            double handshake = known ? 0 : script.lines().handshake();
+            known = true;
             workshop.arrives(new Workshop.Visitor() {
                 @Override
                 public int classIndex() {
                     return k;
                 }
 
+                @Override
+                public double extra() {
+                    return handshake;
+                }
+
                 @Override
                 public void begins() {
                     ledger.ran(id);
--- a/src/main/java/cobaltrack/standin/StandInDiscovery.java
+++ b/src/main/java/cobaltrack/standin/StandInDiscovery.java
@@ -72,7 +72,12 @@
 
     /** Lists an endpoint, or changes what the list says of it: ready, draining or gone. */
     void set(String id, String dial, String health) {
-        String host = host(id, dial, health);
+        set(id, dial, health, 0);
+    }
+
+    /** The same of one whose process started at a time, in milliseconds since 1970. */
+    void set(String id, String dial, String health, long startedAt) {
+        String host = host(id, dial, health).replace("\"born_ms\":0", "\"born_ms\":" + startedAt);
         seq++;
         if (health.equals("gone")) {
             hosts.remove(id);
--- a/src/main/java/cobaltrack/standin/Workshop.java
+++ b/src/main/java/cobaltrack/standin/Workshop.java
@@ -21,6 +21,11 @@
     interface Visitor {
         int classIndex();
 
+        /** Milliseconds of a core that it costs beyond its law. */
+        default double extra() {
+            return 0;
+        }
+
         void begins();
 
         void ends(End end);
@@ -69,7 +74,8 @@
         working.add(visitor);
         visitor.begins();
         double now = timer.now();
-        timer.at(now + script.law().draw(dice, now, visitor.classIndex()), () -> done(visitor));
+        double work = script.law().draw(dice, now, visitor.classIndex()) + visitor.extra();
+        timer.at(now + work, () -> done(visitor));
     }
 
     private void done(Visitor visitor) {
@@ -78,7 +84,12 @@
         lastDone = timer.now();
         // Not there any more if the process died meanwhile.
         if (working.remove(visitor)) {
-            visitor.ends(End.DONE);
+            double away = script.lines().away().draw(dice, timer.now(), visitor.classIndex());
+            if (away > 0) {
+                timer.at(timer.now() + away, () -> visitor.ends(End.DONE));
+            } else {
+                visitor.ends(End.DONE);
+            }
             if (!waiting.isEmpty() && working.size() < script.cores()) {
                 work(waiting.poll());
             }
--- a/src/test/java/cobaltrack/plan/SimulationTest.java
+++ b/src/test/java/cobaltrack/plan/SimulationTest.java
@@ -69,6 +69,18 @@
         assertTrue(after > 0.97, "after: " + after);
     }
 
+    @Test
+    void aZoneWhoseProcessesEndCostsLessThanOneThatFallsSilent() {
+        Fleet f = Fleets.fleet(3, Contract.Reporting.NONE);
+        Load load = Fleets.load(f, 0.5, 12_000);
+        double[] worth = new double[2];
+        for (Fleet.Kind kind : List.of(Fleet.Kind.ZONE_LOST, Fleet.Kind.ZONE_DIED)) {
+            worth[kind == Fleet.Kind.ZONE_LOST ? 0 : 1] = play(f.changes(List.of(
+                    new Fleet.Change(kind, "a", 1, 1, 3000, 20_000, 1000))), load, 3).worth();
+        }
+        assertTrue(worth[1] > worth[0] && worth[0] > 0.9, "silent " + worth[0] + ", ended " + worth[1]);
+    }
+
     @Test
     void refusalsThatComeBackAsLoadAreCounted() {
         Fleet once = Fleets.fleet(3, Contract.Reporting.WITH_ANSWERS);
