--- a/src/main/java/cobaltrack/plan/tool/PlanCommand.java
+++ b/src/main/java/cobaltrack/plan/tool/PlanCommand.java
@@ -9,6 +9,7 @@
 import cobaltrack.plan.Recovery;
 import cobaltrack.plan.Solver;
 import java.io.IOException;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,14 +36,20 @@
      * usage.
      */
     public static int run(String... args) {
+        return run(new PlanCommand(), args);
+    }
+
+    /** Runs a command with the planner's exit codes and its one line for what is bad. */
+    static int run(Object command, String... args) {
         // A library's notes on itself are no part of an answer.
         System.setProperty("slf4j.internal.verbosity", "ERROR");
-        return new CommandLine(new PlanCommand())
+        return new CommandLine(command)
                 .setExecutionExceptionHandler((e, line, parsed) -> {
                     if (!(e instanceof IllegalArgumentException) && !(e instanceof IOException)) {
                         throw e;
                     }
-                    line.getErr().println("plan: " + e.getMessage());
+                    line.getErr().println(line.getCommandName() + ": " + (e instanceof NoSuchFileException
+                            ? e.getMessage() + " is not there" : e.getMessage()));
                     return BAD;
                 }).execute(args);
     }
@@ -131,9 +138,14 @@
         private static final double SLACK = 0.02;
         /** Further under it than this, what costs service is not the cores alone. */
         private static final double APART = 0.1;
+        /** Seeds at each load of the ramp. */
+        private static final long[] FEW = {1, 2, 3};
 
         @CommandLine.Mixin
         private Common common;
+        @Option(names = "--load", paramLabel = "CAPTURE",
+                description = "A captured load in place of the described.")
+        private Path capture;
         @Option(names = "--ramp-most", description = "The highest load of the ramp, by the described one.")
         private double most = 3;
         @Option(names = "--ramp-step", description = "Factor between the loads of the ramp.")
@@ -147,7 +159,12 @@
             }
             Answer a = new Answer("What the load comes to", common.file, common.seeds());
             try (Runner runner = new Runner(common.threads)) {
-                List<Outcome> all = runner.play(d.fleet(), d.load(), common.seeds());
+                if (capture != null) {
+                    captured(a, d.fleet(), runner);
+                    common.write(a);
+                    return 0;
+                }
+                List<Outcome> all = runner.play(d.fleet(), d.load()::arrivals, common.seeds());
                 service(a, "", all);
                 bound(a, d, of(all, Outcome::worth));
                 a.plot("Worth served by the second asked in", seconds(all, d.load().length()));
@@ -158,12 +175,25 @@
                 for (Load.Burst b : d.load().bursts()) {
                     recovery(a, "a burst", all, b.from(), b.to());
                 }
-                ramp(a, d, runner);
+                // Changes and bursts are other questions: the ramp is of the steady load.
+                Load steady = new Load(d.load().perSecond(), d.load().mix(), List.of(), d.load().length());
+                ramp(a, d.fleet(), (f, t) -> runner.play(f, steady.times(t)::arrivals, FEW));
             }
             common.write(a);
             return 0;
         }
 
+        // What a capture comes to; and the limits, its time running faster instead of its rate rising.
+        private void captured(Answer a, Fleet fleet, Runner runner) throws IOException {
+            CaptureLoad load = new CaptureLoad(capture, fleet);
+            List<Outcome> all = runner.play(fleet, seed -> load.arrivals(common.times), common.seeds());
+            a.figure("requests in the capture", load.summary().requests());
+            service(a, "", all);
+            a.plot("Worth served by the second asked in", seconds(all, load.length(common.times)));
+            load.caveats(common.times).forEach(a::note);
+            ramp(a, fleet, (f, t) -> runner.play(f, seed -> load.arrivals(common.times * t), FEW));
+        }
+
         private static void bound(Answer a, Description d, Interval worth) {
             double most = Bounds.worthMost(d.fleet(), d.load());
             a.figure("utilisation outside bursts, in closed form", Bounds.utilisation(d.fleet(), d.load()));
@@ -190,13 +220,9 @@
             }
         }
 
-        private void ramp(Answer a, Description d, Runner runner) {
-            // Changes and bursts are other questions: the ramp is of the steady load.
-            Fleet calm = d.fleet().changes(List.of());
-            Load steady = new Load(d.load().perSecond(), d.load().mix(), List.of(), d.load().length());
-            long[] few = {1, 2, 3};
-            List<Limit.Bound> found = Limit.ramp(calm, (f, t) -> runner.play(f, steady.times(t), few),
-                    Math.min(0.3, most), step, most);
+        private void ramp(Answer a, Fleet fleet, Limit.Trial trial) {
+            List<Limit.Bound> found = Limit.ramp(fleet.changes(List.of()), trial, Math.min(0.3, most), step,
+                    most);
             if (found.isEmpty()) {
                 a.note(String.format(Locale.ROOT, "No limit binds up to %.2f times the load.", most));
             }
@@ -241,7 +267,8 @@
                     common.seeds());
             Solver.Answer found;
             try (Runner runner = new Runner(common.threads)) {
-                found = new Solver((n, seeds) -> runner.play(fleet.fronts(n), d.load(), seeds).stream()
+                found = new Solver((n, seeds) -> runner.play(fleet.fronts(n), d.load()::arrivals,
+                        seeds).stream()
                         .mapToDouble(Outcome::worth).toArray(), goal,
                         new Solver.Bounds(least, most, common.seeds, 4 * common.seeds, runs, 1)).solve();
                 for (Map.Entry<Integer, Solver.Point> p : found.points().entrySet()) {
@@ -263,7 +290,8 @@
 
         private void tell(Answer a, Solver.Answer found, Fleet fleet, Load load, Runner runner) {
             if (found.fronts() == 0) {
-                List<Limit.Bound> way = Limit.ramp(fleet.fronts(most), (f, t) -> runner.play(f, load.times(t),
+                List<Limit.Bound> way = Limit.ramp(fleet.fronts(most), (f, t) -> runner.play(f,
+                        load.times(t)::arrivals,
                         new long[] {1, 2}), LOWEST, 1.1, 1);
                 a.note(found.outOfRuns() ? "The runs were spent before an answer was found."
                         : "No number up to " + most + " meets it; in the way: "
@@ -292,8 +320,8 @@
             Load load = read.load().times(common.times);
             Answer a = new Answer("What " + other.getFileName() + " changes", common.file, common.seeds());
             try (Runner runner = new Runner(common.threads)) {
-                List<Outcome> first = runner.play(one.fleet(), one.load(), common.seeds());
-                List<Outcome> second = runner.play(read.fleet(), load, common.seeds());
+                List<Outcome> first = runner.play(one.fleet(), one.load()::arrivals, common.seeds());
+                List<Outcome> second = runner.play(read.fleet(), load::arrivals, common.seeds());
                 service(a, "first, ", first);
                 service(a, "second, ", second);
                 double[] apart = new double[first.size()];
--- a/src/main/java/cobaltrack/plan/tool/Runner.java
+++ b/src/main/java/cobaltrack/plan/tool/Runner.java
@@ -1,15 +1,17 @@
 package cobaltrack.plan.tool;
 
+import cobaltrack.plan.Arrival;
 import cobaltrack.plan.Fleet;
-import cobaltrack.plan.Load;
 import cobaltrack.plan.Outcome;
 import cobaltrack.plan.Simulation;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.function.LongFunction;
 
 /**
  * Plays simulations on several threads; what comes of them, and in which order, does not depend on how many.
@@ -22,10 +24,10 @@
     }
 
     /** What comes of a load with each of these seeds, in their order. */
-    List<Outcome> play(Fleet fleet, Load load, long[] seeds) {
+    List<Outcome> play(Fleet fleet, LongFunction<Iterator<Arrival>> load, long[] seeds) {
         List<Future<Outcome>> running = new ArrayList<>();
         for (long seed : seeds) {
-            running.add(threads.submit(() -> new Simulation(fleet, seed).play(load.arrivals(seed))));
+            running.add(threads.submit(() -> new Simulation(fleet, seed).play(load.apply(seed))));
         }
         List<Outcome> outcomes = new ArrayList<>();
         for (Future<Outcome> f : running) {
--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -10,6 +10,7 @@
 import cobaltrack.loop.LoopTimers;
 import cobaltrack.membership.Discovery;
 import cobaltrack.membership.EndpointList;
+import cobaltrack.plan.tool.CaptureCommand;
 import cobaltrack.plan.tool.PlanCommand;
 import cobaltrack.standin.Demo;
 import cobaltrack.standin.Rehearse;
@@ -25,6 +26,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -56,11 +58,14 @@
     /** Names the file of limits by client; without it there are none. */
     private static final String ADMISSION = "PROXY_ADMISSION";
 
+    /** Sub-commands that take words of their own. */
+    private static final Set<String> FURTHER = Set.of("rehearse", "plan", "capture");
+
     private Main() { }
 
     /** Runs one of them; exits with 2 on bad usage and 1 on bad configuration. */
     public static void main(String[] args) {
-        boolean further = args.length > 1 && (args[0].equals("rehearse") || args[0].equals("plan"));
+        boolean further = args.length > 1 && FURTHER.contains(args[0]);
         String command = args.length == 1 || further ? args[0] : "";
         switch (command) {
             case "benchlink" -> cobaltrack.benchlink.Main.main(args);
@@ -68,10 +73,12 @@
             case "check" -> start(true);
             case "rehearse" -> System.exit(Rehearse.run(Arrays.copyOfRange(args, 1, args.length)));
             case "plan" -> System.exit(PlanCommand.run(Arrays.copyOfRange(args, 1, args.length)));
+            case "capture" -> System.exit(CaptureCommand.run(Arrays.copyOfRange(args, 1, args.length)));
             case "demo" -> demo();
             default -> {
                 System.err.println("usage: java -jar cobaltrack.jar serve | check | benchlink | demo"
-                        + " | rehearse [NAME [OPTIONS]] | plan [QUESTION FLEET [OPTIONS]]");
+                        + " | rehearse [NAME [OPTIONS]] | plan [QUESTION FLEET [OPTIONS]]"
+                        + " | capture [make FLEET CAPTURE | inspect CAPTURE]");
                 System.exit(2);
             }
         }
@@ -145,7 +152,9 @@
         return path;
     }
 
-    /** The parts, made but idle; {@code start} is run on the loop when the server listens, before it is ready. */
+    /**
+     * The parts, made but idle; {@code start} is run on the loop when the server listens, before it is ready.
+     */
     record Parts(ClientServer server, Discovery discovery, Processor processor, Runnable start) { }
 
     /** Makes the parts. Nothing is asked of discovery before a failed bind could still end the process. */
--- a/src/test/java/cobaltrack/plan/tool/PlanCommandTest.java
+++ b/src/test/java/cobaltrack/plan/tool/PlanCommandTest.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -104,6 +105,34 @@
         assertFalse(Files.exists(json), "no half of a report");
     }
 
+    @Test
+    void aCaptureIsMadeInspectedAndAnswered() throws Exception {
+        Path quick = described("\"seconds\": 20", "\"seconds\": 3");
+        Path capture = dir.resolve("load.capture");
+        Path json = dir.resolve("a.json");
+        assertEquals(0, CaptureCommand.run("make", quick.toString(), capture.toString()));
+        assertEquals(0, CaptureCommand.run("inspect", capture.toString()));
+        assertEquals(0, PlanCommand.run("ask", quick.toString(), "--load", capture.toString(), "--seeds", "2",
+                "--ramp-most", "0.5", "--json", json.toString()));
+        JsonNode answer = new ObjectMapper().readTree(json.toFile());
+        assertEquals(2700, answer.at("/figures/requests in the capture/mean").doubleValue(), 300);
+        assertTrue(answer.at("/figures/worth served/mean").doubleValue() > 0.9, answer.toString());
+        assertEquals(0, PlanCommand.run("ask", quick.toString(), "--load", capture.toString(), "--seeds", "2",
+                "--times", "4", "--ramp-most", "0.3", "--json", json.toString()));
+        assertTrue(Files.readString(json).contains("this is extrapolated"), "far beyond what was captured");
+
+        byte[] whole = Files.readAllBytes(capture);
+        Files.write(capture, Arrays.copyOf(whole, whole.length - 5));
+        assertEquals(0, PlanCommand.run("ask", quick.toString(), "--load", capture.toString(), "--seeds", "2",
+                "--ramp-most", "0.3", "--json", json.toString()));
+        assertTrue(Files.readString(json).contains("torn and is left out"));
+        Files.writeString(capture, "{}");
+        assertEquals(1, PlanCommand.run("ask", quick.toString(), "--load", capture.toString(), "--seeds",
+                "2"));
+        assertEquals(1, CaptureCommand.run("inspect", capture.toString()));
+        assertEquals(1, CaptureCommand.run("inspect", dir.resolve("absent").toString()));
+    }
+
     @Test
     void badUsageIsToldApart() {
         assertEquals(2, PlanCommand.run("solve", SHIPPED.toString()));
