Replay captures against real sidecars and stand-in fronts, beside the planner: replay

A captured load could be asked about and not played. `replay FLEET CAPTURE` starts the sidecars and stand-in fronts of a description and asks each arrival at its planned time, whatever became of those before, so that a stall shows as lateness and not as a gentler load. The stand-ins' clients follow given arrivals besides drawn ones; each arrival is one sidecar's by its share.

PlanDayTest asks given arrivals of two sidecars for two seconds.

--- a/src/main/java/cobaltrack/plan/tool/CaptureLoad.java
+++ b/src/main/java/cobaltrack/plan/tool/CaptureLoad.java
@@ -19,7 +19,7 @@
  * A captured load, played by the planner. Read anew for each run, so its length costs no memory. At so many
  * times the load its time runs so much faster: bursts keep their order and get shorter.
  */
-final class CaptureLoad {
+public final class CaptureLoad {
     private static final double MICROS = 1000;
     /**
      * Asked about more than so many times the fullest second of the capture, the answer is far from what was
@@ -37,7 +37,7 @@
      * @throws IllegalArgumentException with one line if it is no capture, is empty or names a class that the
      *     fleet lacks
      */
-    CaptureLoad(Path file, Fleet fleet) throws IOException {
+    public CaptureLoad(Path file, Fleet fleet) throws IOException {
         this.file = file;
         if (!Files.isReadable(file)) {
             throw new IllegalArgumentException(file + ": can't be read");
@@ -61,17 +61,18 @@
         }
     }
 
-    Summary summary() {
+    /** What it holds. */
+    public Summary summary() {
         return summary;
     }
 
     /** Milliseconds from its first request to its last, at so many times the load. */
-    double length(double times) {
+    public double length(double times) {
         return summary.seconds() * 1000 / times;
     }
 
     /** What is to be said of an answer from it, besides the figures. */
-    List<String> caveats(double times) {
+    public List<String> caveats(double times) {
         List<String> lines = new ArrayList<>();
         if (summary.lost() > 0) {
             lines.add(summary.lost() + " of " + (summary.lost() + summary.requests())
@@ -94,7 +95,7 @@
     }
 
     /** Its arrivals at so many times the load; whoever reads it to the end has closed it. */
-    Iterator<Arrival> arrivals(double times) {
+    public Iterator<Arrival> arrivals(double times) {
         CaptureInput in;
         try {
             in = new CaptureInput(Files.newInputStream(file));
--- a/src/main/java/cobaltrack/plan/tool/PlanCommand.java
+++ b/src/main/java/cobaltrack/plan/tool/PlanCommand.java
@@ -40,7 +40,7 @@
     }
 
     /** Runs a command with the planner's exit codes and its one line for what is bad. */
-    static int run(Object command, String... args) {
+    public static int run(Object command, String... args) {
         // A library's notes on itself are no part of an answer.
         System.setProperty("slf4j.internal.verbosity", "ERROR");
         return new CommandLine(command)
--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -15,6 +15,7 @@
 import cobaltrack.plan.tool.PlanCommand;
 import cobaltrack.standin.Demo;
 import cobaltrack.standin.Rehearse;
+import cobaltrack.standin.ReplayCommand;
 import cobaltrack.transport.EndpointPool;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
@@ -60,7 +61,7 @@
     private static final String ADMISSION = "PROXY_ADMISSION";
 
     /** Sub-commands that take words of their own. */
-    private static final Set<String> FURTHER = Set.of("rehearse", "plan", "capture");
+    private static final Set<String> FURTHER = Set.of("rehearse", "plan", "capture", "replay");
 
     /** Names the file that says where load is captured; without it none is. */
     private static final String CAPTURE = "PROXY_CAPTURE";
@@ -78,11 +79,14 @@
             case "rehearse" -> System.exit(Rehearse.run(Arrays.copyOfRange(args, 1, args.length)));
             case "plan" -> System.exit(PlanCommand.run(Arrays.copyOfRange(args, 1, args.length)));
             case "capture" -> System.exit(CaptureCommand.run(Arrays.copyOfRange(args, 1, args.length)));
+            case "replay" -> System.exit(PlanCommand.run(new ReplayCommand(),
+                    Arrays.copyOfRange(args, 1, args.length)));
             case "demo" -> demo();
             default -> {
                 System.err.println("usage: java -jar cobaltrack.jar serve | check | benchlink | demo"
                         + " | rehearse [NAME [OPTIONS]] | plan [QUESTION FLEET [OPTIONS]]"
-                        + " | capture [make FLEET CAPTURE | inspect CAPTURE]");
+                        + " | capture [make FLEET CAPTURE | inspect CAPTURE]"
+                        + " | replay [FLEET CAPTURE [OPTIONS]]");
                 System.exit(2);
             }
         }
--- a/src/main/java/cobaltrack/standin/OpenLoopClients.java
+++ b/src/main/java/cobaltrack/standin/OpenLoopClients.java
@@ -1,6 +1,7 @@
 package cobaltrack.standin;
 
 import cobaltrack.Contract;
+import cobaltrack.plan.Arrival;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -20,9 +21,11 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 /**
  * Open-loop clients of one sidecar on a loopback socket: arrivals are drawn ahead and wait for no answer,
@@ -99,6 +102,31 @@
         step();
     }
 
+    /**
+     * Asks what a captured or drawn load says, besides its own loads, each at its time whatever has become of
+     * those before; a try's time counts from there.
+     */
+    void follow(Iterator<Arrival> arrivals, Habit habit) {
+        List<Load> kinds = IntStream.range(0, classes.size()).mapToObj(k -> Load.steady(k, 0,
+                habit)).toList();
+        follow(arrivals, kinds, null);
+    }
+
+    private void follow(Iterator<Arrival> arrivals, List<Load> kinds, Arrival due) {
+        Arrival next = due;
+        while (next == null || next.at() <= timer.now()) {
+            if (next != null) {
+                ask(kinds.get(next.kind()), 1, next.at());
+            }
+            if (!arrivals.hasNext()) {
+                return;
+            }
+            next = arrivals.next();
+        }
+        Arrival ahead = next;
+        timer.at(next.at(), () -> follow(arrivals, kinds, ahead));
+    }
+
     /** Tries that have not ended. */
     int open() {
         return open;
--- a/src/main/java/cobaltrack/standin/PlanDay.java
+++ b/src/main/java/cobaltrack/standin/PlanDay.java
@@ -1,6 +1,7 @@
 package cobaltrack.standin;
 
 import cobaltrack.Contract;
+import cobaltrack.plan.Arrival;
 import cobaltrack.plan.Fleet;
 import cobaltrack.plan.Law;
 import cobaltrack.plan.Load;
@@ -9,7 +10,11 @@
 import cobaltrack.plan.Simulation;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Random;
+import java.util.function.Supplier;
+import java.util.stream.StreamSupport;
 
 /**
  * One description played twice: by the planner's simulation, and by real sidecars before stand-in fronts on
@@ -47,8 +52,7 @@
                     (i + 0.5) / RAMP_STEPS));
         }
         Load ramped = new Load(load.perSecond(), load.mix(), bursts, load.length());
-        Outcome o = new Simulation(fleet, seed).play(ramped.arrivals(seed));
-        return new Result(o.worth(), o.refusedShare(), o.lateShare());
+        return predict(seed, ramped.arrivals(seed));
     }
 
     /**
@@ -57,13 +61,7 @@
      * @throws IOException if a sidecar does not start
      */
     Result measure(long seed) throws IOException {
-        Machines machines = Machines.of(fleet, seed);
-        List<EndpointScript> fronts = new ArrayList<>();
-        List<SocketDay.Notice> notices = new ArrayList<>();
-        for (int i = 0; i < machines.all().size(); i++) {
-            fronts.add(front(machines, i, notices));
-        }
-        List<List<cobaltrack.standin.Load>> loads = new ArrayList<>();
+        List<SocketDay.Asked> asked = new ArrayList<>();
         double most = load.bursts().stream().mapToDouble(b -> Math.max(1, b.times())).reduce(1, (a,
                 b) -> a * b);
         for (double share : fleet.shares()) {
@@ -74,15 +72,63 @@
                         load.perSecond() * part * most,
                         habit));
             }
-            loads.add(mine);
+            asked.add(SocketDay.Asked.of(mine));
+        }
+        return measure(seed, asked, load.length());
+    }
+
+    /** What the planner says of a load whose arrivals are given. */
+    Result predict(long seed, Iterator<Arrival> arrivals) {
+        return result(new Simulation(fleet, seed).play(arrivals));
+    }
+
+    /**
+     * What sidecars and stand-ins make of a load whose arrivals are given.
+     *
+     * @param arrivals gives them anew, once for each sidecar, which takes its share of them
+     * @param length until the last, in milliseconds
+     * @throws IOException if a sidecar does not start
+     */
+    Result measure(long seed, Supplier<Iterator<Arrival>> arrivals, double length) throws IOException {
+        List<SocketDay.Asked> asked = new ArrayList<>();
+        for (int i = 0; i < fleet.shares().size(); i++) {
+            asked.add(new SocketDay.Asked(List.of(), share(arrivals.get(), i, seed), habit));
+        }
+        return measure(seed, asked, length);
+    }
+
+    // Every sidecar draws the same for each arrival, so each arrival is one's.
+    private Iterator<Arrival> share(Iterator<Arrival> all, int sidecar, long seed) {
+        Random whose = new Random(seed);
+        Iterable<Arrival> once = () -> all;
+        return StreamSupport.stream(once.spliterator(), false).filter(a -> {
+            double left = whose.nextDouble();
+            int to = 0;
+            while (to < fleet.shares().size() - 1 && left >= fleet.shares().get(to)) {
+                left -= fleet.shares().get(to++);
+            }
+            return to == sidecar;
+        }).iterator();
+    }
+
+    private Result measure(long seed, List<SocketDay.Asked> asked, double length) throws IOException {
+        Machines machines = Machines.of(fleet, seed);
+        List<EndpointScript> fronts = new ArrayList<>();
+        List<SocketDay.Notice> notices = new ArrayList<>();
+        for (int i = 0; i < machines.all().size(); i++) {
+            fronts.add(front(machines, i, notices));
         }
-        Ledger ledger = new SocketDay(fleet.settings(), fronts, loads, notices, load.length(), seed).play();
+        Ledger ledger = new SocketDay(fleet.settings(), fronts, asked, notices, length, seed).play();
         if (!ledger.broken().isEmpty()) {
             throw new IOException("broken rules: " + ledger.broken());
         }
         return result(ledger);
     }
 
+    private static Result result(Outcome o) {
+        return new Result(o.worth(), o.refusedShare(), o.lateShare());
+    }
+
     private Result result(Ledger ledger) {
         double asked = 0;
         double got = 0;
--- a/src/main/java/cobaltrack/standin/ProcessorDay.java
+++ b/src/main/java/cobaltrack/standin/ProcessorDay.java
@@ -48,8 +48,8 @@
     /** From the burst's beginning, so that a part of it is asked, sent and answered. */
     private static final double DEATH_AFTER_MS = 8;
     /**
-     * Requests of each proxy after the restart whose reports come too late by script. Of those that are late by
-     * chance the restart takes most: before it there is less time than a request has.
+     * Requests of each proxy after the restart whose reports come too late by script. Of those that are late
+     * by chance the restart takes most: before it there is less time than a request has.
      */
     private static final int LATE_AFTER_RESTART = 10;
     private static final double TAIL_MS = 2000;
--- a/src/main/java/cobaltrack/standin/RoomDay.java
+++ b/src/main/java/cobaltrack/standin/RoomDay.java
@@ -29,7 +29,9 @@
      */
     public static final double BOUND_MS = 92 * Settings.AIM / 10;
 
-    /** What is refused after a change is looked at by slices as long as the decisions' own means: 10 periods. */
+    /**
+     * What is refused after a change is looked at by slices as long as the decisions' own means: 10 periods.
+     */
     private static final double SLICE_MS = 10 * Settings.AIM / 10;
 
     private static final int MANY_CORES = 256;
@@ -54,8 +56,8 @@
     }
 
     /**
-     * How long after a change, or after the start, the last slice of time ended of which more was refused than
-     * may be of a judged span: the longest of the day, in milliseconds; 0 where there was no such slice.
+     * How long after a change, or after the start, the last slice of time ended of which more was refused
+     * than may be of a judged span: the longest of the day, in milliseconds; 0 where there was no such slice.
      */
     public double refusedFor(Ledger ledger) {
         double longest = 0;
--- a/src/main/java/cobaltrack/standin/SocketDay.java
+++ b/src/main/java/cobaltrack/standin/SocketDay.java
@@ -1,9 +1,12 @@
 package cobaltrack.standin;
 
 import cobaltrack.Contract;
+import cobaltrack.plan.Arrival;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -26,9 +29,23 @@
      */
     public record Notice(double at, String id, String health, double startedAt) { }
 
+    /**
+     * What one sidecar's clients ask.
+     *
+     * @param loads drawn as the day goes
+     * @param arrivals at given times besides, or none
+     * @param habit of the clients whose arrivals those are
+     */
+    record Asked(List<Load> loads, Iterator<Arrival> arrivals, Habit habit) {
+        /** Loads alone. */
+        static Asked of(List<Load> loads) {
+            return new Asked(loads, Collections.emptyIterator(), Habit.NONE);
+        }
+    }
+
     private final Contract.Settings settings;
     private final List<EndpointScript> fleet;
-    private final List<List<Load>> loads;
+    private final List<Asked> asked;
     private final List<Notice> notices;
     private final double length;
     private final long seed;
@@ -40,15 +57,15 @@
      */
     public SocketDay(Contract.Settings settings, List<EndpointScript> fleet, List<Load> loads, double length,
             long seed) {
-        this(settings, fleet, List.of(loads), List.of(), length, seed);
+        this(settings, fleet, List.of(Asked.of(loads)), List.of(), length, seed);
     }
 
     /** One of several sidecars, each with loads of its own. */
-    SocketDay(Contract.Settings settings, List<EndpointScript> fleet, List<List<Load>> loads,
+    SocketDay(Contract.Settings settings, List<EndpointScript> fleet, List<Asked> asked,
             List<Notice> notices, double length, long seed) {
         this.settings = settings;
         this.fleet = fleet;
-        this.loads = loads;
+        this.asked = asked;
         this.notices = notices;
         this.length = length;
         this.seed = seed;
@@ -88,7 +105,7 @@
         String known = loop.submit(discovery::whole).get();
         List<FrontProcess> processes = new ArrayList<>();
         try {
-            for (int i = 0; i < loads.size(); i++) {
+            for (int i = 0; i < asked.size(); i++) {
                 processes.add(SidecarProcess.start(List.of(), numbered(i), discovery.dial(), known,
                         seed + i));
             }
@@ -96,10 +113,12 @@
                 timer.begin();
                 endpoints.forEach(SocketEndpoint::run);
                 notices.forEach(n -> timer.at(n.at(), () -> tell(n, endpoints, discovery, timer)));
-                for (int i = 0; i < loads.size(); i++) {
-                    new OpenLoopClients(processes.get(i).address(), settings.classes(), loads.get(i),
-                            length, timer,
-                            ledger, seed + i, i, loads.size()).run();
+                for (int i = 0; i < asked.size(); i++) {
+                    OpenLoopClients clients = new OpenLoopClients(processes.get(i).address(),
+                            settings.classes(),
+                            asked.get(i).loads(), length, timer, ledger, seed + i, i, asked.size());
+                    clients.run();
+                    clients.follow(asked.get(i).arrivals(), asked.get(i).habit());
                 }
                 loop.scheduleAtFixedRate(() -> eachSecond.accept(timer.now(), ledger), TICK_MS, TICK_MS,
                         TimeUnit.MILLISECONDS);
@@ -123,7 +142,7 @@
     private Contract.Settings numbered(int ordinal) {
         return new Contract.Settings(settings.classes(), settings.tenants(), settings.overShareWorth(),
                 settings.limits(), settings.obligations(), settings.reporting(), settings.listMustBeAsked(),
-                loads.size(), ordinal);
+                asked.size(), ordinal);
     }
 
     private static void tell(Notice n, List<SocketEndpoint> endpoints, StandInDiscovery discovery,
--- a/src/test/java/cobaltrack/standin/PlanDayTest.java
+++ b/src/test/java/cobaltrack/standin/PlanDayTest.java
@@ -15,6 +15,16 @@
  * length.
  */
 class PlanDayTest {
+    @Test
+    void givenArrivalsAreAskedOnceEachByOneOfTheSidecars() throws Exception {
+        Description d = Description.of("/cobaltrack/plan/rehearsal.json");
+        Load load = new Load(200, d.load().mix(), List.of(), 2000);
+        PlanDay day = new PlanDay(d.fleet(), load, Habit.NONE);
+        PlanDay.Result said = day.predict(1, load.arrivals(1));
+        PlanDay.Result done = day.measure(1, () -> load.arrivals(1), load.length());
+        assertEquals(said.worth(), done.worth(), 0.05, "said " + said + ", done " + done);
+    }
+
     @Test
     void anOverloadIsServedAsFarAsThePlannerSays() throws Exception {
         Description d = Description.of("/cobaltrack/plan/rehearsal.json");
