--- a/src/main/java/cobaltrack/standin/PlanRehearsal.java
+++ b/src/main/java/cobaltrack/standin/PlanRehearsal.java
@@ -2,7 +2,9 @@
 
 import cobaltrack.plan.Bounds;
 import cobaltrack.plan.Fleet;
+import cobaltrack.plan.Interval;
 import cobaltrack.plan.Load;
+import cobaltrack.plan.Solver;
 import cobaltrack.plan.tool.Description;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -12,6 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.stream.LongStream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -23,6 +26,11 @@
     /** As the users ask it: the mean over scenarios, and none further, in shares of the worth. */
     private static final double MEAN_MOST = 0.03;
     private static final double EACH_MOST = 0.06;
+    /** What the solver is asked, and its bounds. */
+    private static final double GOAL = 0.97;
+    private static final int FRONTS_MOST = 20;
+    private static final int SEEDS = 6;
+    private static final int RUNS_MOST = 500;
     private static final String DESCRIPTION = "/cobaltrack/plan/rehearsal.json";
 
     @Option(names = "--scenario", description = "Only those whose name holds this.")
@@ -82,33 +90,67 @@
             sum += off;
             played++;
         }
-        promises.under("worth served, apart, mean of " + played + " scenarios", sum / Math.max(1, played),
-                MEAN_MOST);
+        if (played > 0) {
+            promises.under("worth served, apart, mean of " + played + " scenarios", sum / played, MEAN_MOST);
+        }
+        if ("solver".contains(only)) {
+            solver(promises, d);
+        }
         return promises.kept() ? 0 : 1;
     }
 
+    // The number that the solver finds, and one fewer, on sockets.
+    private void solver(Promises promises, Description d) throws IOException {
+        Solver.Answer found = new Solver((n, seeds) -> LongStream.of(seeds).parallel()
+                .mapToDouble(s -> solved(d, n).predict(s).worth()).toArray(), GOAL,
+                new Solver.Bounds(2, FRONTS_MOST, SEEDS, 4 * SEEDS, RUNS_MOST, 1)).solve();
+        promises.figure("solver, fronts for " + GOAL + " of the worth", found.fronts());
+        for (int n : new int[] {found.fronts(), found.fronts() - 1}) {
+            PlanDay day = solved(d, n);
+            Interval done = Interval.of(runs(day::measure, SEEDS).stream().mapToDouble(PlanDay.Result::worth)
+                    .toArray());
+            promises.figure("solver, " + n + " fronts, predicted", found.points().get(n).service().mean());
+            promises.figure("solver, " + n + " fronts, measured", done.mean());
+            promises.figure("solver, " + n + " fronts, half of the interval measured", done.half());
+            // The whole interval on the other side would say that the answer is wrong.
+            if (n == found.fronts()) {
+                promises.over("solver, " + n + " fronts, highest of the interval",
+                        done.mean() + done.half(), GOAL);
+            } else {
+                promises.under("solver, " + n + " fronts, lowest of the interval",
+                        done.mean() - done.half(), GOAL);
+            }
+        }
+    }
+
+    private static PlanDay solved(Description d, int fronts) {
+        return new PlanDay(d.fleet().fronts(fronts), d.load(), Habit.NONE);
+    }
+
     private interface Play {
         PlanDay.Result with(long seed) throws IOException;
     }
 
     private PlanDay.Result mean(Play play) throws IOException {
+        List<PlanDay.Result> all = runs(play, 3);
+        return new PlanDay.Result(all.stream().mapToDouble(PlanDay.Result::worth).average().orElseThrow(),
+                all.stream().mapToDouble(PlanDay.Result::refused).average().orElseThrow(),
+                all.stream().mapToDouble(PlanDay.Result::late).average().orElseThrow());
+    }
+
+    private List<PlanDay.Result> runs(Play play, int count) throws IOException {
         ExecutorService threads = Executors.newFixedThreadPool(Math.max(1, atOnce));
         try {
             List<Future<PlanDay.Result>> running = new ArrayList<>();
-            for (long s = seed; s < seed + 3; s++) {
+            for (long s = seed; s < seed + count; s++) {
                 long each = s;
                 running.add(threads.submit(() -> play.with(each)));
             }
-            double worth = 0;
-            double refused = 0;
-            double late = 0;
+            List<PlanDay.Result> results = new ArrayList<>();
             for (Future<PlanDay.Result> f : running) {
-                PlanDay.Result r = f.get();
-                worth += r.worth() / running.size();
-                refused += r.refused() / running.size();
-                late += r.late() / running.size();
+                results.add(f.get());
             }
-            return new PlanDay.Result(worth, refused, late);
+            return results;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
--- a/src/main/java/cobaltrack/standin/Rehearse.java
+++ b/src/main/java/cobaltrack/standin/Rehearse.java
@@ -25,6 +25,8 @@
 
     /** Runs it; the exit code. */
     public static int run(String... args) {
+        // A library's notes on itself are no figures.
+        System.setProperty("slf4j.internal.verbosity", "ERROR");
         return new CommandLine(new Rehearse()).execute(args);
     }
 
