--- a/src/main/java/cobaltrack/capture/CaptureInput.java
+++ b/src/main/java/cobaltrack/capture/CaptureInput.java
@@ -1,5 +1,6 @@
 package cobaltrack.capture;
 
+import cobaltrack.engine.Journal;
 import java.io.BufferedInputStream;
 import java.io.Closeable;
 import java.io.DataInputStream;
@@ -16,7 +17,7 @@
  * time is before the last one's counts as a jump of the clock and gets that one's. For one thread.
  */
 public final class CaptureInput implements Closeable {
-    private static final Entry.End[] ENDS = Entry.End.values();
+    private static final Journal.End[] ENDS = Journal.End.values();
 
     private final DataInputStream in;
     private final List<String> classes = new ArrayList<>();
--- a/src/main/java/cobaltrack/capture/Entry.java
+++ b/src/main/java/cobaltrack/capture/Entry.java
@@ -1,5 +1,7 @@
 package cobaltrack.capture;
 
+import cobaltrack.engine.Journal;
+
 /**
  * A request as a capture has it: no body, id or key.
  *
@@ -11,7 +13,5 @@
  * @param repeat whether its client said that it is a repeat
  * @param end what its client was told
  */
-public record Entry(long at, int kind, int tenant, int timeout, int size, boolean repeat, End end) {
-    /** What a client was told in the end. */
-    public enum End { SERVED, REFUSED, FAILED, LEFT }
-}
+public record Entry(long at, int kind, int tenant, int timeout, int size, boolean repeat,
+        Journal.End end) { }
--- a/src/main/java/cobaltrack/capture/Recorder.java
+++ b/src/main/java/cobaltrack/capture/Recorder.java
@@ -84,7 +84,7 @@
         long micros = Math.max(0, Math.round((at - began) * MICROS));
         ring.set((int) (next % bounds.queue()), new Entry(micros, ask.classIndex(), ask.tenantIndex(),
                 (int) Math.round(ask.timeout()), ask.size(), ask.repeat(),
-                Entry.End.values()[end.ordinal()]));
+                end));
         put.set(next + 1);
     }
 
--- a/src/main/java/cobaltrack/engine/Ask.java
+++ b/src/main/java/cobaltrack/engine/Ask.java
@@ -17,13 +17,8 @@
         this(classIndex, tenantIndex, timeout, repeat, 1, 0);
     }
 
-    /** The same, at a front with so much room. */
-    public Ask at(double left) {
-        return new Ask(classIndex, tenantIndex, timeout, repeat, left, size);
-    }
-
-    /** The same, with a body of so many bytes. */
-    public Ask sized(int bytes) {
-        return new Ask(classIndex, tenantIndex, timeout, repeat, room, bytes);
+    /** The same, with a body of so many bytes, at a front with so much room. */
+    public Ask at(double left, int bytes) {
+        return new Ask(classIndex, tenantIndex, timeout, repeat, left, bytes);
     }
 }
--- a/src/main/java/cobaltrack/front/http1/ClientServer.java
+++ b/src/main/java/cobaltrack/front/http1/ClientServer.java
@@ -153,8 +153,8 @@
 
     /** Has the engine take a request. */
     Engine.Held<HttpAnswer> take(Ask ask, HttpAsk http, Caller<HttpAnswer> caller) {
-        Ask sized = ask.sized(http.body().length);
-        return engine.take(places == 0 ? sized : sized.at(Math.max(0, 1 - (double) openIds.size() / places)),
+        double room = places == 0 ? 1 : Math.max(0, 1 - (double) openIds.size() / places);
+        return engine.take(ask.at(room, http.body().length),
                 transport.apply(http), caller);
     }
 
--- a/src/main/java/cobaltrack/plan/Calendar.java
+++ b/src/main/java/cobaltrack/plan/Calendar.java
@@ -1,5 +1,6 @@
 package cobaltrack.plan;
 
+import cobaltrack.engine.Timers;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 
@@ -7,9 +8,9 @@
  * Simulated time, in milliseconds from 0, and what is to happen: runs what is due, by time and then in the
  * order asked for, so that the same run is played every time. For one thread.
  */
-public final class Calendar {
+public final class Calendar implements Timers {
     /** Something that is to happen, unless it is called off. */
-    public static final class Due {
+    public static final class Due implements Timer {
         private final double at;
         private final long turn;
         private Runnable task;
@@ -20,8 +21,9 @@
             this.task = task;
         }
 
-        /** Calls it off. It is left where it is, without what it would hold on to. */
+        @Override
         public void cancel() {
+            // Left where it is, without what it would hold on to.
             task = null;
         }
     }
@@ -31,7 +33,7 @@
     private double now;
     private long turn;
 
-    /** The time. */
+    @Override
     public double now() {
         return now;
     }
@@ -43,6 +45,11 @@
         return added;
     }
 
+    @Override
+    public Due after(double millis, Runnable task) {
+        return at(now + millis, task);
+    }
+
     /** Runs all that falls due until this time, which then is now. */
     public void runTo(double end) {
         while (!due.isEmpty() && due.peek().at <= end) {
--- a/src/main/java/cobaltrack/plan/Fleet.java
+++ b/src/main/java/cobaltrack/plan/Fleet.java
@@ -2,6 +2,7 @@
 
 import cobaltrack.Contract;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A deployment as it is described: what the planner knows of it, and all that it knows. Times are
@@ -189,6 +190,10 @@
                     "changes: no zone " + c.zone());
             require(c.kind() == Kind.SLOWED || c.zone() != null, "changes: a lost zone wants its name");
             require(c.to() >= c.from(), "changes: one ends before it begins");
+            require(c.kind() == Kind.SLOWED || changes.stream().filter(o -> o.kind() != Kind.SLOWED
+                    && Objects.equals(o.zone(), c.zone()) && o.from() <= c.to()
+                    && o.to() >= c.from()).count() == 1,
+                    "changes: zone " + c.zone() + " is lost while it is lost");
         }
         require(front.thrashAbove() == 0 || front.thrashUntil() <= front.thrashAbove(),
                 "front.thrash: it ends above where it begins");
--- a/src/main/java/cobaltrack/plan/FrontModel.java
+++ b/src/main/java/cobaltrack/plan/FrontModel.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.PriorityQueue;
+import java.util.function.Consumer;
 
 /**
  * The queueing core of one front: cores of a speed that may change, first come first served or all at once
@@ -11,18 +12,9 @@
  * logarithm of what is in service. For one thread, by its {@link Calendar}.
  */
 public final class FrontModel {
-    /** How a visit ended. */
+    /** How a visit ended; told once, and at once where it is turned away. */
     public enum End { DONE, FULL, LOST }
 
-    /** What one at the front is told: once that its work begins, and once how it ended. */
-    public interface Visitor {
-        /** Its work begins; not told where it is turned away. */
-        void begins();
-
-        /** It ends. */
-        void ends(End end);
-    }
-
     /**
      * What slows a front that holds too much, and what ends that: a front that thrashes.
      *
@@ -37,14 +29,14 @@
 
     /** One that is at the front. */
     public static final class Visit {
-        private final Visitor visitor;
+        private final Consumer<End> told;
         private final double work;
         private final long turn;
         private double target = Double.NaN;
         private boolean over;
 
-        private Visit(Visitor visitor, double work, long turn) {
-            this.visitor = visitor;
+        private Visit(Consumer<End> told, double work, long turn) {
+            this.told = told;
             this.work = work;
             this.turn = turn;
         }
@@ -82,11 +74,11 @@
     }
 
     /** One comes with so many milliseconds of work for a core of speed 1. */
-    public Visit arrives(double work, Visitor visitor) {
-        Visit v = new Visit(visitor, work, turns++);
+    public Visit arrives(double work, Consumer<End> told) {
+        Visit v = new Visit(told, work, turns++);
         if (held() >= room) {
             v.over = true;
-            visitor.ends(End.FULL);
+            told.accept(End.FULL);
             return v;
         }
         advance();
@@ -128,7 +120,7 @@
         schedule();
         for (Visit v : held) {
             v.over = true;
-            v.visitor.ends(End.LOST);
+            v.told.accept(End.LOST);
         }
     }
 
@@ -159,7 +151,6 @@
     private void serve(Visit v) {
         v.target = attained + v.work;
         serving.add(v);
-        v.visitor.begins();
     }
 
     private void fill() {
@@ -207,6 +198,6 @@
         v.over = true;
         fill();
         schedule();
-        v.visitor.ends(End.DONE);
+        v.told.accept(End.DONE);
     }
 }
--- a/src/main/java/cobaltrack/plan/Load.java
+++ b/src/main/java/cobaltrack/plan/Load.java
@@ -2,7 +2,6 @@
 
 import java.util.Iterator;
 import java.util.List;
-import java.util.NoSuchElementException;
 import java.util.Random;
 
 /**
@@ -36,49 +35,31 @@
         double most = perSecond * bursts.stream().mapToDouble(b -> Math.max(1, b.times())).reduce(1, (a,
                 b) -> a * b);
         Random dice = new Random(seed);
-        return new Iterator<>() {
-            private Arrival ahead = find(0);
+        return new Arrivals() {
+            private double at;
 
             // Thinning: candidates at the highest rate, of which the share that is due is taken.
-            private Arrival find(double from) {
-                double at = from;
-                while (most > 0) {
+            @Override
+            protected Arrival find() {
+                while (most > 0 && at < length) {
                     at += -Math.log(1 - dice.nextDouble()) * 1000 / most;
-                    if (at >= length) {
-                        return null;
-                    }
-                    if (dice.nextDouble() * most < rate(at)) {
-                        return new Arrival(at, kind(), -1, false);
+                    if (at < length && dice.nextDouble() * most < rate(at)) {
+                        return new Arrival(at, kind(dice), -1, false);
                     }
                 }
                 return null;
             }
+        };
+    }
 
-            private int kind() {
-                double left = dice.nextDouble();
-                for (int k = 0; k < mix.size() - 1; k++) {
-                    left -= mix.get(k);
-                    if (left < 0) {
-                        return k;
-                    }
-                }
-                return mix.size() - 1;
-            }
-
-            @Override
-            public boolean hasNext() {
-                return ahead != null;
-            }
-
-            @Override
-            public Arrival next() {
-                if (ahead == null) {
-                    throw new NoSuchElementException();
-                }
-                Arrival a = ahead;
-                ahead = find(a.at());
-                return a;
+    private int kind(Random dice) {
+        double left = dice.nextDouble();
+        for (int k = 0; k < mix.size() - 1; k++) {
+            left -= mix.get(k);
+            if (left < 0) {
+                return k;
             }
-        };
+        }
+        return mix.size() - 1;
     }
 }
--- a/src/main/java/cobaltrack/plan/Outcome.java
+++ b/src/main/java/cobaltrack/plan/Outcome.java
@@ -20,18 +20,16 @@
      * How far limits were used.
      *
      * @param cores busy share of the cores that the list calls up
-     * @param busiest the same of the busiest front
      * @param room share of attempts that found a front's room full
      * @param connections share of attempts that a front or the sidecar had no connection for
      * @param handshakes share of the fronts' work that was handshakes
      * @param sidecar busy share of the processor of the busiest sidecar
      * @param places share of tries that found no place at their sidecar
-     * @param retries attempts a try that reached a front, beyond the first
      * @param repeats tries a request of a client, beyond the first
      */
-    public record Use(double cores, double busiest, double room, double connections, double handshakes,
+    public record Use(double cores, double room, double connections, double handshakes,
             double sidecar,
-            double places, double retries, double repeats) { }
+            double places, double repeats) { }
 
     /** Share of the worth that was got; 1 where nothing was asked. */
     public double worth() {
--- a/src/main/java/cobaltrack/plan/tool/Answer.java
+++ b/src/main/java/cobaltrack/plan/tool/Answer.java
@@ -67,6 +67,9 @@
     }
 
     private static String text(Interval i) {
+        if (Double.isInfinite(i.half())) {
+            return String.format(Locale.ROOT, "%.4f (one run)", i.mean());
+        }
         return i.half() == 0 ? String.format(Locale.ROOT, "%.4f", i.mean())
                 : String.format(Locale.ROOT, "%.4f +- %.4f", i.mean(), i.half());
     }
@@ -79,8 +82,9 @@
         ArrayNode list = root.putArray("seeds");
         Arrays.stream(seeds).forEach(list::add);
         ObjectNode all = root.putObject("figures");
-        figures.forEach((name, i) -> all.putObject(name).put("mean", i.mean()).put("half", i.half())
-                .put("runs", i.runs()));
+        // One run tells nothing of its spread, and JSON has no infinity.
+        figures.forEach((name, i) -> all.putObject(name).put("mean", i.mean())
+                .put("half", Double.isInfinite(i.half()) ? null : (Double) i.half()).put("runs", i.runs()));
         ArrayNode lines = root.putArray("notes");
         notes.forEach(lines::add);
         write(to, mapper.writeValueAsString(root) + "\n");
--- a/src/main/java/cobaltrack/plan/tool/CaptureCommand.java
+++ b/src/main/java/cobaltrack/plan/tool/CaptureCommand.java
@@ -5,6 +5,7 @@
 import cobaltrack.capture.CaptureOutput;
 import cobaltrack.capture.Entry;
 import cobaltrack.capture.Summary;
+import cobaltrack.engine.Journal;
 import cobaltrack.plan.Arrival;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
@@ -56,7 +57,7 @@
                     for (Iterator<Arrival> load = d.load().arrivals(seed); load.hasNext();) {
                         Arrival a = load.next();
                         out.write(new Entry(Math.round(a.at() * MICROS), a.kind(), a.tenant(),
-                                (int) classes.get(a.kind()).deadline(), 0, a.repeat(), Entry.End.SERVED));
+                                (int) classes.get(a.kind()).deadline(), 0, a.repeat(), Journal.End.SERVED));
                     }
                 }
                 Files.move(half, to, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
@@ -85,7 +86,7 @@
             for (int k = 0; k < s.classes().size(); k++) {
                 System.out.println("of class " + s.classes().get(k) + ": " + s.counts().get(k));
             }
-            for (Entry.End e : Entry.End.values()) {
+            for (Journal.End e : Journal.End.values()) {
                 System.out.println(e.name().toLowerCase(Locale.ROOT) + ": " + s.ends().get(e.ordinal()));
             }
             System.out.println("repeats: " + s.repeats());
--- a/src/main/java/cobaltrack/plan/tool/CaptureLoad.java
+++ b/src/main/java/cobaltrack/plan/tool/CaptureLoad.java
@@ -5,6 +5,7 @@
 import cobaltrack.capture.Entry;
 import cobaltrack.capture.Summary;
 import cobaltrack.plan.Arrival;
+import cobaltrack.plan.Arrivals;
 import cobaltrack.plan.Fleet;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -13,7 +14,6 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
-import java.util.NoSuchElementException;
 
 /**
  * A captured load, played by the planner. Read anew for each run, so its length costs no memory. At so many
@@ -102,11 +102,11 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        return new Iterator<>() {
+        return new Arrivals() {
             private long first = -1;
-            private Arrival ahead = read();
 
-            private Arrival read() {
+            @Override
+            protected Arrival find() {
                 try {
                     Entry e = in.next();
                     if (e == null) {
@@ -119,21 +119,6 @@
                     throw new UncheckedIOException(e);
                 }
             }
-
-            @Override
-            public boolean hasNext() {
-                return ahead != null;
-            }
-
-            @Override
-            public Arrival next() {
-                if (ahead == null) {
-                    throw new NoSuchElementException();
-                }
-                Arrival a = ahead;
-                ahead = read();
-                return a;
-            }
         };
     }
 }
--- a/src/main/java/cobaltrack/plan/tool/PlanCommand.java
+++ b/src/main/java/cobaltrack/plan/tool/PlanCommand.java
@@ -215,8 +215,8 @@
                     Interval.of(each.stream().mapToDouble(Recovery::worst).toArray()));
             a.figure("runs that do not come back from " + from, stuck);
             if (stuck < each.size()) {
-                a.figure("seconds until back from " + from + ", of those that do", each.stream()
-                        .mapToDouble(Recovery::seconds).filter(Double::isFinite).average().orElse(0));
+                a.figure("seconds until back from " + from + ", of those that do", Interval.of(each.stream()
+                        .mapToDouble(Recovery::seconds).filter(Double::isFinite).toArray()));
             }
         }
 
--- a/src/main/java/cobaltrack/standin/DrivenClock.java
+++ b/src/main/java/cobaltrack/standin/DrivenClock.java
@@ -19,7 +19,7 @@
 
     @Override
     public Timer after(double millis, Runnable task) {
-        return calendar.at(calendar.now() + millis, task)::cancel;
+        return calendar.after(millis, task);
     }
 
     /** Runs all that falls due until this time, which then is now. */
