Keep Netty from the planner's SLF4J: each start wrote three lines on standard error

The planner's validator logs by SLF4J, and the jar moved that aside; but the shade plugin moves every reference, Netty's own too, so Netty found it after all. No test saw it, for their class path has a provider.

ProcessTest starts the program without the provider, as the jar is: two of its tests fail without the change.

--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -22,6 +22,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.time.ZoneId;
 import java.util.ArrayList;
@@ -70,6 +72,9 @@
 
     /** Runs one of them; exits with 2 on bad usage and 1 on bad configuration. */
     public static void main(String[] args) {
+        // Guards against what the planner's libraries log by: Netty would find it, and a sidecar load it and
+        // be told on standard error that it logs nowhere.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         boolean further = args.length > 1 && FURTHER.contains(args[0]);
         String command = args.length == 1 || further ? args[0] : "";
         switch (command) {
--- a/src/test/java/cobaltrack/run/ProcessTest.java
+++ b/src/test/java/cobaltrack/run/ProcessTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -12,9 +13,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -31,7 +34,10 @@
         List<String> line = new ArrayList<>();
         line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         line.addAll(List.of(options));
-        line.addAll(List.of("-cp", System.getProperty("java.class.path"), "cobaltrack.run.Main", command));
+        // As in the jar: with what the planner's libraries log by, and nowhere for it to go.
+        String path = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+                .filter(entry -> !entry.contains("slf4j-jdk14")).collect(Collectors.joining(File.pathSeparator));
+        line.addAll(List.of("-cp", path, "cobaltrack.run.Main", command));
         ProcessBuilder b = new ProcessBuilder(line);
         b.environment().remove("PROXY_CONFIG");
         if (config != null) {
