--- /dev/null
+++ b/src/main/java/cobaltrack/post/ballot/Ballot.java
@@ -0,0 +1,21 @@
+package cobaltrack.post.ballot;
+
+import java.util.Comparator;
+
+/**
+ * The number of a ballot: no two offices ever use the same one, and any two are in order.
+ *
+ * @param round counts up; 0 is before the first
+ * @param by the id of the office that calls it
+ */
+public record Ballot(long round, String by) implements Comparable<Ballot> {
+    /** Before any ballot. */
+    public static final Ballot NONE = new Ballot(0, "");
+    private static final Comparator<Ballot> ORDER =
+            Comparator.comparingLong(Ballot::round).thenComparing(Ballot::by);
+
+    @Override
+    public int compareTo(Ballot other) {
+        return ORDER.compare(this, other);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/ballot/Decision.java
@@ -0,0 +1,66 @@
+package cobaltrack.post.ballot;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What the offices agreed on in one slot, whole: whoever has the newest needs none before it.
+ *
+ * @param slot counts decisions; 0 is what the first offices were founded with
+ * @param version of the configuration; 0 before the first one
+ * @param body the configuration as it was sent, deflated
+ * @param taken versions lately taken, newest last, so that a call repeated finds its own
+ * @param electors ids of the offices that vote on the next slot
+ */
+public record Decision(long slot, long version, byte[] body, List<Taken> taken, List<String> electors) {
+    /** How many versions are remembered: an operator repeats a call for seconds, not for hundreds of versions. */
+    static final int TAKEN_MOST = 128;
+
+    /** A version and the digest of what was sent under it. */
+    public record Taken(long version, String digest) { }
+
+    /** Copies the lists. */
+    public Decision {
+        taken = List.copyOf(taken);
+        electors = List.copyOf(electors);
+    }
+
+    /** What the first offices start from. */
+    public static Decision founding(List<String> electors) {
+        return new Decision(0, 0, new byte[0], List.of(), electors);
+    }
+
+    /** The next one, with another configuration. */
+    public Decision with(long newVersion, String digest, byte[] newBody) {
+        List<Taken> list = new ArrayList<>(taken);
+        list.add(new Taken(newVersion, digest));
+        return new Decision(slot + 1, newVersion, newBody,
+                list.subList(Math.max(0, list.size() - TAKEN_MOST), list.size()), electors);
+    }
+
+    /** The next one, with other electors. */
+    public Decision with(List<String> newElectors) {
+        return new Decision(slot + 1, version, body, taken, newElectors);
+    }
+
+    /** Whether exactly this was taken under this version. */
+    public boolean has(long aVersion, String digest) {
+        return taken.contains(new Taken(aVersion, digest));
+    }
+
+    /** How many electors are more than half. */
+    public int majority() {
+        return electors.size() / 2 + 1;
+    }
+
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof Decision d && d.slot == slot && d.version == version && d.taken.equals(taken)
+                && d.electors.equals(electors) && java.util.Arrays.equals(d.body, body);
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(slot);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/ballot/Elector.java
@@ -0,0 +1,78 @@
+package cobaltrack.post.ballot;
+
+/**
+ * One office's vote, as Lamport's single-decree Paxos has it, slot after slot: it promises, votes, and keeps
+ * its word. Pure; whoever drives it syncs {@link #memory} to disk before a reply that says so leaves.
+ */
+public final class Elector {
+    /**
+     * What must outlast a loss of power.
+     *
+     * @param decided the newest decision known, or null on a disk that is new
+     * @param promised in the slot after it
+     * @param vote in the slot after it, or null
+     */
+    public record Memory(Decision decided, Ballot promised, Slip.Vote vote) { }
+
+    /** A reply, and whether the memory must be on disk before it leaves. */
+    public record Reply(Slip slip, boolean synced) { }
+
+    private Memory memory;
+
+    /** An elector that remembers this. */
+    public Elector(Memory memory) {
+        this.memory = memory;
+    }
+
+    /** What it remembers now. */
+    public Memory memory() {
+        return memory;
+    }
+
+    /** The newest decision that it knows, or null. */
+    public Decision decided() {
+        return memory.decided();
+    }
+
+    /** Takes in a decision; false if it knew as much. */
+    public boolean learn(Decision decision) {
+        if (memory.decided() != null && decision.slot() <= memory.decided().slot()) {
+            return false;
+        }
+        memory = new Memory(decision, Ballot.NONE, null);
+        return true;
+    }
+
+    /** Answers to a call for a promise. */
+    public Reply prepare(Slip.Prepare call) {
+        Reply reply = place(call.slot(), call.ballot());
+        if (reply != null) {
+            return reply;
+        }
+        memory = new Memory(memory.decided(), call.ballot(), memory.vote());
+        return new Reply(new Slip.Promise(call.slot(), call.ballot(), memory.vote()), true);
+    }
+
+    /** Answers to a call for a vote. */
+    public Reply propose(Slip.Propose call) {
+        Reply reply = place(call.value().slot(), call.ballot());
+        if (reply != null) {
+            return reply;
+        }
+        memory = new Memory(memory.decided(), call.ballot(), new Slip.Vote(call.ballot(), call.value()));
+        return new Reply(new Slip.Voted(call.value().slot(), call.ballot()), true);
+    }
+
+    // The reply where the call is not about the slot to be voted on next, or a promise stands against it.
+    private Reply place(long slot, Ballot ballot) {
+        long have = memory.decided() == null ? -1 : memory.decided().slot();
+        if (slot <= have) {
+            return new Reply(new Slip.Decided(memory.decided()), false);
+        }
+        if (slot > have + 1 || have < 0) {
+            return new Reply(new Slip.Lagging(slot, have), false);
+        }
+        return ballot.compareTo(memory.promised()) < 0
+                ? new Reply(new Slip.Outbid(slot, ballot, memory.promised()), false) : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/card/CardException.java
@@ -0,0 +1,16 @@
+package cobaltrack.post.card;
+
+/** A settings file that can't be used; the message is one line and names the field. */
+public final class CardException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    /** What is wrong with which field. */
+    public CardException(String message) {
+        super(message);
+    }
+
+    /** The same, for the reason that a layer below gave. */
+    public CardException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/card/CardReader.java
@@ -0,0 +1,91 @@
+package cobaltrack.post.card;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Reads a settings file of lines {@code a.b=value}, lists joined by commas. Fields not known are left. */
+public final class CardReader {
+    private static final Set<String> LISTS = Set.of("Network.Seeds", "Network.PortRange",
+            "Clauses.Invariants");
+    private final ObjectMapper mapper;
+
+    /** A reader; the mapper is copied, not changed. */
+    public CardReader(ObjectMapper mapper) {
+        this.mapper = mapper.copy().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws CardException naming the file or the field that is wrong
+     */
+    public Card read(Path file) {
+        try {
+            return parse(Files.readAllLines(file));
+        } catch (IOException e) {
+            throw new CardException("settings file " + file + " can't be read", e);
+        }
+    }
+
+    /**
+     * Reads its lines.
+     *
+     * @throws CardException naming the field that is wrong
+     */
+    public Card parse(List<String> lines) {
+        ObjectNode root = mapper.createObjectNode();
+        for (String line : lines) {
+            int equals = line.indexOf('=');
+            if (line.isBlank() || line.startsWith("#")) {
+                continue;
+            }
+            if (equals <= 0) {
+                throw new CardException("'" + line + "' is not FIELD=VALUE");
+            }
+            put(root, line.substring(0, equals).trim(), line.substring(equals + 1).trim());
+        }
+        try {
+            return mapper.treeToValue(root, Card.class);
+        } catch (JsonMappingException e) {
+            for (Throwable cause = e; cause != null; cause = cause.getCause()) {
+                if (cause instanceof CardException wrong) {
+                    throw wrong;
+                }
+            }
+            throw new CardException(e.getPath().stream().map(JsonMappingException.Reference::getFieldName)
+                    .collect(Collectors.joining(".")) + " is malformed", e);
+        } catch (JsonProcessingException e) {
+            throw new CardException("settings are malformed", e);
+        }
+    }
+
+    private static void put(ObjectNode root, String field, String value) {
+        ObjectNode table = root;
+        String[] parts = field.split("\\.");
+        for (int i = 0; i < parts.length - 1; i++) {
+            if (table.has(parts[i]) && !table.get(parts[i]).isObject()) {
+                throw new CardException(field + " is below a field that holds a value");
+            }
+            table = table.withObject("/" + parts[i].replace("~", "~0").replace("/", "~1"));
+        }
+        String last = parts[parts.length - 1];
+        if (LISTS.contains(field)) {
+            ArrayNode list = table.putArray(last);
+            for (String part : value.split(",")) {
+                list.add(part.trim());
+            }
+        } else {
+            table.put(last, value);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/carrier/Classes.java
@@ -0,0 +1,49 @@
+package cobaltrack.post.carrier;
+
+import cobaltrack.Contract;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Requests in the module's classes, by what may be repeated, by rank and by target: a grid, so that a new
+ * configuration never makes the module forget what it has learned. Immutable.
+ */
+public final class Classes {
+    /** Ranks told apart; beyond the last, all are alike. */
+    static final int RANKS = 4;
+    /** Targets, in milliseconds: from the first, each half as much again as the one before. */
+    private static final double FIRST_TARGET = 100;
+    private static final double STEP = 1.5;
+    private static final int TARGETS = 12;
+    /** What a late answer is worth of a timely one. */
+    private static final double LATE_WORTH = 0.3;
+
+    private final List<Contract.RequestClass> classes = new ArrayList<>();
+
+    /** The grid. */
+    public Classes() {
+        for (int effect = 0; effect < 2; effect++) {
+            for (int rank = 0; rank < RANKS; rank++) {
+                for (int t = 0; t < TARGETS; t++) {
+                    double target = FIRST_TARGET * Math.pow(STEP, t);
+                    double worth = RANKS - rank;
+                    classes.add(new Contract.RequestClass(effect + "-" + rank + "-" + t, worth,
+                            worth * LATE_WORTH, target, 0, effect == 0 ? Contract.Effect.SAFE
+                            : Contract.Effect.UNSAFE, Contract.Group.ALL, 0, false));
+                }
+            }
+        }
+    }
+
+    /** All, in their order. */
+    public List<Contract.RequestClass> all() {
+        return List.copyOf(classes);
+    }
+
+    /** The position of a request's class; a target between two counts as the shorter. */
+    public int of(boolean repeatable, int rank, double targetMs) {
+        int t = (int) Math.floor(Math.log(Math.max(FIRST_TARGET, targetMs) / FIRST_TARGET) / Math.log(STEP));
+        return ((repeatable ? 0 : RANKS) + Math.min(RANKS - 1, Math.max(0, rank))) * TARGETS
+                + Math.min(TARGETS - 1, t);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/carrier/Depot.java
@@ -0,0 +1,139 @@
+package cobaltrack.post.carrier;
+
+import cobaltrack.Contract;
+import cobaltrack.decide.Decide;
+import cobaltrack.engine.Ask;
+import cobaltrack.engine.Caller;
+import cobaltrack.engine.Carrier;
+import cobaltrack.engine.Engine;
+import cobaltrack.engine.Timers;
+import cobaltrack.membership.EndpointList;
+import cobaltrack.post.card.Card;
+import cobaltrack.post.directory.Listing;
+import cobaltrack.post.log.Event;
+import cobaltrack.post.wire.Letter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One service as this sidecar sees it: an engine with a module of its own, fed with the endpoints that are
+ * listed and in reach. On its loop's thread.
+ */
+final class Depot {
+    /** The module may try so many endpoints; what truly arrives is bounded by the route and the budget. */
+    private static final int ATTEMPTS = 4;
+    private static final double RETRY_AFTER_MOST = 2000;
+    /** A cold endpoint is taken to do this part of what a warm one does, for so long. */
+    private static final double COLD_SHARE = 0.5;
+    private static final double COLD_MS = 3000;
+    private static final double FALL_MULTIPLE = 3;
+
+    private final Engine engine;
+    private final Round round;
+    private final Postage postage;
+    private final Timers timers;
+    private final Map<String, String> nodes = new HashMap<>();
+    private final Map<String, Double> started = new HashMap<>();
+    private long seq;
+
+    Depot(Timers timers, Classes classes, Card card, int sidecars, long seed, Round round) {
+        this.timers = timers;
+        this.round = round;
+        Card.Bounds bounds = card.clauses().bounds();
+        this.postage = new Postage(bounds.retryRatio(), bounds.retrySlack());
+        Contract.Settings settings = new Contract.Settings(classes.all(), List.of(), 1,
+                new Contract.Limits(ATTEMPTS, false, false, false, false, true, RETRY_AFTER_MOST, 1),
+                new Contract.Obligations(bounds.drainS() * 1000, FALL_MULTIPLE, COLD_MS, COLD_SHARE, COLD_MS,
+                        COLD_MS), Contract.Reporting.WITH_ANSWERS, false, Math.max(1, sidecars), 0);
+        this.engine = new Engine(timers, settings, out -> new Decide(settings, seed, out), list -> { },
+                Event.MODULE::log);
+        engine.start(() -> { }, null);
+    }
+
+    /** The endpoints as listed now. */
+    void update(List<Listing> listings) {
+        nodes.clear();
+        List<EndpointList.Entry> entries = new ArrayList<>();
+        Map<String, Double> times = new HashMap<>();
+        for (Listing l : listings) {
+            boolean up = l.open() && round.reaches(l.node());
+            double now = timers.now();
+            double start = started.getOrDefault(l.endpoint(), l.warmMs() > 0 ? now - (COLD_MS - l.warmMs()) : 0);
+            times.put(l.endpoint(), start);
+            nodes.put(l.endpoint(), l.node());
+            entries.add(new EndpointList.Entry(new Contract.Server(l.endpoint(), up ? Contract.Standing.UP
+                    : Contract.Standing.DRAINING, 1, l.zone(), -1, start), null));
+        }
+        started.clear();
+        started.putAll(times);
+        engine.list(Contract.ListKind.FULL, new EndpointList(++seq, true, entries));
+    }
+
+    /** A request of a client's, as it is to be sent on. */
+    interface Shipment {
+        /** What is sent, with what is left of its time. */
+        Letter.Parcel parcel(String endpoint);
+
+        /** Whether it may arrive at one more endpoint, by its route. */
+        boolean mayArrive(int arrivals);
+
+        /** Whether it may run more than once. */
+        boolean repeatable();
+
+        /** An endpoint answered, whatever the answer. */
+        void answered(Letter.Delivered answer);
+    }
+
+    /** Takes a request; the caller is told its end once. */
+    Engine.Held<Letter.Delivered> take(Ask ask, int sidecars, Shipment shipment,
+            Caller<Letter.Delivered> caller) {
+        postage.asked(sidecars);
+        return engine.take(ask, new Delivery(shipment), caller);
+    }
+
+    private final class Delivery implements Carrier<Letter.Delivered> {
+        private final Shipment shipment;
+        private int arrivals;
+
+        private Delivery(Shipment shipment) {
+            this.shipment = shipment;
+        }
+
+        @Override
+        public Sending send(String endpoint, int attempt, double within, Outcomes<Letter.Delivered> told) {
+            String node = nodes.get(endpoint);
+            if (node == null || arrivals > 0 && !(shipment.mayArrive(arrivals) && postage.spend())) {
+                told.ended(Contract.Outcome.NEVER_SENT, null, null);
+                return () -> false;
+            }
+            return round.send(node, shipment.parcel(endpoint), shipment.repeatable(),
+                    letter -> came(letter, told));
+        }
+
+        private void came(Letter letter, Outcomes<Letter.Delivered> told) {
+            Contract.Report report = null;
+            if (letter instanceof Letter.Delivered d) {
+                arrivals++;
+                shipment.answered(d);
+                report = report(d.util(), d.perSecond());
+            } else if (letter instanceof Letter.Returned r) {
+                arrivals += r.why() == Letter.Why.TURNED_AWAY || !r.why().neverRan ? 1 : 0;
+                report = report(r.util(), r.perSecond());
+            }
+            told.ended(Round.outcome(letter), letter instanceof Letter.Delivered d ? d : null, report);
+        }
+
+        private Contract.Report report(double util, double perSecond) {
+            return perSecond > 0 ? new Contract.Report(Double.NaN, Double.NaN, util, Double.NaN, perSecond, 0)
+                    : null;
+        }
+
+        @Override
+        public boolean connected(String endpoint) {
+            String node = nodes.get(endpoint);
+            return node == null || round.connected(node);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/carrier/Desk.java
@@ -0,0 +1,191 @@
+package cobaltrack.post.carrier;
+
+import cobaltrack.post.ballot.Council;
+import cobaltrack.post.ballot.Decision;
+import cobaltrack.post.card.Card;
+import cobaltrack.post.directory.Listing;
+import cobaltrack.post.log.Event;
+import cobaltrack.post.office.Bodies;
+import cobaltrack.post.tariff.Routing;
+import cobaltrack.post.tariff.Tariff;
+import cobaltrack.post.tariff.TariffException;
+import cobaltrack.post.tariff.TariffReader;
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Tie;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+
+/**
+ * A sidecar's ties to the offices: says what it lists, asks with the configuration that it has, and takes a
+ * newer one. It never goes back. On its loop's thread; configurations are read on another.
+ */
+final class Desk {
+    private static final Tie.Pace PACE = new Tie.Pace(300, 900, 1500, 150);
+    /** Until another office is asked for what one has not sent, in milliseconds. */
+    private static final double FETCH_MS = 500;
+    private static final int OFFICES_MOST = 16;
+    private static final double NANOS = 1e6;
+
+    private final EventLoop loop;
+    private final Card card;
+    private final Letter.Hello hello;
+    private final Consumer<List<Listing>> posted;
+    private final Runnable officeUp;
+    private final Consumer<Routing> inForce;
+    private final TariffReader reader = new TariffReader();
+    private final ExecutorService reading = Executors.newSingleThreadExecutor(r -> {
+        Thread t = new Thread(r, "reader");
+        t.setDaemon(true);
+        return t;
+    });
+    private final Map<String, Tie> offices = new LinkedHashMap<>();
+    private final Map<Tie, Long> noticed = new HashMap<>();
+    private Routing routing;
+    private Decision newest;
+    private double fetchAt = Double.NEGATIVE_INFINITY;
+
+    Desk(EventLoop loop, Card card, Letter.Hello hello, Consumer<List<Listing>> posted, Runnable officeUp,
+            Consumer<Routing> inForce) {
+        this.loop = loop;
+        this.card = card;
+        this.hello = hello;
+        this.posted = posted;
+        this.officeUp = officeUp;
+        this.inForce = inForce;
+    }
+
+    void start() {
+        card.network().seeds().forEach(s -> know(s.substring(0, s.lastIndexOf(':'))));
+    }
+
+    /** The configuration in force, or null. */
+    Routing routing() {
+        return routing;
+    }
+
+    /** Says listings to all offices in reach. */
+    void post(List<Listing> listings) {
+        Letter.Post post = new Letter.Post(listings);
+        offices.values().forEach(t -> t.send(post));
+    }
+
+    private static double now() {
+        return System.nanoTime() / NANOS;
+    }
+
+    private long slot() {
+        return newest == null ? -1 : newest.slot();
+    }
+
+    private void know(String ip) {
+        if (offices.containsKey(ip) || offices.size() >= OFFICES_MOST) {
+            return;
+        }
+        Tie tie = new Tie(loop, new InetSocketAddress(ip, card.network().talkPort()), hello, PACE,
+                new Tie.Owner() {
+                    @Override
+                    public void changed(Tie t, Tie.State before) {
+                        if (t.state() == Tie.State.UP && before == Tie.State.DIALLING) {
+                            Event.OFFICE_UP.log(ip);
+                            officeUp.run();
+                            t.send(new Letter.Ask(slot()));
+                        } else if (t.state() == Tie.State.DOWN && before != Tie.State.DIALLING) {
+                            Event.OFFICE_DOWN.log(ip);
+                            noticed.remove(t);
+                        }
+                    }
+
+                    @Override
+                    public void letter(Tie t, Letter letter) {
+                        came(t, letter);
+                    }
+                });
+        offices.put(ip, tie);
+        tie.dial();
+    }
+
+    private void came(Tie tie, Letter letter) {
+        if (letter instanceof Letter.Post post) {
+            posted.accept(post.listings());
+        } else if (letter instanceof Letter.Notice notice) {
+            noticed.put(tie, notice.slot());
+            fetch();
+        } else if (letter instanceof Letter.News news) {
+            take(news.decision());
+        }
+    }
+
+    void tick() {
+        fetch();
+    }
+
+    private void fetch() {
+        if (now() - fetchAt < FETCH_MS) {
+            return;
+        }
+        List<Tie> have = new ArrayList<>();
+        noticed.forEach((tie, slot) -> {
+            if (slot > slot() && tie.up()) {
+                have.add(tie);
+            }
+        });
+        if (!have.isEmpty()) {
+            fetchAt = now();
+            have.get((int) (Math.random() * have.size())).send(new Letter.Fetch());
+        }
+    }
+
+    private void take(Decision decision) {
+        fetchAt = Double.NEGATIVE_INFINITY;
+        if (decision.slot() <= slot()) {
+            return;
+        }
+        boolean same = newest != null && newest.version() == decision.version();
+        newest = decision;
+        Letter.Ask ask = new Letter.Ask(decision.slot());
+        offices.values().forEach(t -> t.send(ask));
+        decision.electors().forEach(e -> know(Council.address(e)));
+        forget(decision);
+        if (same && routing != null) {
+            return;
+        }
+        reading.execute(() -> read(decision));
+    }
+
+    // Offices that are no longer among the electors go, unless they are heard of.
+    private void forget(Decision decision) {
+        List<String> electors = decision.electors().stream().map(Council::address).toList();
+        for (String ip : List.copyOf(offices.keySet())) {
+            if (!electors.contains(ip) && !offices.get(ip).up()) {
+                Tie tie = offices.remove(ip);
+                noticed.remove(tie);
+                tie.close();
+            }
+        }
+    }
+
+    private void read(Decision decision) {
+        try {
+            Tariff tariff = reader.read(Bodies.inflate(decision.body()));
+            Routing made = new Routing(decision.slot(), tariff);
+            loop.execute(() -> {
+                if (routing == null || made.slot() > routing.slot()) {
+                    routing = made;
+                    Event.IN_FORCE.log("version " + tariff.epoch() + " slot " + made.slot());
+                    inForce.accept(made);
+                }
+            });
+        } catch (IOException | TariffException e) {
+            Event.UNREADABLE.log(e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/carrier/Egress.java
@@ -0,0 +1,300 @@
+package cobaltrack.post.carrier;
+
+import cobaltrack.engine.Ask;
+import cobaltrack.engine.Caller;
+import cobaltrack.engine.Engine;
+import cobaltrack.engine.Timers;
+import cobaltrack.post.tariff.Routing;
+import cobaltrack.post.tariff.Tariff;
+import cobaltrack.post.wire.Letter;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.SocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Where the clients and the endpoint of this machine send their requests: finds route, tenant and allowance,
+ * and has the service's module decide the rest. On its loop's thread.
+ */
+final class Egress implements Window.Taker {
+    /** Bodies that are held at a time, in bytes; beyond, clients are told to come back. */
+    private static final long HOLD_MOST = 40L << 20;
+    private static final Tariff.Limits FIRST = new Tariff.Limits(16384, 64 << 20, 3, 15);
+    private static final int UNKNOWN_KEY = 401;
+    private static final int NO_ROUTE = 404;
+    private static final int BAD = 400;
+    private static final int OVER = 429;
+    private static final int FAILED = 502;
+    private static final int NOT_NOW = 503;
+    private static final int LATE = 504;
+    /** Until when to come back where no configuration is known yet, in milliseconds. */
+    private static final double NO_ROUTES_MS = 300;
+    private static final int BACKLOG = 512;
+
+    private final EventLoop loop;
+    private final Timers timers;
+    private final Supplier<Routing> routing;
+    private final java.util.function.Function<String, Depot> depots;
+    private final Supplier<String> service;
+    private final IntSupplier sidecars;
+    private final Allowance allowance;
+    private final Classes classes;
+    private final SplittableRandom random = new SplittableRandom();
+    private final Set<Window> windows = new HashSet<>();
+    private Channel listener;
+    private long held;
+    private int underWay;
+    private boolean leaving;
+
+    Egress(EventLoop loop, Timers timers, Supplier<Routing> routing,
+            java.util.function.Function<String, Depot> depots, Supplier<String> service, IntSupplier sidecars,
+            Allowance allowance, Classes classes) {
+        this.loop = loop;
+        this.timers = timers;
+        this.routing = routing;
+        this.depots = depots;
+        this.service = service;
+        this.sidecars = sidecars;
+        this.allowance = allowance;
+        this.classes = classes;
+    }
+
+    ChannelFuture listen(SocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        Window window = new Window(Egress.this);
+                        windows.add(window);
+                        ch.closeFuture().addListener(f -> windows.remove(window));
+                        HttpDecoderConfig config = new HttpDecoderConfig()
+                                .setMaxInitialLineLength(limits().headerBytes())
+                                .setMaxHeaderSize(limits().headerBytes());
+                        ch.pipeline().addLast(new HttpServerCodec(config), window);
+                    }
+                }).bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    void tick() {
+        List.copyOf(windows).forEach(Window::tick);
+    }
+
+    /** From now on connections end after the answer under way. */
+    void leave() {
+        leaving = true;
+        tick();
+    }
+
+    /** Takes no further connections. */
+    void shut() {
+        listener.close();
+    }
+
+    /** Requests that have not been answered. */
+    int underWay() {
+        return underWay;
+    }
+
+    /** Connections of clients. */
+    int connections() {
+        return windows.size();
+    }
+
+    @Override
+    public Tariff.Limits limits() {
+        Routing now = routing.get();
+        return now == null ? FIRST : now.tariff().limits();
+    }
+
+    @Override
+    public boolean hold(int bytes) {
+        if (held + bytes > HOLD_MOST) {
+            return false;
+        }
+        held += bytes;
+        return true;
+    }
+
+    @Override
+    public void letGo(int bytes) {
+        held -= bytes;
+    }
+
+    @Override
+    public boolean leaving() {
+        return leaving;
+    }
+
+    @Override
+    public void take(HttpRequest head, byte[] body, Window.Turn turn) {
+        Routing now = routing.get();
+        if (now == null) {
+            later(turn, NOT_NOW, NO_ROUTES_MS);
+            return;
+        }
+        Routing.Way way = now.route(head.headers().get(HttpHeaderNames.HOST), head.uri());
+        if (way == null) {
+            plain(turn, NO_ROUTE);
+            return;
+        }
+        String attempt = head.headers().get(Headers.ATTEMPT);
+        double deadline = deadline(head);
+        if (attempt == null || attempt.isEmpty() || Double.isNaN(deadline)) {
+            plain(turn, BAD);
+            return;
+        }
+        Routing.Payer payer = now.payer(head.headers().get(Headers.KEY));
+        if (payer == null && !way.route().open() && now.keyed()) {
+            plain(turn, UNKNOWN_KEY);
+            return;
+        }
+        if (payer != null) {
+            double wait = allowance.take(timers.now(), payer, Math.max(1, sidecars.getAsInt()));
+            if (wait > 0) {
+                later(turn, OVER, wait);
+                return;
+            }
+        }
+        String target = way.service(random.nextDouble());
+        Depot depot = depots.apply(target);
+        double timeout = Math.min(deadline, way.route().deadlineS() * 1000);
+        Integer rank = payer == null ? null : payer.tenant().rank();
+        new Exchange(head, body, turn, way, payer, target, timeout,
+                rank == null ? way.route().rank() : rank).go(depot);
+    }
+
+    private static double deadline(HttpRequest head) {
+        String text = head.headers().get(Headers.DEADLINE);
+        if (text == null) {
+            return Double.MAX_VALUE;
+        }
+        try {
+            double ms = Double.parseDouble(text.trim());
+            return ms > 0 ? ms : Double.NaN;
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    private static void plain(Window.Turn turn, int status) {
+        turn.answer(status, List.of(), new byte[0]);
+    }
+
+    private static void later(Window.Turn turn, int status, double waitMs) {
+        turn.answer(status, List.of("Retry-After", String.format(Locale.ROOT, "%.3f",
+                Math.max(1, waitMs) / 1000)), new byte[0]);
+    }
+
+    /** One request of a client's. */
+    private final class Exchange implements Depot.Shipment, Caller<Letter.Delivered> {
+        private final String method;
+        private final String uri;
+        private final List<String> headers;
+        private final byte[] body;
+        private final Window.Turn turn;
+        private final Routing.Way way;
+        private final String target;
+        private final int rank;
+        private final double timeout;
+        private final double endAt;
+        private Letter.Delivered last;
+
+        private Exchange(HttpRequest head, byte[] body, Window.Turn turn, Routing.Way way,
+                Routing.Payer payer, String target, double timeout, int rank) {
+            this.method = head.method().name();
+            this.uri = head.uri();
+            this.headers = Headers.onward(head.headers(), true);
+            this.body = body;
+            this.turn = turn;
+            this.way = way;
+            this.target = target;
+            this.rank = rank;
+            this.timeout = timeout;
+            this.endAt = timers.now() + timeout;
+            if (payer != null) {
+                headers.add(Headers.TENANT);
+                headers.add(payer.name());
+            }
+            if (!service.get().isEmpty()) {
+                headers.add(Headers.CALLER);
+                headers.add(service.get());
+            }
+        }
+
+        private void go(Depot depot) {
+            underWay++;
+            Ask ask = new Ask(classes.of(way.repeatable(), rank, way.route().targetS() * 1000), -1, timeout,
+                    false, 1, body.length);
+            Engine.Held<Letter.Delivered> h = depot.take(ask, Math.max(1, sidecars.getAsInt()), this, this);
+            turn.onGone(() -> {
+                underWay--;
+                h.abandon();
+            });
+        }
+
+        @Override
+        public Letter.Parcel parcel(String endpoint) {
+            return new Letter.Parcel(0, method, uri, headers, body,
+                    (int) Math.max(1, endAt - timers.now()), target, endpoint, rank);
+        }
+
+        @Override
+        public boolean mayArrive(int arrivals) {
+            return arrivals < way.route().tries();
+        }
+
+        @Override
+        public boolean repeatable() {
+            return way.repeatable();
+        }
+
+        @Override
+        public void answered(Letter.Delivered answer) {
+            last = answer;
+        }
+
+        @Override
+        public void served(Letter.Delivered answer) {
+            underWay--;
+            turn.answer(answer.status(), answer.headers(), answer.body());
+        }
+
+        @Override
+        public void refused(double retryAfter) {
+            if (last != null) {
+                served(last);
+                return;
+            }
+            underWay--;
+            later(turn, NOT_NOW, retryAfter);
+        }
+
+        @Override
+        public void failed() {
+            if (last != null) {
+                served(last);
+                return;
+            }
+            underWay--;
+            plain(turn, timers.now() >= endAt - 50 ? LATE : FAILED);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/carrier/Hatch.java
@@ -0,0 +1,176 @@
+package cobaltrack.post.carrier;
+
+import cobaltrack.post.directory.Listing;
+import cobaltrack.post.rpc.Order;
+
+/**
+ * What the sidecar knows first hand of the endpoint beside it, and whether a request may go to it now. Pure;
+ * one thread; times in milliseconds on one clock.
+ */
+public final class Hatch {
+    /** Where the endpoint stands. */
+    public enum State {
+        /** None has beaten yet. */
+        UNKNOWN,
+        /** It beats and serves. */
+        SERVING,
+        /** It has said that it leaves. */
+        DRAINING,
+        /** It has left, or is silent. */
+        GONE
+    }
+
+    /** Beats that may be missing before it counts as gone. */
+    private static final double BEATS_MISSING = 3.5;
+    /** How long callers that have not heard yet may still send to one that drains. */
+    private static final double LAST_CALLS_MS = 400;
+    /** What the endpoint may hold beyond what it works on, as a part of that: by rank, 0 the highest. */
+    private static final double[] QUEUE = {1.0, 0.84, 0.5};
+    /** Half-life of what is told of its load. */
+    private static final double LOAD_MS = 500;
+
+    private final double beatMs;
+    private State state = State.UNKNOWN;
+    private String endpoint = "";
+    private String target = "";
+    private int capacity = 1;
+    private double warmUntil;
+    private long callSeq = -1;
+    private double beatAt;
+    private double drainAt;
+    private int held;
+    private double util;
+    private double perSecond;
+    private double loadAt;
+
+    /** A hatch whose endpoint beats so often, in milliseconds. */
+    public Hatch(double beatMs) {
+        this.beatMs = beatMs;
+    }
+
+    /** An endpoint beats; true if that changes what others need to know. */
+    public boolean beat(double now, String id, Order.Card card) {
+        if (id.equals(endpoint) && (card.callSeq() <= callSeq || state == State.GONE && callSeq < 0)) {
+            return false;
+        }
+        boolean fresh = !id.equals(endpoint);
+        State before = state;
+        endpoint = id;
+        target = card.target();
+        capacity = Math.max(1, card.capacity());
+        callSeq = card.callSeq();
+        beatAt = now;
+        warmUntil = now + Math.max(0, card.warmupS()) * 1000;
+        if ("draining".equals(card.phase())) {
+            if (fresh || before != State.DRAINING) {
+                drainAt = now;
+            }
+            to(State.DRAINING);
+        } else {
+            to(State.SERVING);
+        }
+        return fresh || state != before;
+    }
+
+    /** The endpoint has left; true if that is news. */
+    public boolean depart(String id) {
+        if (!id.equals(endpoint) || state == State.GONE) {
+            return false;
+        }
+        // No late beat of this life counts any more.
+        callSeq = Long.MAX_VALUE;
+        to(State.GONE);
+        return true;
+    }
+
+    /** Time passes; true if the endpoint has fallen silent. */
+    public boolean tick(double now) {
+        if ((state == State.SERVING || state == State.DRAINING) && now - beatAt > beatMs * BEATS_MISSING) {
+            to(State.GONE);
+            return true;
+        }
+        return false;
+    }
+
+    private void to(State next) {
+        state = next;
+    }
+
+    /** Where it stands. */
+    public State state() {
+        return state;
+    }
+
+    /** The endpoint's id; empty where none is known. */
+    public String endpoint() {
+        return endpoint;
+    }
+
+    /** Its service. */
+    public String target() {
+        return target;
+    }
+
+    /** What it may be sent, as others are told. */
+    public Listing.Phase phase() {
+        return state == State.SERVING ? Listing.Phase.SERVING : Listing.Phase.DRAINING;
+    }
+
+    /** Requests that it works on at a time. */
+    public int capacity() {
+        return capacity;
+    }
+
+    /** How long it stays slow, in milliseconds. */
+    public int warmMs(double now) {
+        return (int) Math.max(0, warmUntil - now);
+    }
+
+    /** What may become of a request now. */
+    public enum Entry { OPEN, FULL, MOVED }
+
+    /** Whether a request for this service, of this rank, may go to the endpoint now. */
+    public Entry enter(double now, String service, int rank) {
+        boolean there = service.equals(target) && (state == State.SERVING
+                || state == State.DRAINING && now - drainAt < LAST_CALLS_MS);
+        if (!there) {
+            return Entry.MOVED;
+        }
+        double queue = QUEUE[Math.min(QUEUE.length - 1, Math.max(0, rank))];
+        return held < capacity * (1 + queue) ? Entry.OPEN : Entry.FULL;
+    }
+
+    /** A request goes to the endpoint. */
+    public void began(double now) {
+        load(now, 0);
+        held++;
+    }
+
+    /** It has ended there. */
+    public void ended(double now, boolean answered) {
+        load(now, answered ? 1 : 0);
+        held--;
+    }
+
+    private void load(double now, int answers) {
+        double keep = Math.pow(0.5, Math.max(0, now - loadAt) / LOAD_MS);
+        util = util * keep + (1 - keep) * held / capacity;
+        perSecond = perSecond * keep + answers * 1000 * Math.log(2) / LOAD_MS;
+        loadAt = now;
+    }
+
+    /** Requests at the endpoint. */
+    public int held() {
+        return held;
+    }
+
+    /** The part of its places that are taken, lately; over 1 where requests wait. */
+    public double util() {
+        return util;
+    }
+
+    /** Answers a second, lately. */
+    public double perSecond() {
+        return perSecond;
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/carrier/Postage.java
@@ -0,0 +1,34 @@
+package cobaltrack.post.carrier;
+
+/**
+ * This sidecar's part of the budget of further arrivals at one service: each request pays in a part of what
+ * the rules allow, and an even share of the rules' slack may be saved up. Pure; one thread.
+ */
+public final class Postage {
+    /** Of what the rules allow, what is spent: calls of a repeated run count too, and nobody counts them here. */
+    private static final double PART = 0.6;
+
+    private final double earn;
+    private final double slack;
+    private double tokens = 1;
+
+    /** A budget by the rules' ratio and slack. */
+    public Postage(double ratio, double slack) {
+        this.earn = ratio * PART;
+        this.slack = slack * PART;
+    }
+
+    /** A request for the service was taken, by one of so many sidecars. */
+    public void asked(int sidecars) {
+        tokens = Math.min(Math.max(1, slack / sidecars), tokens + earn);
+    }
+
+    /** Whether a further arrival may be paid for; if so, it is. */
+    public boolean spend() {
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -0,0 +1,305 @@
+package cobaltrack.post.carrier;
+
+import cobaltrack.engine.Clock;
+import cobaltrack.engine.Timers;
+import cobaltrack.loop.LoopTimers;
+import cobaltrack.membership.EndpointList;
+import cobaltrack.post.card.Card;
+import cobaltrack.post.directory.Directory;
+import cobaltrack.post.directory.Listing;
+import cobaltrack.post.log.Event;
+import cobaltrack.post.rpc.Answer;
+import cobaltrack.post.rpc.Order;
+import cobaltrack.post.rpc.RpcServer;
+import cobaltrack.post.tariff.Routing;
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Link;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * A carrier: the sidecar of one auxiliary machine. It takes the requests that begin there, carries them to
+ * the sidecar beside the endpoint that the module chose, and hands in those that are for its own endpoint.
+ */
+public final class Sidecar implements Link.Ear {
+    private static final long TICK_MS = 100;
+    /** How often an unchanged listing is said again, in milliseconds. */
+    private static final double SAY_MS = 1000;
+    /** Services that modules are kept for. */
+    private static final int DEPOTS_MOST = 256;
+    /** After SIGTERM: until when connections are kept, and how long before the kill all ends; seconds. */
+    private static final double KEEP_S = 2.6;
+    private static final double END_S = 0.4;
+    private static final int BACKLOG = 512;
+    private static final int NONE = 404;
+
+    private final Card card;
+    private final EventLoop loop;
+    private final ObjectMapper mapper;
+    private final Timers timers;
+    private final String node;
+    private final Hatch hatch;
+    private final EndpointLine line;
+    private final Directory directory = new Directory();
+    private final Map<String, Depot> depots = new HashMap<>();
+    private final Classes classes = new Classes();
+    private final Round round;
+    private final Egress egress;
+    private final Desk desk;
+    private long life = System.currentTimeMillis();
+    private long seq;
+    private double saidAt;
+    private boolean refresh;
+    private boolean ready;
+    private boolean leaving;
+
+    /** A sidecar that has not begun. */
+    public Sidecar(Card card, EventLoop loop, ObjectMapper mapper) {
+        this.card = card;
+        this.loop = loop;
+        this.mapper = mapper;
+        this.timers = new LoopTimers(loop, new Clock());
+        this.node = Card.present(card.network().bind().ingress(), "Network.Bind.Ingress");
+        this.hatch = new Hatch(card.substrate().heartbeatS() * 1000);
+        this.line = new EndpointLine(loop, EndpointList.address(Card.present(card.self().appAddr(),
+                "Self.AppAddr")));
+        Letter.Hello hello = new Letter.Hello(node, false);
+        this.round = new Round(loop, node, this::deliver, hello, EndpointList::address, this::stale);
+        this.desk = new Desk(loop, card, hello, this::posted, this::newOffice, this::inForce);
+        this.egress = new Egress(loop, timers, desk::routing, this::depot, this::service,
+                directory::present, new Allowance(card.clauses().bounds().quotaSlack()), classes);
+    }
+
+    /**
+     * Listens, and asks the offices.
+     *
+     * @throws InterruptedException if interrupted
+     */
+    public void start() throws InterruptedException {
+        Card.Bind bind = card.network().bind();
+        new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).childHandler(Link.handlers(this))
+                .bind(EndpointList.address(node)).sync();
+        new RpcServer(loop, mapper, this::run).listen(EndpointList.address(
+                Card.present(bind.control(), "Network.Bind.Control"))).sync();
+        new Readiness(loop, () -> ready && !leaving).listen(EndpointList.address(
+                Card.present(bind.readiness(), "Network.Bind.Readiness"))).sync();
+        egress.listen(EndpointList.address(Card.present(bind.egress(), "Network.Bind.Egress"))).sync();
+        Event.STARTED.log("sidecar " + node + " of " + card.self().node());
+        loop.execute(() -> {
+            say(true);
+            desk.start();
+            loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** Leaves: runs while the process ends on SIGTERM, on a thread of its own. */
+    public void leave() {
+        CountDownLatch ended = new CountDownLatch(1);
+        double end = timers.now() + (card.clauses().bounds().graceS() - END_S) * 1000;
+        loop.execute(() -> {
+            leaving = true;
+            Event.LEAVING.log(egress.underWay() + " requests under way");
+            say(true);
+            loop.schedule(egress::leave, (long) (KEEP_S * 1000), TimeUnit.MILLISECONDS);
+            double closes = timers.now() + KEEP_S * 1000;
+            loop.scheduleAtFixedRate(() -> {
+                boolean idle = egress.underWay() == 0 && hatch.held() == 0 && egress.connections() == 0;
+                if (timers.now() > closes && idle || timers.now() > end) {
+                    ended.countDown();
+                }
+            }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        });
+        try {
+            ended.await();
+            Event.ENDED.log(node);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private String service() {
+        return hatch.target().isEmpty() && card.self().target() != null ? card.self().target()
+                : hatch.target();
+    }
+
+    private Depot depot(String target) {
+        Depot known = depots.get(target);
+        if (known == null) {
+            if (depots.size() >= DEPOTS_MOST) {
+                throw new IllegalStateException("over " + DEPOTS_MOST + " services");
+            }
+            known = new Depot(timers, classes, card, directory.present(), new SecureRandom().nextLong(),
+                    round);
+            depots.put(target, known);
+            known.update(listed(target));
+        }
+        return known;
+    }
+
+    private List<Listing> listed(String target) {
+        return directory.all().stream().filter(l -> l.target().equals(target) && !l.endpoint().isEmpty()
+                && l.phase() != Listing.Phase.GONE).toList();
+    }
+
+    // The lists are made anew once for all that changes in one turn of the loop.
+    private void stale() {
+        if (!refresh) {
+            refresh = true;
+            loop.execute(() -> {
+                refresh = false;
+                depots.forEach((target, depot) -> depot.update(listed(target)));
+            });
+        }
+    }
+
+    private void tick() {
+        if (hatch.tick(timers.now())) {
+            Event.ENDPOINT.log(hatch.endpoint() + " is silent");
+            line.clear();
+            say(true);
+        }
+        line.tick();
+        egress.tick();
+        desk.tick();
+        say(false);
+    }
+
+    // --- what others say
+
+    private void posted(List<Listing> listings) {
+        boolean news = false;
+        for (Listing listing : listings) {
+            if (listing.node().equals(node)) {
+                if (listing.life() > life || listing.life() == life && listing.seq() > seq) {
+                    // Someone holds an older life's word, or a rumour, for newer than this one's own.
+                    life = listing.life();
+                    seq = listing.seq();
+                    say(true);
+                }
+            } else {
+                news |= directory.merge(listing);
+            }
+        }
+        if (news) {
+            stale();
+        }
+    }
+
+    private void newOffice() {
+        desk.post(List.of(directory.of(node)));
+    }
+
+    private void inForce(Routing routing) {
+        if (!ready) {
+            ready = true;
+            Event.READY.log(node);
+        }
+        for (Map.Entry<String, cobaltrack.post.tariff.Tariff.Service> e
+                : routing.tariff().services().entrySet()) {
+            depot(e.getKey());
+        }
+    }
+
+    private void say(boolean changed) {
+        if (changed) {
+            seq++;
+            Listing mine = new Listing(node, life, seq, card.self().zone(), hatch.endpoint(), service(),
+                    leaving ? Listing.Phase.DRAINING : hatch.phase(), hatch.capacity(),
+                    hatch.warmMs(timers.now()));
+            directory.merge(mine);
+            stale();
+        }
+        if (changed || timers.now() - saidAt > SAY_MS) {
+            saidAt = timers.now();
+            desk.post(List.of(directory.of(node)));
+        }
+    }
+
+    // --- the endpoint beside
+
+    private void run(Order order, Consumer<Answer> answer) {
+        if (order instanceof Order.Beat beat) {
+            if (beat.card() == null || beat.card().target() == null) {
+                answer.accept(Answer.not(400, "Target is missing"));
+                return;
+            }
+            String before = hatch.endpoint();
+            if (hatch.beat(timers.now(), beat.endpoint(), beat.card())) {
+                if (!beat.endpoint().equals(before)) {
+                    line.clear();
+                }
+                Event.ENDPOINT.log(beat.endpoint() + " of " + hatch.target() + " " + hatch.state());
+                say(true);
+            }
+            answer.accept(Answer.done());
+        } else if (order instanceof Order.Depart depart) {
+            if (hatch.depart(depart.endpoint())) {
+                Event.ENDPOINT.log(depart.endpoint() + " has left");
+                line.clear();
+                say(true);
+            }
+            answer.accept(Answer.done());
+        } else {
+            answer.accept(Answer.not(NONE, "operators call the offices"));
+        }
+    }
+
+    private void deliver(Letter.Parcel parcel, Consumer<Letter> done) {
+        Hatch.Entry entry = hatch.enter(timers.now(), parcel.target(), parcel.rank());
+        if (entry != Hatch.Entry.OPEN) {
+            Letter no = new Letter.Returned(parcel.stream(), entry == Hatch.Entry.FULL ? Letter.Why.FULL
+                    : Letter.Why.MOVED, hatch.util(), hatch.perSecond());
+            // Not in the caller's own call: it has not noted yet that it sent.
+            loop.execute(() -> done.accept(no));
+            return;
+        }
+        hatch.began(timers.now());
+        line.send(parcel, hatch.endpoint(), letter -> {
+            hatch.ended(timers.now(), letter instanceof Letter.Delivered);
+            done.accept(letter instanceof Letter.Delivered d ? new Letter.Delivered(d.stream(), d.status(),
+                    d.headers(), d.body(), hatch.util(), hatch.perSecond())
+                    : new Letter.Returned(parcel.stream(), ((Letter.Returned) letter).why(), hatch.util(),
+                            hatch.perSecond()));
+        });
+    }
+
+    // --- other sidecars' links to this one
+
+    @Override
+    public void up(Link link) { }
+
+    @Override
+    public void down(Link link) { }
+
+    @Override
+    public void letter(Link link, Letter letter) {
+        if (letter instanceof Letter.Ping ping) {
+            link.send(new Letter.Pong(ping.number(), true));
+        } else if (letter instanceof Letter.Parcel parcel) {
+            deliver(parcel, answer -> {
+                if (link.open()) {
+                    link.send(answer);
+                }
+            });
+        } else if (letter instanceof Letter.Hello hello) {
+            link.peer(hello.id());
+        }
+    }
+
+    /** Where it takes requests for its endpoint. */
+    public InetSocketAddress ingress() {
+        return EndpointList.address(node);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/log/Event.java
@@ -0,0 +1,57 @@
+package cobaltrack.post.log;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.logging.Level;
+
+/** What the mesh's processes log: each event has its number for good; {@code docs/events.md} is the catalogue. */
+public enum Event {
+    /** 1xx: a process. */
+    STARTED(101, Level.INFO, "started"),
+    READY(102, Level.INFO, "ready"),
+    LEAVING(103, Level.INFO, "leaving"),
+    ENDED(104, Level.INFO, "ended"),
+    SETTINGS_REREAD(105, Level.INFO, "settings read again"),
+    SETTINGS_BAD(106, Level.WARNING, "settings can't be used"),
+    FAULT(107, Level.WARNING, "a fault of the program"),
+    /** 2xx: what the offices agree on. */
+    DECIDED(201, Level.INFO, "decided"),
+    REFUSED_CALL(202, Level.INFO, "operator's call refused"),
+    DISK_FAILED(203, Level.WARNING, "disk failed, not voting"),
+    SEAT(204, Level.INFO, "seat"),
+    /** 3xx: links and listings. */
+    OFFICE_UP(301, Level.INFO, "office in reach"),
+    OFFICE_DOWN(302, Level.INFO, "office out of reach"),
+    PEER_DOWN(303, Level.INFO, "sidecar out of reach"),
+    ENDPOINT(304, Level.INFO, "endpoint"),
+    /** 4xx: configuration at sidecars. */
+    IN_FORCE(401, Level.INFO, "configuration in force"),
+    UNREADABLE(402, Level.WARNING, "configuration can't be read"),
+    /** 5xx: decisions. */
+    MODULE(501, Level.INFO, "decisions");
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private final int number;
+    private final Level level;
+    private final String text;
+
+    Event(int number, Level level, String text) {
+        this.number = number;
+        this.level = level;
+        this.text = text;
+    }
+
+    /** Its number. */
+    public int number() {
+        return number;
+    }
+
+    /** What it says. */
+    public String text() {
+        return text;
+    }
+
+    /** Logs it with this detail. */
+    public void log(String detail) {
+        LOG.at(level).log("%d %s: %s", number, text, detail);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/office/Bodies.java
@@ -0,0 +1,53 @@
+package cobaltrack.post.office;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+
+/** Configurations as they are kept and sent: deflated, for links are narrow and routes alike. For any thread. */
+public final class Bodies {
+    /** The largest configuration, in bytes. */
+    private static final int MOST = 16 << 20;
+
+    private Bodies() { }
+
+    /** Deflates. */
+    public static byte[] deflate(byte[] body) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (DeflaterOutputStream d = new DeflaterOutputStream(out)) {
+            d.write(body);
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+        return out.toByteArray();
+    }
+
+    /**
+     * Inflates.
+     *
+     * @throws IOException if these bytes are not what {@link #deflate} gave
+     */
+    public static byte[] inflate(byte[] body) throws IOException {
+        try (InflaterInputStream in = new InflaterInputStream(new ByteArrayInputStream(body))) {
+            byte[] all = in.readNBytes(MOST);
+            if (in.read() >= 0) {
+                throw new IOException("a configuration over " + MOST + " bytes");
+            }
+            return all;
+        }
+    }
+
+    /** What tells one configuration from another. */
+    public static String digest(byte[] body) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(body));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -0,0 +1,408 @@
+package cobaltrack.post.office;
+
+import cobaltrack.membership.EndpointList;
+import cobaltrack.post.ballot.Ballot;
+import cobaltrack.post.ballot.Council;
+import cobaltrack.post.ballot.Decision;
+import cobaltrack.post.ballot.Elector;
+import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.card.Card;
+import cobaltrack.post.directory.Directory;
+import cobaltrack.post.directory.Listing;
+import cobaltrack.post.ledger.Ledger;
+import cobaltrack.post.ledger.LedgerException;
+import cobaltrack.post.log.Event;
+import cobaltrack.post.rpc.Answer;
+import cobaltrack.post.rpc.Order;
+import cobaltrack.post.rpc.RpcServer;
+import cobaltrack.post.tariff.TariffCheck;
+import cobaltrack.post.tariff.TariffException;
+import cobaltrack.post.tariff.TariffReader;
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Letters;
+import cobaltrack.post.wire.Link;
+import cobaltrack.post.wire.Tie;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * A sorting office: one core machine's process. It votes on configurations, passes on what sidecars say of
+ * their endpoints, and tells them of newer configurations. All state is the loop's; disk and checks have
+ * threads of their own.
+ */
+public final class Office implements Council.Actions, Link.Ear {
+    private static final Tie.Pace PACE = new Tie.Pace(300, 900, 1500, 150);
+    private static final long TICK_MS = 25;
+    private static final double IN_TOUCH_MS = 1300;
+    private static final double NANOS = 1e6;
+    /** Offices that are known at most, present and past. */
+    private static final int OFFICES_MOST = 16;
+    private static final long SHARE_MS = 2000;
+    /** A sidecar of which nothing was heard for so long, anywhere, is listed as gone, in milliseconds. */
+    private static final double SILENT_MS = 15_000;
+    private static final int LATER = 503;
+    private static final int CONFLICT = 412;
+    private static final int BAD = 400;
+    private static final int NONE = 404;
+
+    private final Card card;
+    private final EventLoop loop;
+    private final ObjectMapper mapper;
+    private final ExecutorService clerks = Executors.newSingleThreadExecutor(r -> {
+        Thread t = new Thread(r, "clerk");
+        t.setDaemon(true);
+        return t;
+    });
+    private final TariffReader reader = new TariffReader();
+    private final Directory directory = new Directory();
+    private final Map<String, Double> heard = new HashMap<>();
+    /** Of these, when it was from the sidecar itself. */
+    private final Map<String, Double> heardDirect = new HashMap<>();
+    /** By address. */
+    private final Map<String, Tie> offices = new LinkedHashMap<>();
+    /** Links that sidecars and other offices made, and for sidecars the slot that each has. */
+    private final Map<Link, Long> guests = new LinkedHashMap<>();
+    private final Map<Long, Consumer<Answer>> open = new HashMap<>();
+    private TariffCheck check;
+    private Council council;
+    private Scribe scribe;
+    private String id;
+    private long calls;
+
+    /** An office that has not begun. */
+    public Office(Card card, EventLoop loop, ObjectMapper mapper) {
+        this.card = card;
+        this.loop = loop;
+        this.mapper = mapper;
+    }
+
+    /**
+     * Opens the ledger and listens.
+     *
+     * @throws LedgerException if the disk can't be used
+     * @throws InterruptedException if interrupted
+     */
+    public void start() throws LedgerException, InterruptedException {
+        String folder = Card.present(card.self().dataDir(), "Self.DataDir");
+        String control = Card.present(card.network().bind().control(), "Network.Bind.Control");
+        Ledger ledger = Ledger.open(Path.of(folder));
+        Elector.Memory memory = recall(ledger);
+        scribe = new Scribe(ledger, id, loop);
+        council = new Council(id, memory, new SecureRandom().nextLong(), this);
+        // Ahead of the first call: loading the validator takes longer than checking with it.
+        clerks.execute(() -> check = new TariffCheck());
+        scribe.start();
+        Event.STARTED.log("office " + id + ", slot " + (council.decided() == null ? "none"
+                : council.decided().slot()));
+        loop.submit(this::begin).sync();
+        new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .childHandler(Link.handlers(this))
+                .bind(new InetSocketAddress(card.self().ip(), card.network().talkPort())).sync();
+        new RpcServer(loop, mapper, this::run).listen(EndpointList.address(control)).sync();
+        Event.READY.log(id);
+    }
+
+    // A new disk is a new elector: what the old one may have promised, this one can't know.
+    private Elector.Memory recall(Ledger ledger) throws LedgerException {
+        Ledger.Entry entry = ledger.read();
+        if (entry != null) {
+            id = entry.id();
+            try {
+                return Letters.memory(entry.memory());
+            } catch (IOException e) {
+                throw new LedgerException("the ledger's entry is damaged; remove it to join as a new office",
+                        e);
+            }
+        }
+        String ip = card.self().ip();
+        List<String> seeds = card.network().seeds().stream().map(Office::host).toList();
+        boolean founds = card.self().bootstrap() && seeds.contains(ip);
+        id = ip + "#" + (founds ? "0" : Long.toHexString(new SecureRandom().nextLong() | 1));
+        Elector.Memory memory = new Elector.Memory(founds
+                ? Decision.founding(seeds.stream().map(s -> s + "#0").sorted().toList()) : null,
+                Ballot.NONE, null);
+        // On disk before anything is said under this name.
+        ledger.write(id, Letters.write(memory));
+        return memory;
+    }
+
+    private static String host(String address) {
+        return address.substring(0, Math.max(0, address.lastIndexOf(':')));
+    }
+
+    private void begin() {
+        for (String seed : card.network().seeds()) {
+            know(host(seed));
+        }
+        if (council.decided() != null) {
+            council.decided().electors().forEach(e -> know(Council.address(e)));
+        }
+        loop.scheduleAtFixedRate(() -> guard(() -> council.tick(now())), TICK_MS, TICK_MS,
+                TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(() -> guard(this::share), SHARE_MS, SHARE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void guard(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            Event.FAULT.log(e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
+        }
+    }
+
+    private static double now() {
+        return System.nanoTime() / NANOS;
+    }
+
+    // Ties to another office, which may be new.
+    private void know(String ip) {
+        if (ip.isEmpty() || ip.equals(card.self().ip()) || offices.containsKey(ip)) {
+            return;
+        }
+        if (offices.size() >= OFFICES_MOST) {
+            offices.entrySet().stream().filter(e -> !e.getValue().up()).findFirst().ifPresent(e -> {
+                offices.remove(e.getKey());
+                e.getValue().close();
+            });
+            if (offices.size() >= OFFICES_MOST) {
+                return;
+            }
+        }
+        Tie tie = new Tie(loop, new InetSocketAddress(ip, card.network().talkPort()),
+                new Letter.Hello(id, true), PACE, new Tie.Owner() {
+                    @Override
+                    public void changed(Tie t, Tie.State before) {
+                        if (t.state() == Tie.State.UP && before == Tie.State.DIALLING) {
+                            t.send(new Letter.Paper(new Slip.Query(0, slot())));
+                            t.send(new Letter.Post(List.copyOf(directory.all())));
+                        }
+                    }
+
+                    @Override
+                    public void letter(Tie t, Letter letter) {
+                        // The other office answers on its own tie to this one; here only its pongs come.
+                    }
+                });
+        offices.put(ip, tie);
+        tie.dial();
+    }
+
+    private long slot() {
+        return council.decided() == null ? -1 : council.decided().slot();
+    }
+
+    // --- what other processes say
+
+    @Override
+    public void up(Link link) {
+        guests.put(link, null);
+    }
+
+    @Override
+    public void down(Link link) {
+        guests.remove(link);
+    }
+
+    @Override
+    public void letter(Link link, Letter letter) {
+        guard(() -> take(link, letter));
+    }
+
+    private void take(Link link, Letter letter) {
+        if (letter instanceof Letter.Hello hello) {
+            link.peer(hello.id());
+            if (hello.office()) {
+                know(Council.address(hello.id()));
+            } else {
+                link.send(new Letter.Post(List.copyOf(directory.all())));
+            }
+        } else if (link.peer() == null) {
+            link.close();
+        } else if (letter instanceof Letter.Ping ping) {
+            council.heard(now(), link.peer());
+            link.send(new Letter.Pong(ping.number(), council.inTouch(now(), IN_TOUCH_MS)));
+        } else if (letter instanceof Letter.Ask ask) {
+            guests.put(link, ask.slot());
+            notice(link, ask.slot());
+        } else if (letter instanceof Letter.Fetch && council.decided() != null) {
+            link.send(new Letter.News(council.decided()));
+        } else if (letter instanceof Letter.Post post) {
+            posted(link, post.listings());
+        } else if (letter instanceof Letter.Paper paper) {
+            council.received(now(), link.peer(), paper.slip());
+        }
+    }
+
+    private void notice(Link link, Long has) {
+        if (has != null && council.decided() != null && council.decided().version() > 0
+                && council.decided().slot() > has) {
+            link.send(new Letter.Notice(council.decided().slot()));
+        }
+    }
+
+    private void posted(Link from, List<Listing> listings) {
+        List<Listing> news = new ArrayList<>();
+        for (Listing listing : listings) {
+            if (listing.phase() != Listing.Phase.GONE) {
+                heard.put(listing.node(), now());
+                if (from.peer().indexOf('#') < 0) {
+                    heardDirect.put(listing.node(), now());
+                }
+            }
+            if (directory.merge(listing)) {
+                news.add(listing);
+            }
+        }
+        spread(from, news);
+    }
+
+    private void spread(Link from, List<Listing> news) {
+        if (news.isEmpty()) {
+            return;
+        }
+        Letter.Post post = new Letter.Post(news);
+        byte[] written = Letters.write(post);
+        guests.forEach((link, slot) -> {
+            if (link != from && slot != null) {
+                link.send(written);
+            }
+        });
+        offices.values().forEach(tie -> tie.send(post));
+    }
+
+    // Offices tell each other of whom they hear, so that one that no sidecar is tied to counts nobody out.
+    private void share() {
+        List<Listing> lost = new ArrayList<>();
+        List<Listing> fresh = new ArrayList<>();
+        for (Listing l : directory.all()) {
+            double silent = now() - heard.getOrDefault(l.node(), now());
+            if (l.phase() != Listing.Phase.GONE && silent > SILENT_MS) {
+                lost.add(new Listing(l.node(), l.life(), l.seq() + 1, l.zone(), l.endpoint(), l.target(),
+                        Listing.Phase.GONE, l.capacity(), 0));
+            } else if (now() - heardDirect.getOrDefault(l.node(), Double.NEGATIVE_INFINITY) < SHARE_MS) {
+                fresh.add(l);
+            }
+        }
+        lost.forEach(directory::merge);
+        spread(null, lost);
+        if (!fresh.isEmpty()) {
+            Letter.Post post = new Letter.Post(fresh);
+            offices.values().forEach(tie -> tie.send(post));
+        }
+    }
+
+    // --- what the council has done
+
+    @Override
+    public void send(String to, Slip slip) {
+        if (to == null) {
+            offices.values().forEach(tie -> tie.send(new Letter.Paper(slip)));
+        } else if (to.equals(id)) {
+            loop.execute(() -> guard(() -> council.received(now(), id, slip)));
+        } else {
+            String address = Council.address(to);
+            know(address);
+            Tie tie = offices.get(address);
+            if (tie != null) {
+                tie.send(new Letter.Paper(slip));
+            }
+        }
+    }
+
+    @Override
+    public void sync(Elector.Memory memory, String to, Slip slip) {
+        scribe.write(Letters.write(memory), () -> send(to, slip));
+    }
+
+    @Override
+    public void decided(Decision decision) {
+        scribe.write(Letters.write(new Elector.Memory(decision, Ballot.NONE, null)), () -> { });
+        decision.electors().forEach(e -> know(Council.address(e)));
+        Event.DECIDED.log("slot " + decision.slot() + " version " + Long.toHexString(decision.version())
+                + " electors " + decision.electors());
+        guests.forEach(this::notice);
+    }
+
+    @Override
+    public void replaced(long call, Council.Verdict verdict) {
+        Consumer<Answer> answer = open.remove(call);
+        if (answer != null) {
+            answer.accept(switch (verdict) {
+                case TAKEN -> Answer.done();
+                case MISMATCH -> Answer.not(CONFLICT, "If-Match is not the version in force");
+                case OLD_VERSION -> Answer.not(BAD, "Epoch does not exceed the one in force");
+                case UNCLEAR -> Answer.not(LATER, "no majority of offices answered in time");
+            });
+        }
+    }
+
+    @Override
+    public void read(long call, Decision newest) {
+        Consumer<Answer> answer = open.remove(call);
+        if (answer == null) {
+            return;
+        }
+        try {
+            if (newest == null) {
+                answer.accept(Answer.not(LATER, "no majority of offices answered in time"));
+            } else if (newest.version() == 0) {
+                answer.accept(Answer.not(NONE, "no configuration was taken yet"));
+            } else {
+                answer.accept(new Answer(200, Bodies.inflate(newest.body())));
+            }
+        } catch (IOException e) {
+            Event.FAULT.log("the configuration agreed on can't be inflated: " + e.getMessage());
+            answer.accept(Answer.not(LATER, "the configuration can't be read here"));
+        }
+    }
+
+    // --- what operators order
+
+    private void run(Order order, Consumer<Answer> answer) {
+        if (order instanceof Order.Replace replace) {
+            clerks.execute(() -> checked(replace, answer));
+        } else if (order instanceof Order.Read) {
+            long call = ++calls;
+            open.put(call, answer);
+            council.read(now(), call);
+        } else {
+            answer.accept(Answer.not(NONE, "endpoints call the sidecar beside them"));
+        }
+    }
+
+    // On the clerk's thread.
+    private void checked(Order.Replace replace, Consumer<Answer> answer) {
+        try {
+            var tariff = reader.read(replace.body());
+            check.check(tariff);
+            String digest = Bodies.digest(replace.body());
+            byte[] body = Bodies.deflate(replace.body());
+            loop.execute(() -> guard(() -> {
+                long call = ++calls;
+                open.put(call, answer);
+                council.replace(now(), call, tariff.version(), replace.builtOn(), digest, body);
+            }));
+        } catch (TariffException e) {
+            Event.REFUSED_CALL.log(e.getMessage());
+            answer.accept(Answer.not(BAD, e.getMessage()));
+        } catch (RuntimeException e) {
+            Event.FAULT.log("checking a configuration: " + e);
+            answer.accept(Answer.not(LATER, "the configuration could not be checked"));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/rpc/Order.java
@@ -0,0 +1,23 @@
+package cobaltrack.post.rpc;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/** A call of an endpoint or an operator, decoded; whoever runs it answers it. */
+public sealed interface Order {
+    /** An endpoint beats. */
+    record Beat(String endpoint, Card card) implements Order { }
+
+    /** What a beat says. */
+    record Card(@JsonProperty("Target") String target, @JsonProperty("Zone") String zone,
+            @JsonProperty("Capacity") int capacity, @JsonProperty("Phase") String phase,
+            @JsonProperty("WarmupS") double warmupS, @JsonProperty("CallSeq") long callSeq) { }
+
+    /** An endpoint leaves. */
+    record Depart(String endpoint) implements Order { }
+
+    /** An operator sends a configuration; {@code builtOn} is the version that it builds on. */
+    record Replace(long builtOn, byte[] body) implements Order { }
+
+    /** Someone reads the configuration. */
+    record Read() implements Order { }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/run/Post.java
@@ -0,0 +1,89 @@
+package cobaltrack.post.run;
+
+import cobaltrack.post.card.Card;
+import cobaltrack.post.card.CardException;
+import cobaltrack.post.card.CardReader;
+import cobaltrack.post.carrier.Sidecar;
+import cobaltrack.post.ledger.LedgerException;
+import cobaltrack.post.office.Office;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** The mesh's roles on the command line: {@code carrier} and {@code office}. */
+public final class Post {
+    /** Names the settings file. */
+    public static final String SETTINGS = "WHINLEAD_NODE_FILE";
+    private static final int USAGE = 2;
+
+    private Post() { }
+
+    /** Whether this names a role of the mesh. */
+    public static boolean knows(String role) {
+        return "carrier".equals(role) || "office".equals(role);
+    }
+
+    /** Runs a role until the process ends; exits with 2 on bad usage and 1 on settings that can't be used. */
+    public static void main(String... args) {
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%5$s%6$s%n");
+        Options options = new Options()
+                .addOption(Option.builder("s").longOpt("settings").hasArg().argName("FILE")
+                        .desc("the settings file; else " + SETTINGS + " names it").get())
+                .addOption(Option.builder("c").longOpt("check").desc("only read and check the settings").get())
+                .addOption(Option.builder("h").longOpt("help").desc("tell this").get());
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            if (line.hasOption("help")) {
+                System.out.println("usage: carrier | office [-s FILE] [-c]");
+                options.getOptions().forEach(o -> System.out.println("  -" + o.getOpt() + ", --"
+                        + o.getLongOpt() + (o.hasArg() ? " " + o.getArgName() : "") + "  "
+                        + o.getDescription()));
+                return;
+            }
+            if (line.getArgList().size() != 1) {
+                throw new ParseException("which role?");
+            }
+            ObjectMapper mapper = new ObjectMapper();
+            String path = line.getOptionValue("settings", System.getenv(SETTINGS));
+            if (path == null) {
+                throw new CardException(SETTINGS + " is not set");
+            }
+            Card card = new CardReader(mapper).read(Path.of(path));
+            if (!line.hasOption("check")) {
+                start(line.getArgList().get(0), card, mapper);
+            }
+        } catch (ParseException e) {
+            quit(e.getMessage(), USAGE);
+        } catch (CardException | IllegalArgumentException e) {
+            quit("settings: " + e.getMessage(), 1);
+        } catch (LedgerException e) {
+            quit("ledger: " + e.getMessage(), 1);
+        } catch (Exception e) {
+            // What the future throws of a failed bind is a checked exception that it does not declare.
+            quit("cannot start: " + e.getMessage(), 1);
+        }
+    }
+
+    private static void start(String role, Card card, ObjectMapper mapper) throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        if ("office".equals(role)) {
+            new Office(card, loop, mapper).start();
+        } else {
+            Sidecar sidecar = new Sidecar(card, loop, mapper);
+            Runtime.getRuntime().addShutdownHook(new Thread(sidecar::leave, "leave"));
+            sidecar.start();
+        }
+    }
+
+    private static void quit(String why, int code) {
+        System.err.println("whinlead: " + why);
+        System.exit(code);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/tariff/Routing.java
@@ -0,0 +1,113 @@
+package cobaltrack.post.tariff;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * A configuration made ready for requests: finds a request's route, its service and its tenant. Immutable.
+ */
+public final class Routing {
+    /** Before the first configuration. */
+    public static final long NONE = 0;
+
+    /** A route by its name. */
+    public record Way(String name, Tariff.Route route) {
+        /** Whether a request may run more than once. */
+        public boolean repeatable() {
+            return Tariff.IDEMPOTENT.equals(route.kind());
+        }
+
+        /**
+         * The service for one request.
+         *
+         * @param draw uniform from 0 to 1
+         */
+        public String service(double draw) {
+            if (route.target() != null) {
+                return route.target();
+            }
+            double left = draw * route.shares().stream().mapToDouble(Tariff.Share::weight).sum();
+            String last = null;
+            for (Tariff.Share share : route.shares()) {
+                if (share.weight() > 0) {
+                    last = share.target();
+                    left -= share.weight();
+                    if (left < 0) {
+                        break;
+                    }
+                }
+            }
+            return last;
+        }
+    }
+
+    /** A tenant by its name. */
+    public record Payer(String name, Tariff.Tenant tenant) { }
+
+    private final Tariff tariff;
+    private final long slot;
+    private final Map<String, List<Way>> hosts = new HashMap<>();
+    private final Map<String, Payer> keys = new HashMap<>();
+
+    /** Of a configuration that was agreed on in this slot. */
+    public Routing(long slot, Tariff tariff) {
+        this.slot = slot;
+        this.tariff = tariff;
+        tariff.routes().forEach((name, r) -> hosts.computeIfAbsent(host(r.authority()),
+                h -> new ArrayList<>()).add(new Way(name, r)));
+        Comparator<Way> longest = Comparator.comparingInt(w -> -w.route().pathPrefix().length());
+        hosts.values().forEach(ways -> ways.sort(longest));
+        if (tariff.tenants() != null) {
+            tariff.tenants().forEach((name, t) -> t.credentials().forEach(k -> keys.put(k,
+                    new Payer(name, t))));
+        }
+    }
+
+    /** The slot in which it was agreed on. */
+    public long slot() {
+        return slot;
+    }
+
+    /** What it was made from. */
+    public Tariff tariff() {
+        return tariff;
+    }
+
+    /** The route of a request, the one with the longest prefix; null if there is none. */
+    public Way route(String authority, String path) {
+        List<Way> ways = authority == null ? null : hosts.get(host(authority));
+        if (ways == null) {
+            return null;
+        }
+        int query = path.indexOf('?');
+        String plain = query < 0 ? path : path.substring(0, query);
+        for (Way way : ways) {
+            if (plain.startsWith(way.route().pathPrefix())) {
+                return way;
+            }
+        }
+        return null;
+    }
+
+    /** Whether requests of routes that are not public need a key. */
+    public boolean keyed() {
+        return tariff.tenants() != null && !tariff.tenants().isEmpty();
+    }
+
+    /** Whose key it is; null if nobody's. */
+    public Payer payer(String key) {
+        return key == null ? null : keys.get(key);
+    }
+
+    /** A host as it is compared: in lower case and without a port. */
+    static String host(String authority) {
+        int colon = authority.lastIndexOf(':');
+        String name = colon > 0 && authority.indexOf(']', colon) < 0 ? authority.substring(0, colon)
+                : authority;
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/tariff/TariffReader.java
@@ -0,0 +1,42 @@
+package cobaltrack.post.tariff;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.util.stream.Collectors;
+
+/** Reads a configuration's JSON; it is known to be whole then, but not yet to be valid. For any thread. */
+public final class TariffReader {
+    private final ObjectMapper mapper = JsonMapper.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .configure(JsonParser.Feature.ALLOW_COMMENTS, false).build();
+
+    /**
+     * Reads it.
+     *
+     * @throws TariffException if it can't be read whole, naming where
+     */
+    public Tariff read(byte[] json) throws TariffException {
+        try {
+            Tariff tariff = mapper.readValue(json, Tariff.class);
+            if (tariff == null) {
+                throw new TariffException("the configuration is empty");
+            }
+            return tariff;
+        } catch (JsonMappingException e) {
+            throw new TariffException(e.getPath().stream().map(JsonMappingException.Reference::getFieldName)
+                    .collect(Collectors.joining(".")) + " can't be read", e);
+        } catch (JsonProcessingException e) {
+            throw new TariffException("the configuration can't be read whole", e);
+        } catch (IOException e) {
+            throw new TariffException("the configuration can't be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/wire/Letter.java
@@ -0,0 +1,77 @@
+package cobaltrack.post.wire;
+
+import cobaltrack.post.ballot.Decision;
+import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.directory.Listing;
+import java.util.List;
+
+/** What the system's own processes say to each other. */
+public sealed interface Letter {
+    /** The first on every link: who it is, and whether an office. */
+    record Hello(String id, boolean office) implements Letter { }
+
+    /** Listings, one's own or passed on. */
+    record Post(List<Listing> listings) implements Letter { }
+
+    /** A sidecar has this slot's configuration and wants to be told of a newer one. */
+    record Ask(long slot) implements Letter { }
+
+    /** An office has this one. */
+    record Notice(long slot) implements Letter { }
+
+    /** Asks for the newest. */
+    record Fetch() implements Letter { }
+
+    /** The newest, whole. */
+    record News(Decision decision) implements Letter { }
+
+    /** Asks for a sign of life. */
+    record Ping(long number) implements Letter { }
+
+    /** The sign; {@code inTouch} tells whether an office hears more than half of the electors. */
+    record Pong(long number, boolean inTouch) implements Letter { }
+
+    /** About a ballot. */
+    record Paper(Slip slip) implements Letter { }
+
+    /**
+     * A request on its way to an endpoint.
+     *
+     * @param stream names it on this link
+     * @param headers names and values in turn
+     * @param leftMs how long an answer is of use, in milliseconds
+     * @param rank 0 is the highest
+     */
+    record Parcel(long stream, String method, String uri, List<String> headers, byte[] body, int leftMs,
+            String target, String endpoint, int rank) implements Letter { }
+
+    /** The endpoint's answer, whole, and how busy it is. */
+    record Delivered(long stream, int status, List<String> headers, byte[] body, double util,
+            double perSecond) implements Letter { }
+
+    /** No answer, and how busy the endpoint is. */
+    record Returned(long stream, Why why, double util, double perSecond) implements Letter { }
+
+    /** Why there is no answer. */
+    enum Why {
+        /** It has not run: the sidecar beside the endpoint saw that it is full. */
+        FULL(true),
+        /** It has not run: it arrived, and the endpoint said so. */
+        TURNED_AWAY(true),
+        /** It has not run: the endpoint is not there, is leaving, or is another. */
+        MOVED(true),
+        /** It has not run: the endpoint could not be connected to. */
+        UNREACHED(true),
+        /** It may have run: the connection broke or the answer was spoilt. */
+        BROKEN(false),
+        /** It may have run: the time was up. */
+        LATE(false);
+
+        /** Whether it is certain that it has not run and will not. */
+        public final boolean neverRan;
+
+        Why(boolean neverRan) {
+            this.neverRan = neverRan;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/wire/Link.java
@@ -0,0 +1,121 @@
+package cobaltrack.post.wire;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.io.IOException;
+
+/**
+ * One TCP connection between two processes of the system, on its loop's thread. Every letter goes behind its
+ * length. What can't be read, or is too long, ends it.
+ */
+public final class Link {
+    /** The longest letter: a request's body at most, and what goes around it. */
+    public static final int LETTER_MOST = 24 << 20;
+    private static final int LENGTH_BYTES = 4;
+
+    /** Hears what comes. */
+    public interface Ear {
+        /** The link is up. */
+        void up(Link link);
+
+        /** A letter came. */
+        void letter(Link link, Letter letter);
+
+        /** The link is down; told once if it was up. */
+        void down(Link link);
+    }
+
+    private final Channel channel;
+    private String peer;
+
+    private Link(Channel channel) {
+        this.channel = channel;
+    }
+
+    /** Puts the link's handlers on new connections. */
+    public static ChannelInitializer<Channel> handlers(Ear ear) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.config().setOption(ChannelOption.TCP_NODELAY, true);
+                ch.pipeline().addLast(new LengthFieldBasedFrameDecoder(LETTER_MOST, 0, LENGTH_BYTES, 0,
+                        LENGTH_BYTES), new Reader(ear));
+            }
+        };
+    }
+
+    /** Sends a letter; it is lost if the link goes down. */
+    public void send(Letter letter) {
+        send(Letters.write(letter));
+    }
+
+    /** Sends a letter that is written already. */
+    public void send(byte[] written) {
+        ByteBuf length = Unpooled.buffer(LENGTH_BYTES).writeInt(written.length);
+        channel.writeAndFlush(Unpooled.wrappedBuffer(length, Unpooled.wrappedBuffer(written)),
+                channel.voidPromise());
+    }
+
+    /** Whether more can be sent without piling up. */
+    public boolean writable() {
+        return channel.isWritable();
+    }
+
+    /** Who the other side said that it is; null before that. */
+    public String peer() {
+        return peer;
+    }
+
+    /** Notes who it is. */
+    public void peer(String id) {
+        peer = id;
+    }
+
+    /** Ends it. */
+    public void close() {
+        channel.close();
+    }
+
+    /** Whether it is up. */
+    public boolean open() {
+        return channel.isActive();
+    }
+
+    private static final class Reader extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Ear ear;
+        private Link link;
+
+        private Reader(Ear ear) {
+            this.ear = ear;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            link = new Link(ctx.channel());
+            ear.up(link);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws IOException {
+            ear.letter(link, Letters.read(ByteBufUtil.getBytes(frame)));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            ear.down(link);
+        }
+
+        // What can't be read, and connections that break, end alike: by a close.
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/post/wire/Tie.java
@@ -0,0 +1,209 @@
+package cobaltrack.post.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
+import java.net.SocketAddress;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A link that is kept: dialled again when it is down, and watched by pings, for a machine without power and
+ * one behind a cut say nothing. On its loop's thread.
+ */
+public final class Tie {
+    /** Where it stands. */
+    public enum State {
+        /** Not connected. */
+        DOWN,
+        /** Being connected. */
+        DIALLING,
+        /** Connected, and heard of lately. */
+        UP,
+        /** Connected, and silent for long. */
+        SUSPECT,
+        /** Given up for good. */
+        CLOSED
+    }
+
+    /**
+     * How long to wait, in milliseconds.
+     *
+     * @param ping between two pings
+     * @param suspect silence before it is suspected
+     * @param dead silence before it is closed
+     * @param redial between two dials, at least; twice at most
+     */
+    public record Pace(long ping, long suspect, long dead, long redial) { }
+
+    /** Hears of it. */
+    public interface Owner {
+        /** It stands differently. */
+        void changed(Tie tie, State before);
+
+        /** A letter came. */
+        void letter(Tie tie, Letter letter);
+
+        /** Whether something is waited for; if not, a sign of life is asked for less often. */
+        default boolean waits() {
+            return true;
+        }
+    }
+
+    private static final int CONNECT_MS = 800;
+    private static final double NANOS = 1e6;
+    /** So many times as long between pings where nothing is waited for. */
+    private static final int IDLE_TIMES = 6;
+
+    private final EventLoop loop;
+    private final SocketAddress address;
+    private final Letter hello;
+    private final Pace pace;
+    private final Owner owner;
+    private State state = State.DOWN;
+    private Link link;
+    private Future<?> timer;
+    private long heardAt;
+    private long pings;
+    private boolean inTouch;
+    private boolean pinged;
+
+    /** A tie that is not yet dialled. */
+    public Tie(EventLoop loop, SocketAddress address, Letter hello, Pace pace, Owner owner) {
+        this.loop = loop;
+        this.address = address;
+        this.hello = hello;
+        this.pace = pace;
+        this.owner = owner;
+    }
+
+    /** Begins to keep it. */
+    public void dial() {
+        if (state != State.DOWN) {
+            return;
+        }
+        to(State.DIALLING);
+        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(Link.handlers(new Ear())).connect(address).addListener(f -> {
+                    if (!f.isSuccess()) {
+                        lost();
+                    }
+                });
+    }
+
+    /** Where it stands. */
+    public State state() {
+        return state;
+    }
+
+    /** Whether a letter may be sent with hope of an answer. */
+    public boolean up() {
+        return state == State.UP;
+    }
+
+    /** What an office at the other end last said: whether it hears more than half of the electors. */
+    public boolean inTouch() {
+        return state == State.UP && inTouch;
+    }
+
+    /** Sends a letter; false if the link is down. */
+    public boolean send(Letter letter) {
+        boolean can = link != null && link.open();
+        if (can) {
+            link.send(letter);
+        }
+        return can;
+    }
+
+    /** Ends it for good. */
+    public void close() {
+        to(State.CLOSED);
+        cancel();
+        if (link != null) {
+            link.close();
+        }
+    }
+
+    private void cancel() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    private void to(State next) {
+        if (state == next || state == State.CLOSED) {
+            return;
+        }
+        State before = state;
+        state = next;
+        owner.changed(this, before);
+    }
+
+    private void lost() {
+        link = null;
+        cancel();
+        to(State.DOWN);
+        if (state == State.DOWN) {
+            long wait = pace.redial() + ThreadLocalRandom.current().nextLong(pace.redial());
+            loop.schedule(this::dial, wait, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void beat() {
+        double silent = (System.nanoTime() - heardAt) / NANOS;
+        if (silent > pace.dead()) {
+            link.close();
+            return;
+        }
+        if (silent > pace.suspect() && pinged) {
+            to(State.SUSPECT);
+        }
+        // Whatever comes is a sign of life.
+        boolean quiet = silent >= (owner.waits() || pinged ? pace.ping() / 2 : pace.ping() * IDLE_TIMES);
+        if (quiet) {
+            pinged = true;
+            link.send(new Letter.Ping(++pings));
+        }
+        timer = loop.schedule(this::beat, pace.ping(), TimeUnit.MILLISECONDS);
+    }
+
+    private final class Ear implements Link.Ear {
+        @Override
+        public void up(Link up) {
+            if (state == State.CLOSED) {
+                up.close();
+                return;
+            }
+            link = up;
+            heardAt = System.nanoTime();
+            pinged = false;
+            up.send(hello);
+            to(State.UP);
+            beat();
+        }
+
+        @Override
+        public void letter(Link from, Letter letter) {
+            heardAt = System.nanoTime();
+            pinged = false;
+            if (letter instanceof Letter.Pong pong) {
+                inTouch = pong.inTouch();
+            }
+            if (state == State.SUSPECT) {
+                to(State.UP);
+            }
+            owner.letter(Tie.this, letter);
+        }
+
+        @Override
+        public void down(Link down) {
+            if (link == down) {
+                lost();
+            }
+        }
+    }
+}
--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -11,6 +11,7 @@
 import cobaltrack.loop.LoopTimers;
 import cobaltrack.membership.Discovery;
 import cobaltrack.membership.EndpointList;
+import cobaltrack.post.run.Post;
 import cobaltrack.transport.EndpointPool;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
@@ -30,7 +31,7 @@
 
 /**
  * The command line: {@code serve} runs a real sidecar, {@code check} only starts one and stops it again,
- * {@code benchlink} is the simulator's adapter; all else is in {@link Tools}.
+ * {@code benchlink} is the simulator's adapter, {@code carrier} and {@code office} are the mesh's roles; all else is in {@link Tools}.
  */
 public final class Main {
     /**
@@ -67,6 +68,10 @@
         // Guards against what the planner's libraries log by: Netty would find it, and a sidecar load it and
         // be told on standard error that it logs nowhere.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        if (args.length > 0 && Post.knows(args[0])) {
+            Post.main(args);
+            return;
+        }
         switch (args.length == 1 ? args[0] : "") {
             case "benchlink" -> cobaltrack.benchlink.Main.main(args);
             case "serve" -> start(false);
