Archive the classes that the mesh's roles need, noted by a walk of the whole path

Cause: a start loads some 5,000 classes, on 0.6 of a core. The build plays rehearsal 'walk' (office, two carriers and stand-in endpoints in one process) and archives what it loaded. First try failed: endpoints that beat once were silent after 1.75 s on a busy machine and requests were refused; they beat on now.

--- a/src/main/java/cobaltrack/post/run/Post.java
+++ b/src/main/java/cobaltrack/post/run/Post.java
@@ -5,6 +5,7 @@
 import cobaltrack.post.card.CardReader;
 import cobaltrack.post.carrier.Sidecar;
 import cobaltrack.post.ledger.LedgerException;
+import cobaltrack.post.log.Logs;
 import cobaltrack.post.office.Office;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
@@ -32,7 +33,7 @@
 
     /** Runs a role until the process ends; exits with 2 on bad usage and 1 on settings that can't be used. */
     public static void main(String... args) {
-        System.setProperty("java.util.logging.SimpleFormatter.format", "%5$s%6$s%n");
+        Logs.start();
         Options options = new Options()
                 .addOption(Option.builder("s").longOpt("settings").hasArg().argName("FILE")
                         .desc("the settings file; else " + SETTINGS + " names it").get())
--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -12,6 +12,7 @@
 import cobaltrack.membership.Discovery;
 import cobaltrack.membership.EndpointList;
 import cobaltrack.post.run.Post;
+import cobaltrack.standin.post.Walk;
 import cobaltrack.transport.EndpointPool;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
@@ -76,10 +77,21 @@
             case "benchlink" -> cobaltrack.benchlink.Main.main(args);
             case "serve" -> start(false);
             case "check" -> start(true);
+            case "walk" -> walk();
             default -> System.exit(Tools.execute(args));
         }
     }
 
+    // The mesh in one process; the build notes by it which classes a start of its roles needs.
+    private static void walk() {
+        try {
+            System.exit(Walk.run());
+        } catch (Exception e) {
+            // What the future throws of a failed bind is a checked exception that it does not declare.
+            quit("walk: " + e);
+        }
+    }
+
     // A check shows that a configuration is good; the build also notes by it which classes a start needs.
     private static void start(boolean onlyCheck) {
         try {
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/StandInApp.java
@@ -0,0 +1,121 @@
+package cobaltrack.standin.post;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** An application endpoint: beats to the carrier beside it and answers requests, each with its seal. */
+public final class StandInApp implements AutoCloseable {
+    private final String id;
+    private final String target;
+    private final String beats;
+    private final ServerSocket server;
+    private final ExecutorService threads = Executors.newCachedThreadPool(r -> {
+        Thread t = new Thread(r, "stand-in");
+        t.setDaemon(true);
+        return t;
+    });
+    private final ScheduledExecutorService beating = Executors.newSingleThreadScheduledExecutor(r -> {
+        Thread t = new Thread(r, "stand-in beats");
+        t.setDaemon(true);
+        return t;
+    });
+    private final Queue<Talk.Message> ran = new ConcurrentLinkedQueue<>();
+    private final AtomicLong calls = new AtomicLong();
+
+    /** An endpoint that listens; {@code address} and {@code beats} are ADDRESS:PORT. */
+    public StandInApp(String id, String target, String address, String beats) throws IOException {
+        this.id = id;
+        this.target = target;
+        this.beats = beats;
+        int colon = address.lastIndexOf(':');
+        server = new ServerSocket(Integer.parseInt(address.substring(colon + 1)), 64,
+                InetAddress.getByName(address.substring(0, colon)));
+        threads.execute(this::accept);
+    }
+
+    /** Beats once; the answer's status. */
+    public int beat(String phase) throws IOException {
+        String body = "{\"Target\":\"" + target + "\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"hall-a\","
+                + "\"Epoch\":\"v1\",\"Capacity\":6,\"Phase\":\"" + phase + "\",\"WarmupS\":0,\"CallSeq\":"
+                + calls.incrementAndGet() + "}";
+        return Talk.ask(beats, "POST /whinlead/rpc?call=members.heartbeat&of=" + id,
+                Map.of("Content-Type", "application/json"), body.getBytes(StandardCharsets.UTF_8)).status();
+    }
+
+    /** Beats from now on, once in so many milliseconds, until it is closed. */
+    public void beatEvery(long millis) {
+        beating.scheduleAtFixedRate(() -> {
+            try {
+                beat("serving");
+            } catch (IOException e) {
+                // The carrier is not there yet, or any more: the next beat may reach it.
+                return;
+            }
+        }, 0, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Tells that it has left; the answer's status. */
+    public int depart() throws IOException {
+        return Talk.ask(beats, "POST /whinlead/rpc?call=members.depart&of=" + id, Map.of(), new byte[0])
+                .status();
+    }
+
+    /** The requests that it ran. */
+    public Queue<Talk.Message> ran() {
+        return ran;
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                threads.execute(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (Talk talk = new Talk(socket)) {
+            for (Talk.Message m = talk.hear(); m != null; m = talk.hear()) {
+                Map<String, String> headers = new LinkedHashMap<>();
+                String attempt = m.headers().get("attempt-id");
+                if (attempt != null) {
+                    headers.put("Attempt-Id", attempt);
+                }
+                String instance = m.headers().get("target-instance");
+                if (instance != null && !instance.equals(id)) {
+                    talk.say("HTTP/1.1 421 Misdirected Request", headers, new byte[0]);
+                    continue;
+                }
+                ran.add(m);
+                headers.put("Server-Seal", id + "." + ran.size());
+                headers.put("Keep-Alive", "timeout=10");
+                talk.say("HTTP/1.1 200 OK", headers, ("from " + id).getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            // The caller went away, or was silent for long: its own affair.
+            return;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        beating.shutdownNow();
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/Walk.java
@@ -0,0 +1,97 @@
+package cobaltrack.standin.post;
+
+import cobaltrack.post.card.CardReader;
+import cobaltrack.post.carrier.Sidecar;
+import cobaltrack.post.log.Logs;
+import cobaltrack.post.office.Office;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A postman's walk: an office, two carriers and their endpoints in one process on loopback; a configuration is
+ * taken and requests are served. The build runs it, for it notes which classes a start needs.
+ */
+public final class Walk {
+    private static final int REQUESTS = 600;
+    private static final long WAIT_MS = 20_000;
+    private static final long BEAT_MS = 100;
+    private static final long POLL_MS = 20;
+
+    private Walk() { }
+
+    /** A configuration with one service and one tenant, whose key is {@code key-1}. */
+    public static String tariff(String epoch, String target) {
+        return "{\"Epoch\":\"" + epoch + "\",\"Routes\":{\"r-1\":{\"Authority\":\"post.example\","
+                + "\"PathPrefix\":\"/a/\",\"Kind\":\"idempotent\",\"DeadlineS\":2,\"TargetS\":0.5,\"Rank\":1,"
+                + "\"Target\":\"" + target + "\",\"Tries\":2,\"Public\":false},"
+                + "\"r-2\":{\"Authority\":\"post.example\",\"PathPrefix\":\"/b/\",\"Kind\":\"mutating\","
+                + "\"DeadlineS\":2,\"TargetS\":0.5,\"Rank\":1,\"Target\":\"" + target
+                + "\",\"Tries\":2,\"Public\":false}},"
+                + "\"Services\":{\"" + target + "\":{\"Probe\":\"/health\",\"MaxConns\":110}},"
+                + "\"Limits\":{\"HeaderBytes\":16384,\"BodyBytes\":67108864,\"HeaderS\":3,\"IdleS\":15},"
+                + "\"Tenants\":{\"t-1\":{\"Credentials\":[\"key-1\"],\"Rank\":1,\"RatePerS\":0,\"Burst\":0}}}";
+    }
+
+    /** Walks; 0 if all was served. */
+    public static int run() throws Exception {
+        Logs.start();
+        Cards cards = new Cards(1);
+        CardReader reader = new CardReader(new ObjectMapper());
+        Path data = Files.createTempDirectory("walk");
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        new Office(reader.parse(cards.office(0, data.toString(), true)), loop, new ObjectMapper()).start();
+        int served = 0;
+        try (StandInApp a = new StandInApp("i-a", "svc", cards.app(0), cards.beats(0));
+                StandInApp b = new StandInApp("i-b", "svc", cards.app(1), cards.beats(1))) {
+            for (int i = 0; i < 2; i++) {
+                new Sidecar(reader.parse(cards.carrier(i, "svc")), loop, new ObjectMapper()).start();
+            }
+            int taken = Talk.ask(cards.control(0), "POST /whinlead/rpc?call=config.replace",
+                    Map.of("If-Match", "0"), tariff("00000001", "svc").getBytes(StandardCharsets.UTF_8))
+                    .status();
+            a.beat("serving");
+            b.beat("serving");
+            a.beatEvery(BEAT_MS);
+            b.beatEvery(BEAT_MS);
+            if (taken == 200 && ready(cards, 0) && ready(cards, 1)) {
+                served = requests(cards);
+            }
+            a.depart();
+        }
+        System.out.println("served: " + served + " of " + REQUESTS);
+        return served == REQUESTS ? 0 : 1;
+    }
+
+    private static boolean ready(Cards cards, int carrier) throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
+        while (System.nanoTime() < end) {
+            if (Talk.ask(cards.readiness(carrier), "GET /whinlead/readiness", Map.of(), new byte[0])
+                    .status() == 200) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
+        return false;
+    }
+
+    private static int requests(Cards cards) throws IOException {
+        int served = 0;
+        try (Talk first = new Talk(cards.egress(0)); Talk second = new Talk(cards.egress(1))) {
+            for (int i = 0; i < REQUESTS; i++) {
+                Talk.Message m = (i % 2 == 0 ? first : second).ask(i % 3 == 0 ? "POST /b/x" : "GET /a/x",
+                        Map.of("Host", "post.example", "Attempt-Id", "walk-" + i, "Deadline-Ms", "1900",
+                                "Api-Key", "key-1"), new byte[i % 3 == 0 ? 100 : 0]);
+                served += m != null && m.status() == 200 ? 1 : 0;
+            }
+        }
+        return served;
+    }
+}
