Let a tenant's limit follow its requests, and let SIGHUP end nothing

Causes: an even share of a limit at each carrier, while nodes of one zone get 1.4 times the mean; and the JVM's own answer to SIGHUP.

Each carrier tells the offices what it is asked for, gets the sums and takes R d / D, or d + (R - D) / n while there is room: these add up to the limit. Without a fresh sum the even share holds; a bucket is empty at a start. Hangup is shared with serve (package signals); the settings file is read again on SIGHUP and every 2 s, and new seeds are asked as well.

--- /dev/null
+++ b/src/main/java/cobaltrack/post/allowance/Use.java
@@ -0,0 +1,8 @@
+package cobaltrack.post.allowance;
+
+/**
+ * What one sidecar, or all of them, are asked for in a tenant's name.
+ *
+ * @param perSecond requests a second, those turned away included
+ */
+public record Use(String tenant, double perSecond) { }
--- a/src/main/java/cobaltrack/post/carrier/Desk.java
+++ b/src/main/java/cobaltrack/post/carrier/Desk.java
@@ -1,5 +1,6 @@
 package cobaltrack.post.carrier;
 
+import cobaltrack.post.allowance.Use;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
 import cobaltrack.post.card.Card;
@@ -22,7 +23,6 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.function.Consumer;
 
 /**
  * A sidecar's ties to the offices: says what it lists, asks with the configuration that it has, and takes a
@@ -38,9 +38,7 @@
     private final EventLoop loop;
     private final Card card;
     private final Letter.Hello hello;
-    private final Consumer<List<Listing>> posted;
-    private final Runnable officeUp;
-    private final Consumer<Routing> inForce;
+    private final Owner owner;
     private final TariffReader reader = new TariffReader();
     private final ExecutorService reading = Executors.newSingleThreadExecutor(r -> {
         Thread t = new Thread(r, "reader");
@@ -53,18 +51,35 @@
     private Decision newest;
     private double fetchAt = Double.NEGATIVE_INFINITY;
 
-    Desk(EventLoop loop, Card card, Letter.Hello hello, Consumer<List<Listing>> posted, Runnable officeUp,
-            Consumer<Routing> inForce) {
+    /** Hears what the offices say. */
+    interface Owner {
+        /** Listings, old and new. */
+        void posted(List<Listing> listings);
+
+        /** An office has come into reach. */
+        void officeUp();
+
+        /** A newer configuration is in force. */
+        void inForce(Routing routing);
+
+        /** What all sidecars are asked for. */
+        void sums(int nodes, List<Use> totals);
+    }
+
+    Desk(EventLoop loop, Card card, Letter.Hello hello, Owner owner) {
         this.loop = loop;
         this.card = card;
         this.hello = hello;
-        this.posted = posted;
-        this.officeUp = officeUp;
-        this.inForce = inForce;
+        this.owner = owner;
     }
 
     void start() {
-        card.network().seeds().forEach(s -> know(s.substring(0, s.lastIndexOf(':'))));
+        seeds(card.network().seeds());
+    }
+
+    /** Offices to ask as well. */
+    void seeds(List<String> seeds) {
+        seeds.forEach(s -> know(s.substring(0, Math.max(0, s.lastIndexOf(':')))));
     }
 
     /** The configuration in force, or null. */
@@ -78,6 +93,17 @@
         offices.values().forEach(t -> t.send(post));
     }
 
+    /** Tells all offices in reach what is asked for here, and asks the first of them for the sums. */
+    void uses(List<Use> uses) {
+        boolean wanted = true;
+        for (Tie tie : offices.values()) {
+            if (tie.up()) {
+                tie.send(new Letter.Uses(uses, wanted));
+                wanted = false;
+            }
+        }
+    }
+
     private static double now() {
         return System.nanoTime() / NANOS;
     }
@@ -96,7 +122,7 @@
                     public void changed(Tie t, Tie.State before) {
                         if (t.state() == Tie.State.UP && before == Tie.State.DIALLING) {
                             Event.OFFICE_UP.log(ip);
-                            officeUp.run();
+                            owner.officeUp();
                             t.send(new Letter.Ask(slot()));
                         } else if (t.state() == Tie.State.DOWN && before != Tie.State.DIALLING) {
                             Event.OFFICE_DOWN.log(ip);
@@ -115,12 +141,14 @@
 
     private void came(Tie tie, Letter letter) {
         if (letter instanceof Letter.Post post) {
-            posted.accept(post.listings());
+            owner.posted(post.listings());
         } else if (letter instanceof Letter.Notice notice) {
             noticed.put(tie, notice.slot());
             fetch();
         } else if (letter instanceof Letter.News news) {
             take(news.decision());
+        } else if (letter instanceof Letter.Sums sums) {
+            owner.sums(sums.nodes(), sums.totals());
         }
     }
 
@@ -181,7 +209,7 @@
                 if (routing == null || made.slot() > routing.slot()) {
                     routing = made;
                     Event.IN_FORCE.log("version " + tariff.epoch() + " slot " + made.slot());
-                    inForce.accept(made);
+                    owner.inForce(made);
                 }
             });
         } catch (IOException | TariffException e) {
--- a/src/main/java/cobaltrack/post/carrier/Egress.java
+++ b/src/main/java/cobaltrack/post/carrier/Egress.java
@@ -4,6 +4,7 @@
 import cobaltrack.engine.Caller;
 import cobaltrack.engine.Engine;
 import cobaltrack.engine.Timers;
+import cobaltrack.post.allowance.Allowance;
 import cobaltrack.post.tariff.Routing;
 import cobaltrack.post.tariff.Tariff;
 import cobaltrack.post.wire.Letter;
@@ -167,7 +168,8 @@
             return;
         }
         if (payer != null) {
-            double wait = allowance.take(timers.now(), payer, Math.max(1, sidecars.getAsInt()));
+            double wait = allowance.take(timers.now(), payer.name(),
+                    payer.tenant().ratePerS(), payer.tenant().burst(), Math.max(1, sidecars.getAsInt()));
             if (wait > 0) {
                 later(turn, OVER, wait);
                 return;
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -4,6 +4,8 @@
 import cobaltrack.engine.Timers;
 import cobaltrack.loop.LoopTimers;
 import cobaltrack.membership.EndpointList;
+import cobaltrack.post.allowance.Allowance;
+import cobaltrack.post.allowance.Use;
 import cobaltrack.post.card.Card;
 import cobaltrack.post.directory.Directory;
 import cobaltrack.post.directory.Listing;
@@ -12,6 +14,7 @@
 import cobaltrack.post.rpc.Order;
 import cobaltrack.post.rpc.RpcServer;
 import cobaltrack.post.tariff.Routing;
+import cobaltrack.post.tariff.Tariff;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Link;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -36,6 +39,8 @@
     private static final long TICK_MS = 100;
     /** How often an unchanged listing is said again, in milliseconds. */
     private static final double SAY_MS = 1000;
+    /** How often the offices are told what is asked for here, in milliseconds. */
+    private static final double USES_MS = 350;
     /** Services that modules are kept for. */
     private static final int DEPOTS_MOST = 256;
     /** After SIGTERM: until when connections are kept, and how long before the kill all ends; seconds. */
@@ -57,9 +62,11 @@
     private final Round round;
     private final Egress egress;
     private final Desk desk;
+    private final Allowance allowance;
     private long life = System.currentTimeMillis();
     private long seq;
     private double saidAt;
+    private double usesAt;
     private boolean refresh;
     private boolean ready;
     private boolean leaving;
@@ -76,9 +83,32 @@
                 "Self.AppAddr")));
         Letter.Hello hello = new Letter.Hello(node, false);
         this.round = new Round(loop, node, this::deliver, hello, EndpointList::address, this::stale);
-        this.desk = new Desk(loop, card, hello, this::posted, this::newOffice, this::inForce);
+        Card.Bounds bounds = card.clauses().bounds();
+        this.allowance = new Allowance(timers.now(), bounds.quotaSlack(), bounds.quotaExcess(),
+                bounds.quotaWindowS());
+        this.desk = new Desk(loop, card, hello, new Desk.Owner() {
+            @Override
+            public void posted(List<Listing> listings) {
+                Sidecar.this.posted(listings);
+            }
+
+            @Override
+            public void officeUp() {
+                desk().post(List.of(directory.of(node)));
+            }
+
+            @Override
+            public void inForce(Routing routing) {
+                Sidecar.this.inForce(routing);
+            }
+
+            @Override
+            public void sums(int nodes, List<Use> totals) {
+                allowance.sums(timers.now(), nodes, totals);
+            }
+        });
         this.egress = new Egress(loop, timers, desk::routing, this::depot, this::service,
-                directory::present, new Allowance(card.clauses().bounds().quotaSlack()), classes);
+                directory::present, allowance, classes);
     }
 
     /**
@@ -104,6 +134,11 @@
         });
     }
 
+    /** Other machines may be asked first from now on. */
+    public void seeds(List<String> seeds) {
+        desk.seeds(seeds);
+    }
+
     /** Leaves: runs while the process ends on SIGTERM, on a thread of its own. */
     public void leave() {
         CountDownLatch ended = new CountDownLatch(1);
@@ -174,6 +209,10 @@
         egress.tick();
         desk.tick();
         say(false);
+        if (timers.now() - usesAt > USES_MS) {
+            usesAt = timers.now();
+            desk.uses(allowance.uses(timers.now()));
+        }
     }
 
     // --- what others say
@@ -197,8 +236,8 @@
         }
     }
 
-    private void newOffice() {
-        desk.post(List.of(directory.of(node)));
+    private Desk desk() {
+        return desk;
     }
 
     private void inForce(Routing routing) {
@@ -206,7 +245,7 @@
             ready = true;
             Event.READY.log(node);
         }
-        for (Map.Entry<String, cobaltrack.post.tariff.Tariff.Service> e
+        for (Map.Entry<String, Tariff.Service> e
                 : routing.tariff().services().entrySet()) {
             depot(e.getKey());
         }
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -1,6 +1,7 @@
 package cobaltrack.post.office;
 
 import cobaltrack.membership.EndpointList;
+import cobaltrack.post.allowance.Sum;
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
@@ -78,6 +79,7 @@
     /** Links that sidecars and other offices made, and for sidecars the slot that each has. */
     private final Map<Link, Long> guests = new LinkedHashMap<>();
     private final Map<Long, Consumer<Answer>> open = new HashMap<>();
+    private final Sum sum = new Sum();
     private TariffCheck check;
     private Council council;
     private Scribe scribe;
@@ -145,10 +147,13 @@
         return address.substring(0, Math.max(0, address.lastIndexOf(':')));
     }
 
+    /** Other machines may be asked first from now on. */
+    public void seeds(List<String> seeds) {
+        seeds.forEach(s -> know(host(s)));
+    }
+
     private void begin() {
-        for (String seed : card.network().seeds()) {
-            know(host(seed));
-        }
+        seeds(card.network().seeds());
         if (council.decided() != null) {
             council.decided().electors().forEach(e -> know(Council.address(e)));
         }
@@ -245,6 +250,11 @@
             posted(link, post.listings());
         } else if (letter instanceof Letter.Paper paper) {
             council.received(now(), link.peer(), paper.slip());
+        } else if (letter instanceof Letter.Uses uses) {
+            sum.say(now(), link.peer(), uses.uses());
+            if (uses.wanted()) {
+                link.send(new Letter.Sums(sum.nodes(), sum.of(link.peer())));
+            }
         }
     }
 
--- a/src/main/java/cobaltrack/post/run/Post.java
+++ b/src/main/java/cobaltrack/post/run/Post.java
@@ -5,8 +5,10 @@
 import cobaltrack.post.card.CardReader;
 import cobaltrack.post.carrier.Sidecar;
 import cobaltrack.post.ledger.LedgerException;
+import cobaltrack.post.log.Event;
 import cobaltrack.post.log.Logs;
 import cobaltrack.post.office.Office;
+import cobaltrack.signals.Hangup;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -34,6 +36,7 @@
     /** Runs a role until the process ends; exits with 2 on bad usage and 1 on settings that can't be used. */
     public static void main(String... args) {
         Logs.start();
+        Hangup hangup = guard();
         Options options = new Options()
                 .addOption(Option.builder("s").longOpt("settings").hasArg().argName("FILE")
                         .desc("the settings file; else " + SETTINGS + " names it").get())
@@ -58,7 +61,8 @@
             }
             Card card = new CardReader(mapper).read(Path.of(path));
             if (!line.hasOption("check")) {
-                start(line.getArgList().get(0), card, mapper);
+                start(line.getArgList().get(0), card, new Settings(Path.of(path), card, new CardReader(mapper)),
+                        hangup, mapper);
             }
         } catch (ParseException e) {
             quit(e.getMessage(), USAGE);
@@ -72,14 +76,27 @@
         }
     }
 
-    private static void start(String role, Card card, ObjectMapper mapper) throws Exception {
+    // From here on SIGHUP ends nothing.
+    private static Hangup guard() {
+        try {
+            return Hangup.guard(line -> Event.SETTINGS_REREAD.log(line));
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("this Java has no signals", e);
+        }
+    }
+
+    private static void start(String role, Card card, Settings settings, Hangup hangup, ObjectMapper mapper)
+            throws Exception {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         if ("office".equals(role)) {
-            new Office(card, loop, mapper).start();
+            Office office = new Office(card, loop, mapper);
+            office.start();
+            settings.watch(hangup, loop, office::seeds);
         } else {
             Sidecar sidecar = new Sidecar(card, loop, mapper);
             Runtime.getRuntime().addShutdownHook(new Thread(sidecar::leave, "leave"));
             sidecar.start();
+            settings.watch(hangup, loop, sidecar::seeds);
         }
     }
 
--- /dev/null
+++ b/src/main/java/cobaltrack/post/run/Settings.java
@@ -0,0 +1,55 @@
+package cobaltrack.post.run;
+
+import cobaltrack.post.card.Card;
+import cobaltrack.post.card.CardException;
+import cobaltrack.post.card.CardReader;
+import cobaltrack.post.log.Event;
+import cobaltrack.signals.Hangup;
+import io.netty.channel.EventLoop;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The settings file while a process runs: read again on SIGHUP and now and then, for it may change without
+ * one. Only the seeds are taken over; addresses and figures of a running process stay. On the loop's thread.
+ */
+final class Settings {
+    private static final long EVERY_MS = 2000;
+
+    private final Path path;
+    private final CardReader reader;
+    private List<String> seeds;
+    private String wrong = "";
+
+    Settings(Path path, Card card, CardReader reader) {
+        this.path = path;
+        this.reader = reader;
+        this.seeds = card.network().seeds();
+    }
+
+    /** Has this told of other seeds. */
+    void watch(Hangup hangup, EventLoop loop, Consumer<List<String>> changed) {
+        hangup.on(() -> loop.execute(() -> read(changed)));
+        loop.scheduleAtFixedRate(() -> read(changed), EVERY_MS, EVERY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void read(Consumer<List<String>> changed) {
+        try {
+            List<String> now = reader.read(path).network().seeds();
+            if (!now.equals(seeds)) {
+                seeds = now;
+                Event.SETTINGS_REREAD.log("seeds " + now);
+                changed.accept(now);
+            }
+            wrong = "";
+        } catch (CardException e) {
+            // What was read last stands; the same fault is told once.
+            if (!e.getMessage().equals(wrong)) {
+                wrong = e.getMessage();
+                Event.SETTINGS_BAD.log(wrong);
+            }
+        }
+    }
+}
--- a/src/main/java/cobaltrack/post/wire/Letter.java
+++ b/src/main/java/cobaltrack/post/wire/Letter.java
@@ -1,5 +1,6 @@
 package cobaltrack.post.wire;
 
+import cobaltrack.post.allowance.Use;
 import cobaltrack.post.ballot.Decision;
 import cobaltrack.post.ballot.Slip;
 import cobaltrack.post.directory.Listing;
@@ -34,6 +35,12 @@
     /** About a ballot. */
     record Paper(Slip slip) implements Letter { }
 
+    /** A sidecar tells what it is asked for, and may ask for the sums. */
+    record Uses(List<Use> uses, boolean wanted) implements Letter { }
+
+    /** The sums over so many sidecars of the tenants that the one who asked has named. */
+    record Sums(int nodes, List<Use> totals) implements Letter { }
+
     /**
      * A request on its way to an endpoint.
      *
--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -1,5 +1,6 @@
 package cobaltrack.post.wire;
 
+import cobaltrack.post.allowance.Use;
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Decision;
 import cobaltrack.post.ballot.Elector;
@@ -71,9 +72,32 @@
         } else if (letter instanceof Letter.Paper l) {
             p.packByte((byte) 9);
             slip(p, l.slip());
+        } else if (letter instanceof Letter.Uses l) {
+            p.packByte((byte) 13);
+            uses(p, l.uses());
+            p.packBoolean(l.wanted());
+        } else if (letter instanceof Letter.Sums l) {
+            p.packByte((byte) 14).packInt(l.nodes());
+            uses(p, l.totals());
         }
     }
 
+    private static void uses(MessageBufferPacker p, List<Use> uses) throws IOException {
+        p.packInt(uses.size());
+        for (Use u : uses) {
+            p.packString(u.tenant()).packFloat((float) u.perSecond());
+        }
+    }
+
+    private static List<Use> uses(MessageUnpacker u) throws IOException {
+        int n = size(u.unpackInt());
+        List<Use> uses = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            uses.add(new Use(u.unpackString(), u.unpackFloat()));
+        }
+        return uses;
+    }
+
     /**
      * Reads a letter.
      *
@@ -107,6 +131,8 @@
                         u.unpackDouble(), u.unpackDouble());
                 case 12 -> new Letter.Returned(u.unpackLong(), Letter.Why.values()[u.unpackInt()],
                         u.unpackDouble(), u.unpackDouble());
+                case 13 -> new Letter.Uses(uses(u), u.unpackBoolean());
+                case 14 -> new Letter.Sums(u.unpackInt(), uses(u));
                 default -> throw new IOException("no letter has the tag " + tag);
             };
         } catch (RuntimeException e) {
--- a/src/main/java/cobaltrack/run/Main.java
+++ b/src/main/java/cobaltrack/run/Main.java
@@ -12,6 +12,7 @@
 import cobaltrack.membership.Discovery;
 import cobaltrack.membership.EndpointList;
 import cobaltrack.post.run.Post;
+import cobaltrack.signals.Hangup;
 import cobaltrack.standin.post.Walk;
 import cobaltrack.transport.EndpointPool;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/src/main/java/cobaltrack/run/Hangup.java
+++ b/src/main/java/cobaltrack/signals/Hangup.java
@@ -1,4 +1,4 @@
-package cobaltrack.run;
+package cobaltrack.signals;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
@@ -15,7 +15,7 @@
  * <p>Java has no public interface to signals; the one in the module jdk.unsupported is reached by its name,
  * since javac warns of any other use. For any thread: the JVM calls from one of its own.
  */
-final class Hangup {
+public final class Hangup {
     private final AtomicBoolean came = new AtomicBoolean();
     private volatile Runnable task;
 
@@ -26,7 +26,7 @@
      *
      * @param log told, in a line, where the signal stays ignored for the want of a means
      */
-    static Hangup guard(Consumer<String> log) throws ReflectiveOperationException {
+    public static Hangup guard(Consumer<String> log) throws ReflectiveOperationException {
         Hangup hangup = new Hangup();
         if (hangup.install()) {
             String why = IgnoredHangup.lift();
@@ -40,7 +40,7 @@
     }
 
     /** Has this run for every SIGHUP from now on, and once now if any has come. */
-    void on(Runnable reload) {
+    public void on(Runnable reload) {
         task = reload;
         // In this order, and the other way round where one comes: none falls between the two.
         make();
--- a/src/main/java/cobaltrack/run/IgnoredHangup.java
+++ b/src/main/java/cobaltrack/signals/IgnoredHangup.java
@@ -1,4 +1,4 @@
-package cobaltrack.run;
+package cobaltrack.signals;
 
 import com.kenai.jffi.CallContext;
 import com.kenai.jffi.CallingConvention;
