--- /dev/null
+++ b/src/test/java/cobaltrack/post/CouncilTest.java
@@ -0,0 +1,45 @@
+package cobaltrack.post;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cobaltrack.standin.post.CouncilPlay;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** What offices agree on outlasts the losses that are borne, on the real councils under a driven clock. */
+public class CouncilTest {
+    private static final int SCHEDULES = 500;
+    private static final int FOUND_WITHIN = 1000;
+
+    @Test
+    public void nothingAcknowledgedIsLostInAnySchedule() {
+        int acks = 0;
+        for (long seed = 0; seed < SCHEDULES; seed++) {
+            CouncilPlay.Outcome o = CouncilPlay.play(seed, CouncilPlay.Bug.NONE);
+            assertEquals(o.broken(), List.of(), "schedule " + seed);
+            acks += o.acks();
+        }
+        // Schedules in which hardly anything is taken would show nothing.
+        assertTrue(acks > SCHEDULES * 10, acks + " calls were acknowledged");
+    }
+
+    @Test
+    public void sayingBeforeSyncingIsFound() {
+        assertTrue(found(CouncilPlay.Bug.UNSYNCED));
+    }
+
+    @Test
+    public void votingOnAfterALostDiskIsFound() {
+        assertTrue(found(CouncilPlay.Bug.VOTES_AFTER_WIPE));
+    }
+
+    private static boolean found(CouncilPlay.Bug bug) {
+        for (long seed = 0; seed < FOUND_WITHIN; seed++) {
+            if (!CouncilPlay.play(seed, bug).broken().isEmpty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
