Play the mesh as processes on loopback: operators, requests, a lost office, drains, SIGTERM

Need: a test without the kit that runs several processes of the program, takes a configuration and serves. Seen on the way: ten requests at once on a cold module are refused in part (503 with Retry-After), which is the module's first window, not a fault of order; the test sends them again and holds the order each time.

--- a/src/main/java/cobaltrack/standin/post/StandInApp.java
+++ b/src/main/java/cobaltrack/standin/post/StandInApp.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -17,6 +18,10 @@
 
 /** An application endpoint: beats to the carrier beside it and answers requests, each with its seal. */
 public final class StandInApp implements AutoCloseable {
+    /** In a path: the request ends only once {@link #release} was called. */
+    public static final String SLOW = "/slow";
+
+    private final CountDownLatch gate = new CountDownLatch(1);
     private final String id;
     private final String target;
     private final String beats;
@@ -72,6 +77,11 @@
                 .status();
     }
 
+    /** Lets the requests end whose path holds {@link #SLOW}. */
+    public void release() {
+        gate.countDown();
+    }
+
     /** The requests that it ran. */
     public Queue<Talk.Message> ran() {
         return ran;
@@ -102,12 +112,15 @@
                     continue;
                 }
                 ran.add(m);
+                if (m.first().contains(SLOW)) {
+                    gate.await();
+                }
                 headers.put("Server-Seal", id + "." + ran.size());
                 headers.put("Keep-Alive", "timeout=10");
                 talk.say("HTTP/1.1 200 OK", headers, ("from " + id).getBytes(StandardCharsets.US_ASCII));
             }
-        } catch (IOException e) {
-            // The caller went away, or was silent for long: its own affair.
+        } catch (IOException | InterruptedException e) {
+            // The caller went away, or was silent for long, or this endpoint ends.
             return;
         }
     }
--- /dev/null
+++ b/src/test/java/cobaltrack/post/MeshRig.java
@@ -0,0 +1,113 @@
+package cobaltrack.post;
+
+import cobaltrack.standin.post.Cards;
+import cobaltrack.standin.post.StandInApp;
+import cobaltrack.standin.post.Talk;
+import java.io.File;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+/** A mesh of processes on loopback: three offices, carriers, and an endpoint of one service beside each. */
+final class MeshRig implements AutoCloseable {
+    private static final long WAIT_S = 30;
+    private static final long BEAT_MS = 200;
+
+    final Cards cards;
+    final List<StandInApp> apps = new ArrayList<>();
+    final List<Process> offices = new ArrayList<>();
+    final List<Process> carriers = new ArrayList<>();
+    private final Path folder;
+    private int attempts;
+
+    MeshRig(int carrierCount) throws IOException {
+        cards = new Cards(3);
+        folder = Files.createTempDirectory("mesh");
+        for (int i = 0; i < 3; i++) {
+            offices.add(office(i, true));
+        }
+        for (int i = 0; i < carrierCount; i++) {
+            apps.add(new StandInApp("i-" + i, "svc", cards.app(i), cards.beats(i)));
+            carriers.add(run("carrier", "carrier-" + i, cards.carrier(i, "svc")));
+            apps.get(i).beatEvery(BEAT_MS);
+        }
+    }
+
+    Process office(int i, boolean bootstrap) throws IOException {
+        return run("office", "office-" + i, cards.office(i, folder.resolve("disk-" + i).toString(), bootstrap));
+    }
+
+    private Process run(String role, String name, List<String> lines) throws IOException {
+        Path settings = Files.write(folder.resolve(name + ".conf"), lines);
+        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx96m", "-cp",
+                System.getProperty("java.class.path"), "cobaltrack.run.Main", role);
+        b.environment().put("WHINLEAD_NODE_FILE", settings.toString());
+        File log = folder.resolve(name + ".log").toFile();
+        return b.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+    }
+
+    /** Waits until it holds, asking again and again, within a bound. */
+    static void await(String what, Callable<Boolean> holds) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+        while (System.nanoTime() < end) {
+            try {
+                if (holds.call()) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Not up yet, or just gone: asked again.
+                Thread.onSpinWait();
+            }
+        }
+        throw new AssertionError("not in " + WAIT_S + " s: " + what);
+    }
+
+    Talk.Message replace(int office, String ifMatch, String body) throws IOException {
+        return Talk.ask(cards.control(office), "POST /whinlead/rpc?call=config.replace", Map.of("If-Match",
+                ifMatch, "Content-Type", "application/json"), body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    Talk.Message read(int office) throws IOException {
+        return Talk.ask(cards.control(office), "POST /whinlead/rpc?call=config.read", Map.of(), new byte[0]);
+    }
+
+    boolean ready(int carrier) throws IOException {
+        return Talk.ask(cards.readiness(carrier), "GET /whinlead/readiness", Map.of(), new byte[0]).status()
+                == 200;
+    }
+
+    /** The headers of a good request, with an id of its own. */
+    Map<String, String> headers() {
+        Map<String, String> h = new LinkedHashMap<>();
+        h.put("Host", "post.example");
+        h.put("Attempt-Id", "a-" + ++attempts);
+        h.put("Deadline-Ms", "20000");
+        h.put("Api-Key", "key-1");
+        return h;
+    }
+
+    Talk.Message get(int carrier, String path) throws IOException {
+        return Talk.ask(cards.egress(carrier), "GET " + path, headers(), new byte[0]);
+    }
+
+    int ran() {
+        return apps.stream().mapToInt(a -> a.ran().size()).sum();
+    }
+
+    @Override
+    public void close() throws IOException {
+        offices.forEach(Process::destroyForcibly);
+        carriers.forEach(Process::destroyForcibly);
+        for (StandInApp app : apps) {
+            app.close();
+        }
+    }
+}
