Let no lower rank queue ahead of the highest at an endpoint: calls of endpoints come through

Cause: archive fetches (rank 2, 480 ms) filled slots and queue, so lookups (rank 0, 30 ms) waited, were late by the module's measure, and its percentages, which count requests and not work, then dropped lookups too.

Tried on paper and left: a slot kept free for rank 0, which costs the others 8% at usual load.

--- a/src/main/java/cobaltrack/post/carrier/Hatch.java
+++ b/src/main/java/cobaltrack/post/carrier/Hatch.java
@@ -26,6 +26,15 @@
     private static final double LAST_CALLS_MS = 400;
     /** What the endpoint may hold beyond what it works on, as a part of that: by rank, 0 the highest. */
     private static final double[] QUEUE = {1.0, 0.7, 0.4};
+    /**
+     * Where requests of the highest rank come, the others get no place in the endpoint's queue but this, by
+     * rank: it serves in the order of arrival, and the highest would wait behind them.
+     */
+    private static final double[] QUEUE_BEHIND = {1.0, 0.1, 0};
+    /** From this many a second on, requests of the highest rank come. */
+    private static final double HIGHEST_COME = 0.5;
+    /** The time over which they are counted, in milliseconds. */
+    private static final double HIGHEST_MS = 3000;
     /** Half-life of what is told of its load. */
     private static final double LOAD_MS = 500;
 
@@ -42,6 +51,8 @@
     private double util;
     private double perSecond;
     private double loadAt;
+    private double highest;
+    private double highestAt;
 
     /** A hatch whose endpoint beats so often, in milliseconds. */
     public Hatch(double beatMs) {
@@ -136,7 +147,13 @@
         if (!there) {
             return Entry.MOVED;
         }
-        double queue = QUEUE[Math.min(QUEUE.length - 1, Math.max(0, rank))];
+        double highest = this.highest * Math.exp(-(now - highestAt) / HIGHEST_MS);
+        if (rank <= 0) {
+            this.highest = highest + 1000 / HIGHEST_MS;
+            highestAt = now;
+        }
+        double[] queues = highest > HIGHEST_COME ? QUEUE_BEHIND : QUEUE;
+        double queue = queues[Math.min(queues.length - 1, Math.max(0, rank))];
         return held < capacity * (1 + queue) ? Entry.OPEN : Entry.FULL;
     }
 
--- a/src/test/java/cobaltrack/post/DataPlaneTest.java
+++ b/src/test/java/cobaltrack/post/DataPlaneTest.java
@@ -80,6 +80,23 @@
         assertEquals(hatch.enter(2, "svc", 0), Hatch.Entry.OPEN);
     }
 
+    @Test
+    public void whereTheHighestRankComesTheOthersDoNotQueueAheadOfIt() {
+        Hatch hatch = new Hatch(1500);
+        hatch.beat(0, "i-1", card("serving", 1));
+        for (int ms = 0; ms < 3000; ms += 50) {
+            assertEquals(hatch.enter(ms, "svc", 0), Hatch.Entry.OPEN);
+        }
+        for (int i = 0; i < 4; i++) {
+            assertEquals(hatch.enter(3000, "svc", 2), Hatch.Entry.OPEN);
+            hatch.began(3000);
+        }
+        assertEquals(hatch.enter(3000, "svc", 2), Hatch.Entry.FULL);
+        assertEquals(hatch.enter(3000, "svc", 0), Hatch.Entry.OPEN);
+        // Once none comes any more the others may queue again.
+        assertEquals(hatch.enter(30_000, "svc", 2), Hatch.Entry.OPEN);
+    }
+
     @Test
     public void partsOfALimitAddUpToItWhereverTheRequestsAre() {
         double limit = 60;
