Look for an endpoint in the caller's zone first for uploads, and bound what peers can grow

Routes of kind ingest have a depot of their own for each service, whose endpoints in other zones have a small size: the module comes to them later in its walk, and refuses nothing for it. The budget of further tries stays one a service. Ruled out: the same for all requests, whose answers are small, and which would lose the even spread.

A carrier ends 0.8 s before the kill: one process was killed at the end of its grace.

--- a/src/main/java/cobaltrack/post/carrier/Depot.java
+++ b/src/main/java/cobaltrack/post/carrier/Depot.java
@@ -29,21 +29,31 @@
     private static final double COLD_SHARE = 0.5;
     private static final double COLD_MS = 3000;
     private static final double FALL_MULTIPLE = 3;
+    /** The size of an endpoint in another zone, where those of one zone come first. */
+    private static final double FAR = 0.05;
 
     private final Engine engine;
     private final Round round;
     private final Postage postage;
+    private final String near;
     private final Timers timers;
     private final Map<String, String> nodes = new HashMap<>();
     private final Map<String, Double> started = new HashMap<>();
     private long seq;
 
-    Depot(Timers timers, Classes classes, Card card, int sidecars, long seed, Round round) {
+    /**
+     * A service.
+     *
+     * @param near the zone whose endpoints come first in the walk, or null where all are alike
+     * @param postage the service's budget of further tries
+     */
+    Depot(Timers timers, Classes classes, Card card, int sidecars, long seed, Round round, String near,
+            Postage postage) {
         this.timers = timers;
         this.round = round;
-        Card.Bounds bounds = card.clauses().bounds();
-        this.postage = new Postage(bounds.retryRatio(), bounds.retrySlack());
-        Contract.Settings settings = settings(classes, bounds.drainS(), sidecars);
+        this.near = near;
+        this.postage = postage;
+        Contract.Settings settings = settings(classes, card.clauses().bounds().drainS(), sidecars);
         this.engine = new Engine(timers, settings, out -> new Decide(settings, seed, out), list -> { },
                 Event.MODULE::log);
         engine.start(() -> { }, null);
@@ -69,7 +79,8 @@
             times.put(l.endpoint(), start);
             nodes.put(l.endpoint(), l.node());
             entries.add(new EndpointList.Entry(new Contract.Server(l.endpoint(), up ? Contract.Standing.UP
-                    : Contract.Standing.DRAINING, 1, l.zone(), -1, start), null));
+                    : Contract.Standing.DRAINING, near == null || near.equals(l.zone()) ? 1 : FAR, l.zone(),
+                    -1, start), null));
         }
         started.clear();
         started.putAll(times);
@@ -131,7 +142,8 @@
         }
 
         private Contract.Report report(double util, double perSecond) {
-            return perSecond > 0 ? new Contract.Report(Double.NaN, Double.NaN, util, Double.NaN, perSecond, 0)
+            // Where one zone comes first, sizes are by zone and not by what endpoints can do.
+            return perSecond > 0 && near == null ? new Contract.Report(Double.NaN, Double.NaN, util, Double.NaN, perSecond, 0)
                     : null;
         }
 
--- a/src/main/java/cobaltrack/post/carrier/Egress.java
+++ b/src/main/java/cobaltrack/post/carrier/Egress.java
@@ -47,10 +47,16 @@
     private static final double NO_ROUTES_MS = 300;
     private static final int BACKLOG = 512;
 
+    /** Finds a service's depot. */
+    interface Depots {
+        /** For requests with large bodies, or for the others. */
+        Depot of(String target, boolean large);
+    }
+
     private final EventLoop loop;
     private final Timers timers;
     private final Supplier<Routing> routing;
-    private final java.util.function.Function<String, Depot> depots;
+    private final Depots depots;
     private final Supplier<String> service;
     private final IntSupplier sidecars;
     private final Allowance allowance;
@@ -63,7 +69,7 @@
     private boolean leaving;
 
     Egress(EventLoop loop, Timers timers, Supplier<Routing> routing,
-            java.util.function.Function<String, Depot> depots, Supplier<String> service, IntSupplier sidecars,
+            Depots depots, Supplier<String> service, IntSupplier sidecars,
             Allowance allowance, Classes classes) {
         this.loop = loop;
         this.timers = timers;
@@ -176,7 +182,7 @@
             }
         }
         String target = way.service(random.nextDouble());
-        Depot depot = depots.apply(target);
+        Depot depot = depots.of(target, Tariff.INGEST.equals(way.route().kind()));
         double timeout = Math.min(deadline, way.route().deadlineS() * 1000);
         Integer rank = payer == null ? null : payer.tenant().rank();
         new Exchange(head, body, turn, way, payer, target, timeout,
--- a/src/main/java/cobaltrack/post/carrier/Round.java
+++ b/src/main/java/cobaltrack/post/carrier/Round.java
@@ -2,7 +2,9 @@
 
 import cobaltrack.Contract;
 import cobaltrack.engine.Carrier;
+import cobaltrack.post.directory.Directory;
 import cobaltrack.post.directory.Listing;
+import cobaltrack.post.log.Event;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Tie;
 import io.netty.channel.EventLoop;
@@ -14,6 +16,7 @@
 import java.util.Map;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * The ways to the sidecars beside the endpoints: a tie to each that was used, and the requests out on it. On
@@ -42,7 +45,7 @@
      * @param changed told when a node has come into reach or gone out of it
      */
     Round(EventLoop loop, String self, Local local, Letter hello,
-            java.util.function.Function<String, SocketAddress> addresses, Runnable changed) {
+            Function<String, SocketAddress> addresses, Runnable changed) {
         this.loop = loop;
         this.self = self;
         this.local = local;
@@ -100,7 +103,10 @@
             } else if (t.state() == Tie.State.DOWN || t.state() == Tie.State.CLOSED) {
                 fail(Letter.Why.BROKEN, false);
             }
-            if (t.state() != Tie.State.DIALLING) {
+            if (before == Tie.State.UP && t.state() != Tie.State.CLOSED) {
+                Event.PEER_DOWN.log(node + " " + t.state());
+            }
+            if (t.state() != Tie.State.DIALLING && t.state() != Tie.State.CLOSED) {
                 changed.run();
             }
         }
@@ -159,13 +165,6 @@
         return node.equals(self) || way != null && way.tie.up();
     }
 
-    /** Makes the way to a node that will be used. */
-    void open(String node) {
-        if (!node.equals(self)) {
-            way(node);
-        }
-    }
-
     private Way way(String node) {
         return ways.computeIfAbsent(node, n -> {
             Way way = new Way(n);
@@ -175,10 +174,11 @@
         });
     }
 
-    /** Ends the ways to nodes that are not listed any more. */
-    void keep(Map<String, Listing> listed) {
+    /** Ends the ways to nodes that have gone. */
+    void keep(Directory directory) {
         for (String node : List.copyOf(ways.keySet())) {
-            if (!listed.containsKey(node) && ways.get(node).out.isEmpty()) {
+            Listing l = directory.of(node);
+            if ((l == null || l.phase() == Listing.Phase.GONE) && ways.get(node).out.isEmpty()) {
                 ways.remove(node).tie.close();
             }
         }
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -14,7 +14,6 @@
 import cobaltrack.post.rpc.Order;
 import cobaltrack.post.rpc.RpcServer;
 import cobaltrack.post.tariff.Routing;
-import cobaltrack.post.tariff.Tariff;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Link;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -45,7 +44,7 @@
     private static final int DEPOTS_MOST = 256;
     /** After SIGTERM: until when connections are kept, and how long before the kill all ends; seconds. */
     private static final double KEEP_S = 2.6;
-    private static final double END_S = 0.4;
+    private static final double END_S = 0.8;
     private static final int BACKLOG = 512;
     private static final int NONE = 404;
 
@@ -58,6 +57,8 @@
     private final EndpointLine line;
     private final Directory directory = new Directory();
     private final Map<String, Depot> depots = new HashMap<>();
+    private final Map<String, Depot> largeDepots = new HashMap<>();
+    private final Map<String, Postage> postage = new HashMap<>();
     private final Classes classes = new Classes();
     private final Round round;
     private final Egress egress;
@@ -169,15 +170,21 @@
                 : hatch.target();
     }
 
-    private Depot depot(String target) {
-        Depot known = depots.get(target);
+    // Requests with large bodies have a depot of their own, which looks in this zone first: they are most of
+    // the bytes between zones.
+    private Depot depot(String target, boolean large) {
+        Map<String, Depot> kind = large ? largeDepots : depots;
+        Depot known = kind.get(target);
         if (known == null) {
-            if (depots.size() >= DEPOTS_MOST) {
+            if (kind.size() >= DEPOTS_MOST) {
                 throw new IllegalStateException("over " + DEPOTS_MOST + " services");
             }
+            Card.Bounds bounds = card.clauses().bounds();
+            Postage paid = postage.computeIfAbsent(target,
+                    t -> new Postage(bounds.retryRatio(), bounds.retrySlack()));
             known = new Depot(timers, classes, card, directory.present(), new SecureRandom().nextLong(),
-                    round);
-            depots.put(target, known);
+                    round, large ? card.self().zone() : null, paid);
+            kind.put(target, known);
             known.update(listed(target));
         }
         return known;
@@ -194,7 +201,9 @@
             refresh = true;
             loop.execute(() -> {
                 refresh = false;
+                round.keep(directory);
                 depots.forEach((target, depot) -> depot.update(listed(target)));
+                largeDepots.forEach((target, depot) -> depot.update(listed(target)));
             });
         }
     }
@@ -245,10 +254,8 @@
             ready = true;
             Event.READY.log(node);
         }
-        for (Map.Entry<String, Tariff.Service> e
-                : routing.tariff().services().entrySet()) {
-            depot(e.getKey());
-        }
+        // Ahead of the first request: a new module and its endpoints take a moment.
+        routing.tariff().services().keySet().stream().limit(DEPOTS_MOST).forEach(s -> depot(s, false));
     }
 
     private void say(boolean changed) {
--- a/src/main/java/cobaltrack/post/carrier/Window.java
+++ b/src/main/java/cobaltrack/post/carrier/Window.java
@@ -1,5 +1,6 @@
 package cobaltrack.post.carrier;
 
+import cobaltrack.post.log.Event;
 import cobaltrack.post.tariff.Tariff;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -263,6 +264,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        // A connection that breaks is its client's affair; a fault of this program is told.
+        if (cause instanceof RuntimeException) {
+            Event.FAULT.log(cause + " at " + (cause.getStackTrace().length > 0 ? cause.getStackTrace()[0] : "?"));
+        }
         ctx.close();
     }
 }
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -85,6 +85,7 @@
     private Scribe scribe;
     private String id;
     private long calls;
+    private boolean seated;
 
     /** An office that has not begun. */
     public Office(Card card, EventLoop loop, ObjectMapper mapper) {
@@ -109,6 +110,7 @@
         // Ahead of the first call: loading the validator takes longer than checking with it.
         clerks.execute(() -> check = new TariffCheck());
         scribe.start();
+        seated = council.seated();
         Event.STARTED.log("office " + id + ", slot " + (council.decided() == null ? "none"
                 : council.decided().slot()));
         loop.submit(this::begin).sync();
@@ -268,15 +270,19 @@
     private void posted(Link from, List<Listing> listings) {
         List<Listing> news = new ArrayList<>();
         for (Listing listing : listings) {
+            if (directory.merge(listing)) {
+                news.add(listing);
+            }
+            // Of those that there is room for only: these tables grow by what peers say.
+            if (directory.of(listing.node()) == null) {
+                continue;
+            }
             if (listing.phase() != Listing.Phase.GONE) {
                 heard.put(listing.node(), now());
                 if (from.peer().indexOf('#') < 0) {
                     heardDirect.put(listing.node(), now());
                 }
             }
-            if (directory.merge(listing)) {
-                news.add(listing);
-            }
         }
         spread(from, news);
     }
@@ -346,6 +352,10 @@
         Event.DECIDED.log("slot " + decision.slot() + " version " + Long.toHexString(decision.version())
                 + " electors " + decision.electors());
         guests.forEach(this::notice);
+        if (seated != council.seated()) {
+            seated = council.seated();
+            Event.SEAT.log(seated ? "this office votes" : "this office does not vote");
+        }
     }
 
     @Override
--- a/src/test/java/cobaltrack/PackagesTest.java
+++ b/src/test/java/cobaltrack/PackagesTest.java
@@ -41,6 +41,20 @@
                 .check(CLASSES);
     }
 
+    @Test
+    void whatTheMeshDecidesDoesNoInputOrOutput() {
+        noClasses().that().resideInAnyPackage("cobaltrack.post.ballot", "cobaltrack.post.directory",
+                "cobaltrack.post.allowance").should().dependOnClassesThat()
+                .resideOutsideOfPackages("cobaltrack.post.ballot", "cobaltrack.post.directory",
+                        "cobaltrack.post.allowance", "java.lang..", "java.util", "java.util.function",
+                        "java.util.stream")
+                .check(CLASSES);
+        noClasses().that().haveSimpleName("Hatch").or().haveSimpleName("Postage").or()
+                .haveFullyQualifiedName("cobaltrack.post.carrier.Classes").should().dependOnClassesThat()
+                .resideInAnyPackage("java.net..", "java.io..", "java.nio..", "io.netty..")
+                .check(CLASSES);
+    }
+
     @Test
     void thePlannerDependsOnTheEngineAndTheDecisionsAndOnNothingElse() {
         noClasses().that().resideInAPackage("cobaltrack.plan").should().dependOnClassesThat()
