Call for votes as soon as a majority has promised: a ballot waited 150 ms for it

Ruled out: slow syncs alone (a ballot needs four). Cause: the second phase was sent by the timer that asks again, due 150 ms after the first; every configuration waited for it, and in that time the next candidate outbid. CouncilTest's 500 schedules fail where a State counts too early (4) or a vote under way is not finished (64); they do not where a newcomer does not wait for a quiet elector: a test of that alone is to come.

--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -178,7 +178,12 @@
                 out.send(from, new Slip.Decided(decided()));
             }
         } else if (candidacy != null) {
+            Candidacy.State before = candidacy.state();
             reply(from, slip);
+            if (candidacy.state() != before) {
+                // What comes next is not asked again but for the first time.
+                againAt = now;
+            }
         }
         go(now);
     }
