--- a/src/test/java/cobaltrack/post/carrier/DesignTest.java
+++ b/src/test/java/cobaltrack/post/carrier/DesignTest.java
@@ -5,6 +5,7 @@
 
 import cobaltrack.Contract;
 import cobaltrack.decide.Decide;
+import cobaltrack.decide.NoActions;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -45,7 +46,7 @@
         return Contract.Outcome.SERVED;
     }
 
-    private final class Acts implements Contract.Actions {
+    private final class Acts extends NoActions {
         @Override
         public void send(Contract.Request r, String server, double within) {
             sends.merge(server, 1, Integer::sum);
@@ -57,9 +58,6 @@
                     how == Contract.Outcome.SERVED, null));
         }
 
-        @Override
-        public void cancel(Contract.Request r, int attempt) { }
-
         @Override
         public void refuse(Contract.Request r, double retryAfter) {
             did.add("refuse");
@@ -71,22 +69,10 @@
             did.add("fail");
         }
 
-        @Override
-        public void probe(String server) { }
-
-        @Override
-        public void watchServers() { }
-
-        @Override
-        public void tellPeers(byte[] text) { }
-
         @Override
         public void wake(double at) {
             wakeAt = at;
         }
-
-        @Override
-        public void log(String line) { }
     }
 
     private Map<Long, Integer> attempts;
