--- /dev/null
+++ b/src/main/java/cobaltrack/post/ballot/Contact.java
@@ -0,0 +1,73 @@
+package cobaltrack.post.ballot;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Whom an office hears and reaches. Two things are kept apart. Silence counts from when something of an
+ * elector last arrived, less the time in which this office itself stood still. Contact counts from when a
+ * question left that the elector has answered: a packet that was held back for long proves nothing of now.
+ * Pure; one thread; times in milliseconds on this office's own steady clock.
+ */
+final class Contact {
+    /** A pause between two signs of this office's own life from which on it slept, in milliseconds. */
+    private static final double SLEPT = 400;
+
+    private final Map<String, Double> heard = new HashMap<>();
+    private final Map<String, Double> echoed = new HashMap<>();
+    private final Map<String, Long> stored = new HashMap<>();
+    private double awake = Double.NaN;
+
+    /** This office runs: what it slept through is nobody's silence. */
+    void wake(double now) {
+        double gap = now - awake;
+        // Before the first time nothing was missed: that comparison is false.
+        if (gap > SLEPT) {
+            heard.replaceAll((elector, at) -> at + gap);
+        }
+        awake = now;
+    }
+
+    /** A sign of life arrived. */
+    void heard(double now, String from) {
+        heard.put(from, now);
+    }
+
+    /** An elector answered what left at {@code sentAt}, and has this slot on disk. */
+    void echoed(double sentAt, String from, long slot) {
+        echoed.merge(from, sentAt, Math::max);
+        stored.merge(from, slot, Math::max);
+    }
+
+    /** Only these matter from now on; one that is new among them counts as heard now. */
+    void keep(double now, Collection<String> electors) {
+        Set<String> those = new HashSet<>(electors);
+        heard.keySet().retainAll(those);
+        echoed.keySet().retainAll(those);
+        stored.keySet().retainAll(those);
+        electors.forEach(e -> heard.putIfAbsent(e, now));
+    }
+
+    /** For how long nothing of it has arrived while this office was awake; 0 for one never listened for. */
+    double silence(double now, String elector) {
+        return now - heard.getOrDefault(elector, now);
+    }
+
+    /** When the newest question left that it has answered. */
+    double echoedAt(String elector) {
+        return echoed.getOrDefault(elector, Double.NEGATIVE_INFINITY);
+    }
+
+    /** Whether it has answered a question that left within so many milliseconds. */
+    boolean reached(double now, double within, String elector) {
+        return now - echoedAt(elector) < within;
+    }
+
+    /** The newest slot that it said to have on disk; -1 where it has said nothing. */
+    long stored(String elector) {
+        return stored.getOrDefault(elector, -1L);
+    }
+}
--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -40,8 +38,16 @@
     private static final int CALLS_MOST = 64;
     /** What has not been answered is asked again after so many milliseconds. */
     private static final double AGAIN = 150;
-    /** A call that could not be decided in so many milliseconds ends unclear. */
-    private static final double CALL_MOST = 4000;
+    /** A call that could not be decided in so many milliseconds ends unclear: whoever sent it has gone on. */
+    private static final double CALL_MOST = 2000;
+    /** An answer to a question that left longer ago says nothing of whom this office reaches, in milliseconds. */
+    private static final double CONTACT = 1000;
+    /** Without contact with a majority for so long, calls end unclear at once, in milliseconds. */
+    private static final double LONELY = 500;
+    /** One that is behind so long after it was told the newest decision is told again, in milliseconds. */
+    private static final double TELL_AGAIN = 400;
+    /** For a newcomer heard of so lately, one that leaves waits: it may take the seat. */
+    private static final double NEWCOMER = 1000;
     /** A backoff after a lost ballot lies between these, in milliseconds, doubled up to the most. */
     private static final double BACKOFF = 8;
     private static final double BACKOFF_MOST = 250;
@@ -86,7 +92,7 @@
     private final SplittableRandom random;
     private final Actions out;
     private final ArrayDeque<Call> calls = new ArrayDeque<>();
-    private final Map<String, Double> heard = new HashMap<>();
+    private final Contact contact = new Contact();
     private final Set<String> answered = new HashSet<>();
     private Candidacy candidacy;
     private long round;
@@ -97,6 +103,13 @@
     private double backoff = BACKOFF;
     private double votedAt = Double.NaN;
     private double joinAt;
+    private double toldAt = Double.NEGATIVE_INFINITY;
+    private double askedForSeatAt = Double.NEGATIVE_INFINITY;
+    private boolean begun;
+    /** Since when no majority is in contact; NaN while one is. */
+    private double lonelySince = Double.NEGATIVE_INFINITY;
+    private long storedSlot;
+    private boolean leaving;
 
     /**
      * An office's council.
@@ -109,6 +122,7 @@
         this.random = new SplittableRandom(seed);
         this.out = out;
         this.votedAt = memory.vote() == null ? Double.NaN : Double.NEGATIVE_INFINITY;
+        this.storedSlot = memory.decided() == null ? -1 : memory.decided().slot();
     }
 
     /** The newest decision known, or null. */
@@ -121,11 +135,75 @@
         return decided() != null && decided().electors().contains(me);
     }
 
-    /** Whether more than half of the electors have been heard within so many milliseconds. */
+    /**
+     * Whether it is in contact with a majority: more than half of the electors, itself with them if it is one,
+     * have answered a question that left within so many milliseconds, and none of those knows a newer decision.
+     */
     public boolean inTouch(double now, double within) {
-        return decided() != null && decided().electors().stream().filter(e -> e.equals(me)
-                || now - heard.getOrDefault(e, Double.NEGATIVE_INFINITY) < within).count()
-                >= decided().majority();
+        if (decided() == null) {
+            return false;
+        }
+        List<String> reached = decided().electors().stream()
+                .filter(e -> e.equals(me) || contact.reached(now, within, e)).toList();
+        return reached.size() >= decided().majority()
+                && reached.stream().allMatch(e -> contact.stored(e) <= decided().slot());
+    }
+
+    /** The newest slot that is on disk here, or -1. */
+    public long storedSlot() {
+        return storedSlot;
+    }
+
+    /** The decision of this slot is on disk here. */
+    public void stored(double now, long slot) {
+        wake(now);
+        if (slot > storedSlot) {
+            storedSlot = slot;
+            if (!seated()) {
+                // What it waited for to ask for a seat.
+                joinAt = now;
+            }
+        }
+    }
+
+    /**
+     * Another office answered a question.
+     *
+     * @param sentAt when the question left here
+     * @param slot the newest decision that the other has on disk, or -1
+     */
+    public void echoed(double sentAt, String from, long slot) {
+        if (decided() != null && decided().electors().contains(from)) {
+            contact.echoed(sentAt, from, slot);
+        }
+        if (slot > (decided() == null ? -1 : decided().slot())) {
+            out.send(from, new Slip.Query(0, decided() == null ? -1 : decided().slot()));
+        }
+    }
+
+    /**
+     * This office is to end. Where the number of electors is even it goes out of them first, by agreement: then
+     * those that remain bear as many losses as before. Where it is odd it stays one, for it may come back.
+     */
+    public void leave(double now) {
+        wake(now);
+        leaving = true;
+        go(now);
+    }
+
+    /** Whether it may end: it has gone out, or need not, and each elector in contact has the newest on disk. */
+    public boolean left(double now) {
+        if (decided() == null) {
+            return true;
+        }
+        boolean newcomer = seated() && now - askedForSeatAt < NEWCOMER;
+        return !(seated() && leavesByAgreement()) && !newcomer && decided().electors().stream().allMatch(e -> e.equals(me)
+                || !contact.reached(now, CONTACT, e) || contact.stored(e) >= decided().slot());
+    }
+
+    private boolean leavesByAgreement() {
+        int electors = decided().electors().size();
+        return electors % 2 == 0 && electors > 2;
     }
 
     /** An operator sends a configuration built on another. */
@@ -139,8 +217,9 @@
     }
 
     private void add(double now, Call call) {
+        wake(now);
         call.endAt = now + CALL_MOST;
-        if (calls.size() >= CALLS_MOST) {
+        if (calls.size() >= CALLS_MOST || lonely(now)) {
             end(call, Verdict.UNCLEAR);
             return;
         }
@@ -148,10 +227,30 @@
         go(now);
     }
 
+    // One that is dead since before this office began is silent from now on, not for ever unknown.
+    private void wake(double now) {
+        contact.wake(now);
+        if (!begun && decided() != null) {
+            contact.keep(now, decided().electors());
+        }
+        begun = true;
+    }
+
+    // Whether no majority has been in contact for so long that no call is worth the wait.
+    private boolean lonely(double now) {
+        if (decided() == null || inTouch(now, CONTACT)) {
+            lonelySince = Double.NaN;
+        } else if (Double.isNaN(lonelySince) || lonelySince == Double.NEGATIVE_INFINITY) {
+            lonelySince = now;
+        }
+        return now - lonelySince > LONELY;
+    }
+
     /** Another office was heard of. */
     public void heard(double now, String from) {
+        wake(now);
         if (decided() == null || decided().electors().contains(from)) {
-            heard.put(from, now);
+            contact.heard(now, from);
         }
     }
 
@@ -169,8 +268,8 @@
             query(from, q);
         } else if (slip instanceof Slip.Decided d) {
             learn(now, d.decision());
-        } else if (slip instanceof Slip.Join) {
-            join(now, from);
+        } else if (slip instanceof Slip.Join j) {
+            join(now, from, j.slot());
         } else if (slip instanceof Slip.State s) {
             state(from, s);
         } else if (slip instanceof Slip.Lagging l) {
@@ -237,35 +336,49 @@
             votedAt = Double.NaN;
             candidacy = null;
             out.decided(decision);
-            heard.keySet().retainAll(decision.electors());
-            // One that has just got its seat is no silent one.
-            decision.electors().forEach(e -> heard.putIfAbsent(e, now));
+            contact.keep(now, decision.electors());
+            toldAt = now;
             if (!calls.isEmpty()) {
                 calls.peek().stage = Stage.FRESH;
             }
         }
     }
 
-    private void join(double now, String from) {
+    // A learner first: only one that has the newest decision on disk is worth a seat.
+    private void join(double now, String from, long has) {
         if (decided() == null || decided().electors().contains(from)
                 || calls.stream().anyMatch(c -> from.equals(c.joiner))) {
             return;
         }
-        add(now, new Call(-1, 0, 0, null, null, from, false));
+        askedForSeatAt = now;
+        if (has < decided().slot()) {
+            out.send(from, new Slip.Decided(decided()));
+        } else if (has == decided().slot()) {
+            add(now, new Call(-1, has, 0, null, null, from, false));
+        }
     }
 
     /** Time passes; to be called some tens of times a second. */
     public void tick(double now) {
-        while (!calls.isEmpty() && now > calls.peek().endAt) {
+        wake(now);
+        boolean lonely = lonely(now);
+        Call first = calls.peek();
+        for (Call call : List.copyOf(calls)) {
+            if (now > call.endAt || lonely) {
+                calls.remove(call);
+                end(call, Verdict.UNCLEAR);
+            }
+        }
+        if (calls.peek() != first) {
             candidacy = null;
-            end(calls.poll(), Verdict.UNCLEAR);
         }
+        tellAgain(now);
         if (decided() == null || !seated()) {
             if (now >= joinAt) {
                 joinAt = now + JOIN_EVERY * (0.75 + 0.5 * random.nextDouble());
                 askForSeat();
             }
-        } else {
+        } else if (!lonely) {
             // A vote that nobody came back for: it may be decided, and nobody knows.
             if (calls.isEmpty() && now - votedAt > UNFINISHED * (1 + random.nextDouble())) {
                 votedAt = now;
@@ -279,29 +392,43 @@
     // To all that it knows of: who is asked by name is the driver's to know while there is no decision.
     private void askForSeat() {
         long have = decided() == null ? -1 : decided().slot();
-        if (have >= 0) {
-            decided().electors().forEach(e -> out.send(e, new Slip.Join()));
+        if (have >= 0 && storedSlot == have && !leaving) {
+            decided().electors().forEach(e -> out.send(e, new Slip.Join(have)));
         }
         out.send(null, new Slip.Query(0, have));
     }
 
+    // A decision is told again until each elector has it on disk: whoever told it first may have gone.
+    private void tellAgain(double now) {
+        if (decided() == null || now - toldAt < TELL_AGAIN) {
+            return;
+        }
+        List<String> behind = decided().electors().stream().filter(e -> !e.equals(me)
+                && contact.echoedAt(e) > toldAt + TELL_AGAIN / 2 && contact.stored(e) < decided().slot()).toList();
+        if (!behind.isEmpty()) {
+            toldAt = now;
+            behind.forEach(e -> out.send(e, new Slip.Decided(decided())));
+        }
+    }
+
     // With an even number of seats one that is silent is given up: the count that it leaves has the same
     // majority less one.
     private void retire(double now) {
         List<String> electors = decided().electors();
-        if (electors.size() % 2 == 0 && electors.size() > 2 && calls.isEmpty() && silent(now) != null) {
-            add(now, new Call(-1, 0, 0, null, null, "", false));
+        boolean one = silent(now) != null || leaving;
+        if (electors.size() % 2 == 0 && electors.size() > 2 && calls.isEmpty() && one) {
+            add(now, new Call(-1, decided().slot(), 0, null, null, "", false));
         }
     }
 
     private String silent(double now) {
         return decided().electors().stream().filter(e -> !e.equals(me)
-                && now - heard.getOrDefault(e, now) > SILENT).findFirst().orElse(null);
+                && contact.silence(now, e) > SILENT).findFirst().orElse(null);
     }
 
     private double quietest(double now) {
         return decided().electors().stream().filter(e -> !e.equals(me))
-                .mapToDouble(e -> now - heard.getOrDefault(e, now)).max().orElse(0);
+                .mapToDouble(e -> contact.silence(now, e)).max().orElse(0);
     }
 
     /** Where an id's office can be found: the address in it. */
@@ -310,11 +437,16 @@
         return mark < 0 ? id : id.substring(0, mark);
     }
 
-    private Decision seatFor(double now, String joiner) {
+    // The next decision that gives the joiner a seat, or the one without one that leaves; null where none is due.
+    private Decision seatFor(double now, Call call) {
+        String joiner = call.joiner;
+        if (call.version != decided().slot()) {
+            return null;
+        }
         List<String> electors = new ArrayList<>(decided().electors());
         String old = electors.stream().filter(e -> address(e).equals(address(joiner))).findFirst()
                 .orElse(null);
-        String gone = old != null ? old : silent(now);
+        String gone = old != null ? old : leaving && electors.contains(me) ? me : silent(now);
         if (gone == null && quietest(now) > QUIET) {
             return null;
         }
@@ -357,7 +489,7 @@
         switch (call.stage) {
             case FRESH -> {
                 if (call.joiner != null) {
-                    Decision seat = seatFor(now, call.joiner);
+                    Decision seat = seatFor(now, call);
                     if (seat == null) {
                         calls.poll();
                     } else {
@@ -365,6 +497,9 @@
                     }
                 } else if (call.body != null && decided().has(call.version, call.digest)) {
                     end(calls.poll(), Verdict.TAKEN);
+                } else if (call.body != null && !decided().remembers(call.version)) {
+                    // It may have been taken long ago: no refusal is safe, and none is owed.
+                    end(calls.poll(), Verdict.UNCLEAR);
                 } else if (call.body != null && call.builtOn == decided().version()
                         && call.version > call.builtOn) {
                     run(now, decided().with(call.version, call.digest, call.body));
--- a/src/main/java/cobaltrack/post/ballot/Decision.java
+++ b/src/main/java/cobaltrack/post/ballot/Decision.java
@@ -13,8 +13,8 @@
  * @param electors ids of the offices that vote on the next slot
  */
 public record Decision(long slot, long version, byte[] body, List<Taken> taken, List<String> electors) {
-    /** How many versions are remembered: an operator repeats a call for seconds, not for hundreds of versions. */
-    static final int TAKEN_MOST = 128;
+    /** How many versions are remembered; of one before them nobody can tell any more whether it was taken. */
+    public static final int TAKEN_MOST = 256;
 
     /** A version and the digest of what was sent under it. */
     public record Taken(long version, String digest) { }
@@ -48,6 +48,16 @@
         return taken.contains(new Taken(aVersion, digest));
     }
 
+    /** Whether a version that is not among {@link #taken} surely was not taken: versions only rise. */
+    public boolean remembers(long aVersion) {
+        return taken.size() < TAKEN_MOST || aVersion > taken.get(0).version();
+    }
+
+    /** Without what only those that decide need. */
+    public Decision forSidecars() {
+        return new Decision(slot, version, body, List.of(), electors);
+    }
+
     /** How many electors are more than half. */
     public int majority() {
         return electors.size() / 2 + 1;
--- a/src/main/java/cobaltrack/post/ballot/Slip.java
+++ b/src/main/java/cobaltrack/post/ballot/Slip.java
@@ -32,6 +32,6 @@
     /** The answer: its newest decision's slot, and whether it has voted in the slot after. */
     record State(long nonce, long slot, boolean voted) implements Slip { }
 
-    /** An office that is no elector, for its disk is new, asks to be one. */
-    record Join() implements Slip { }
+    /** An office that is no elector asks to be one; a learner that has this slot's decision on disk. */
+    record Join(long slot) implements Slip { }
 }
--- a/src/main/java/cobaltrack/post/carrier/Desk.java
+++ b/src/main/java/cobaltrack/post/carrier/Desk.java
@@ -1,5 +1,6 @@
 package cobaltrack.post.carrier;
 
+import cobaltrack.membership.EndpointList;
 import cobaltrack.post.allowance.Use;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
@@ -33,6 +34,10 @@
     /** Until another office is asked for what one has not sent, in milliseconds. */
     private static final double FETCH_MS = 500;
     private static final int OFFICES_MOST = 16;
+    /** The same for an office that could confirm what another has sent, where nothing is in force yet. */
+    private static final double CONFIRM_MS = 200;
+    /** Without an office in reach, or one that confirms, another sidecar is asked for offices so often. */
+    private static final double SEEK_MS = 1000;
     private static final double NANOS = 1e6;
 
     private final EventLoop loop;
@@ -49,13 +54,19 @@
     private final Map<Tie, Long> noticed = new HashMap<>();
     private Routing routing;
     private Decision newest;
+    private Beginning beginning = new Beginning();
     private double fetchAt = Double.NEGATIVE_INFINITY;
+    private double seekAt;
+    private Tie seeking;
 
     /** Hears what the offices say. */
     interface Owner {
         /** Listings, old and new. */
         void posted(List<Listing> listings);
 
+        /** Where other sidecars are. */
+        List<String> others();
+
         /** An office has come into reach. */
         void officeUp();
 
@@ -74,6 +85,7 @@
     }
 
     void start() {
+        seekAt = now();
         seeds(card.network().seeds());
     }
 
@@ -112,8 +124,20 @@
         return newest == null ? -1 : newest.slot();
     }
 
+    /** The addresses of offices that are known. */
+    List<String> addresses() {
+        return List.copyOf(offices.keySet());
+    }
+
     private void know(String ip) {
-        if (offices.containsKey(ip) || offices.size() >= OFFICES_MOST) {
+        if (ip.isEmpty() || offices.containsKey(ip)) {
+            return;
+        }
+        if (offices.size() >= OFFICES_MOST) {
+            offices.entrySet().stream().filter(e -> !e.getValue().up()).findFirst()
+                    .ifPresent(e -> drop(e.getKey()));
+        }
+        if (offices.size() >= OFFICES_MOST) {
             return;
         }
         Tie tie = new Tie(loop, new InetSocketAddress(ip, card.network().talkPort()), hello, PACE,
@@ -146,7 +170,7 @@
             noticed.put(tie, notice.slot());
             fetch();
         } else if (letter instanceof Letter.News news) {
-            take(news.decision());
+            offered(news);
         } else if (letter instanceof Letter.Sums sums) {
             owner.sums(sums.nodes(), sums.totals());
         }
@@ -154,6 +178,66 @@
 
     void tick() {
         fetch();
+        if (newest == null) {
+            begin(beginning.waited(now()));
+        }
+        seek();
+    }
+
+    // What is in force here never goes back, and a decision is one whoever tells it; but where nothing is in force
+    // yet, an office that is cut off must not be the one to begin with while a better one can be reached.
+    private void offered(Letter.News news) {
+        if (newest != null) {
+            take(news.decision());
+            return;
+        }
+        fetchAt = now() - FETCH_MS + CONFIRM_MS;
+        news.decision().electors().forEach(e -> know(Council.address(e)));
+        begin(beginning.offered(now(), news.decision(), news.confirmed()));
+    }
+
+    private void begin(Decision decision) {
+        if (decision != null) {
+            take(decision);
+        }
+    }
+
+    // Offices beyond those known: other sidecars may know them where all have changed since.
+    private void seek() {
+        boolean reached = offices.values().stream().anyMatch(Tie::up)
+                && !(newest == null && beginning.unconfirmed());
+        if (reached) {
+            seekAt = now();
+        } else if (now() - seekAt > SEEK_MS) {
+            seekAt = now();
+            List<String> others = owner.others();
+            if (!others.isEmpty()) {
+                ask(others.get((int) (Math.random() * others.size())));
+            }
+        }
+    }
+
+    private void ask(String node) {
+        if (seeking != null) {
+            seeking.close();
+        }
+        seeking = new Tie(loop, EndpointList.address(node), hello, PACE, new Tie.Owner() {
+            @Override
+            public void changed(Tie t, Tie.State before) {
+                if (t.state() == Tie.State.UP) {
+                    t.send(new Letter.Seek());
+                }
+            }
+
+            @Override
+            public void letter(Tie t, Letter letter) {
+                if (letter instanceof Letter.Offices told) {
+                    told.addresses().forEach(Desk.this::know);
+                    t.close();
+                }
+            }
+        });
+        seeking.dial();
     }
 
     private void fetch() {
@@ -173,7 +257,7 @@
     }
 
     private void take(Decision decision) {
-        fetchAt = Double.NEGATIVE_INFINITY;
+        fetchAt = newest == null ? fetchAt : Double.NEGATIVE_INFINITY;
         if (decision.slot() <= slot()) {
             return;
         }
@@ -194,13 +278,17 @@
         List<String> electors = decision.electors().stream().map(Council::address).toList();
         for (String ip : List.copyOf(offices.keySet())) {
             if (!electors.contains(ip) && !offices.get(ip).up()) {
-                Tie tie = offices.remove(ip);
-                noticed.remove(tie);
-                tie.close();
+                drop(ip);
             }
         }
     }
 
+    private void drop(String ip) {
+        Tie tie = offices.remove(ip);
+        noticed.remove(tie);
+        tie.close();
+    }
+
     private void read(Decision decision) {
         try {
             Tariff tariff = reader.read(Bodies.inflate(decision.body()));
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -93,6 +93,12 @@
                 Sidecar.this.posted(listings);
             }
 
+            @Override
+            public List<String> others() {
+                return directory.all().stream().filter(l -> l.phase() != Listing.Phase.GONE
+                        && !l.node().equals(node)).map(Listing::node).toList();
+            }
+
             @Override
             public void officeUp() {
                 desk().post(List.of(directory.of(node)));
@@ -332,13 +338,15 @@
     @Override
     public void letter(Link link, Letter letter) {
         if (letter instanceof Letter.Ping ping) {
-            link.send(new Letter.Pong(ping.number(), true));
+            link.send(new Letter.Pong(ping.number(), node, -1));
         } else if (letter instanceof Letter.Parcel parcel) {
             deliver(parcel, answer -> {
                 if (link.open()) {
                     link.send(answer);
                 }
             });
+        } else if (letter instanceof Letter.Seek) {
+            link.send(new Letter.Offices(desk.addresses()));
         } else if (letter instanceof Letter.Hello hello) {
             link.peer(hello.id());
         }
--- a/src/main/java/cobaltrack/post/office/Bodies.java
+++ b/src/main/java/cobaltrack/post/office/Bodies.java
@@ -5,7 +5,8 @@
 import java.io.IOException;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
+import java.util.Arrays;
+import java.util.Base64;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
 
@@ -13,6 +14,8 @@
 public final class Bodies {
     /** The largest configuration, in bytes. */
     private static final int MOST = 16 << 20;
+    /** Of a digest, what is kept. */
+    private static final int DIGEST_BYTES = 16;
 
     private Bodies() { }
 
@@ -42,10 +45,11 @@
         }
     }
 
-    /** What tells one configuration from another. */
+    /** What tells one configuration from another; short, for hundreds of them are kept and sent. */
     public static String digest(byte[] body) {
         try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(body));
+            byte[] all = MessageDigest.getInstance("SHA-256").digest(body);
+            return Base64.getUrlEncoder().withoutPadding().encodeToString(Arrays.copyOf(all, DIGEST_BYTES));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java has SHA-256", e);
         }
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -36,6 +36,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -49,7 +50,10 @@
 public final class Office implements Council.Actions, Link.Ear {
     private static final Tie.Pace PACE = new Tie.Pace(300, 900, 1500, 150);
     private static final long TICK_MS = 25;
-    private static final double IN_TOUCH_MS = 1300;
+    /** What sidecars begin with is confirmed by a majority that answered what left within this. */
+    private static final double CONFIRMED_MS = 1000;
+    /** How long before the kill an office that can't leave in order ends all the same; seconds. */
+    private static final double END_S = 0.8;
     private static final double NANOS = 1e6;
     /** Offices that are known at most, present and past. */
     private static final int OFFICES_MOST = 16;
@@ -154,6 +158,27 @@
         seeds.forEach(s -> know(host(s)));
     }
 
+    /** Leaves: runs while the process ends on SIGTERM, on a thread of its own. */
+    public void leave() {
+        CountDownLatch ended = new CountDownLatch(1);
+        double end = now() + (card.clauses().bounds().graceS() - END_S) * 1000;
+        loop.execute(() -> guard(() -> {
+            Event.LEAVING.log(open.size() + " calls under way");
+            council.leave(now());
+            loop.scheduleAtFixedRate(() -> guard(() -> {
+                if (now() > end || council.left(now()) && open.isEmpty()) {
+                    ended.countDown();
+                }
+            }), 0, TICK_MS, TimeUnit.MILLISECONDS);
+        }));
+        try {
+            ended.await();
+            Event.ENDED.log(id);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void begin() {
         seeds(card.network().seeds());
         if (council.decided() != null) {
@@ -204,6 +229,19 @@
                     public void letter(Tie t, Letter letter) {
                         // The other office answers on its own tie to this one; here only its pongs come.
                     }
+
+                    @Override
+                    public void echoed(double sentAt, Letter.Pong pong) {
+                        guard(() -> {
+                            council.heard(now(), pong.id());
+                            council.echoed(sentAt, pong.id(), pong.slot());
+                        });
+                    }
+
+                    @Override
+                    public boolean steady() {
+                        return true;
+                    }
                 });
         offices.put(ip, tie);
         tie.dial();
@@ -242,12 +280,12 @@
             link.close();
         } else if (letter instanceof Letter.Ping ping) {
             council.heard(now(), link.peer());
-            link.send(new Letter.Pong(ping.number(), council.inTouch(now(), IN_TOUCH_MS)));
+            link.send(new Letter.Pong(ping.number(), id, council.storedSlot()));
         } else if (letter instanceof Letter.Ask ask) {
             guests.put(link, ask.slot());
             notice(link, ask.slot());
         } else if (letter instanceof Letter.Fetch && council.decided() != null) {
-            link.send(new Letter.News(council.decided()));
+            link.send(new Letter.News(council.decided().forSidecars(), council.inTouch(now(), CONFIRMED_MS)));
         } else if (letter instanceof Letter.Post post) {
             posted(link, post.listings());
         } else if (letter instanceof Letter.Paper paper) {
@@ -347,7 +385,8 @@
 
     @Override
     public void decided(Decision decision) {
-        scribe.write(Letters.write(new Elector.Memory(decision, Ballot.NONE, null)), () -> { });
+        scribe.write(Letters.write(new Elector.Memory(decision, Ballot.NONE, null)),
+                () -> guard(() -> council.stored(now(), decision.slot())));
         decision.electors().forEach(e -> know(Council.address(e)));
         Event.DECIDED.log("slot " + decision.slot() + " version " + Long.toHexString(decision.version())
                 + " electors " + decision.electors());
--- a/src/main/java/cobaltrack/post/run/Post.java
+++ b/src/main/java/cobaltrack/post/run/Post.java
@@ -91,6 +91,7 @@
         if ("office".equals(role)) {
             Office office = new Office(card, loop, mapper);
             office.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(office::leave, "leave"));
             settings.watch(hangup, loop, office::seeds);
         } else {
             Sidecar sidecar = new Sidecar(card, loop, mapper);
--- a/src/main/java/cobaltrack/post/wire/Letter.java
+++ b/src/main/java/cobaltrack/post/wire/Letter.java
@@ -23,14 +23,26 @@
     /** Asks for the newest. */
     record Fetch() implements Letter { }
 
-    /** The newest, whole. */
-    record News(Decision decision) implements Letter { }
+    /** The newest known there, whole; {@code confirmed} tells that its office is in contact with a majority. */
+    record News(Decision decision, boolean confirmed) implements Letter { }
 
     /** Asks for a sign of life. */
     record Ping(long number) implements Letter { }
 
-    /** The sign; {@code inTouch} tells whether an office hears more than half of the electors. */
-    record Pong(long number, boolean inTouch) implements Letter { }
+    /**
+     * The sign.
+     *
+     * @param number the question's
+     * @param id who answers
+     * @param slot the newest decision that it has on disk, or -1
+     */
+    record Pong(long number, String id, long slot) implements Letter { }
+
+    /** A sidecar that reaches no office asks another sidecar which ones there are. */
+    record Seek() implements Letter { }
+
+    /** The addresses of offices that are known here. */
+    record Offices(List<String> addresses) implements Letter { }
 
     /** About a ballot. */
     record Paper(Slip slip) implements Letter { }
--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -65,10 +65,11 @@
         } else if (letter instanceof Letter.News l) {
             p.packByte((byte) 6);
             decision(p, l.decision());
+            p.packBoolean(l.confirmed());
         } else if (letter instanceof Letter.Ping l) {
             p.packByte((byte) 7).packLong(l.number());
         } else if (letter instanceof Letter.Pong l) {
-            p.packByte((byte) 8).packLong(l.number()).packBoolean(l.inTouch());
+            p.packByte((byte) 8).packLong(l.number()).packString(l.id()).packLong(l.slot());
         } else if (letter instanceof Letter.Paper l) {
             p.packByte((byte) 9);
             slip(p, l.slip());
@@ -79,6 +80,11 @@
         } else if (letter instanceof Letter.Sums l) {
             p.packByte((byte) 14).packInt(l.nodes());
             uses(p, l.totals());
+        } else if (letter instanceof Letter.Seek) {
+            p.packByte((byte) 15);
+        } else if (letter instanceof Letter.Offices l) {
+            p.packByte((byte) 16);
+            strings(p, l.addresses());
         }
     }
 
@@ -121,9 +127,9 @@
                 case 3 -> new Letter.Ask(u.unpackLong());
                 case 4 -> new Letter.Notice(u.unpackLong());
                 case 5 -> new Letter.Fetch();
-                case 6 -> new Letter.News(decision(u));
+                case 6 -> new Letter.News(decision(u), u.unpackBoolean());
                 case 7 -> new Letter.Ping(u.unpackLong());
-                case 8 -> new Letter.Pong(u.unpackLong(), u.unpackBoolean());
+                case 8 -> new Letter.Pong(u.unpackLong(), u.unpackString(), u.unpackLong());
                 case 9 -> new Letter.Paper(slip(u));
                 case 10 -> new Letter.Parcel(u.unpackLong(), u.unpackString(), u.unpackString(), strings(u),
                         bytes(u), u.unpackInt(), u.unpackString(), u.unpackString(), u.unpackInt());
@@ -133,6 +139,8 @@
                         u.unpackDouble(), u.unpackDouble());
                 case 13 -> new Letter.Uses(uses(u), u.unpackBoolean());
                 case 14 -> new Letter.Sums(u.unpackInt(), uses(u));
+                case 15 -> new Letter.Seek();
+                case 16 -> new Letter.Offices(strings(u));
                 default -> throw new IOException("no letter has the tag " + tag);
             };
         } catch (RuntimeException e) {
@@ -199,8 +207,8 @@
             p.packByte((byte) 8).packLong(s.nonce()).packLong(s.slot());
         } else if (slip instanceof Slip.State s) {
             p.packByte((byte) 9).packLong(s.nonce()).packLong(s.slot()).packBoolean(s.voted());
-        } else {
-            p.packByte((byte) 10);
+        } else if (slip instanceof Slip.Join s) {
+            p.packByte((byte) 10).packLong(s.slot());
         }
     }
 
@@ -216,7 +224,7 @@
             case 7 -> new Slip.Decided(decision(u));
             case 8 -> new Slip.Query(u.unpackLong(), u.unpackLong());
             case 9 -> new Slip.State(u.unpackLong(), u.unpackLong(), u.unpackBoolean());
-            case 10 -> new Slip.Join();
+            case 10 -> new Slip.Join(u.unpackLong());
             default -> throw new IOException("no slip has the tag " + tag);
         };
     }
--- a/src/main/java/cobaltrack/post/wire/Tie.java
+++ b/src/main/java/cobaltrack/post/wire/Tie.java
@@ -46,6 +46,14 @@
         /** A letter came. */
         void letter(Tie tie, Letter letter);
 
+        /** A ping that left at this time, by the loop's steady clock in milliseconds, was answered. */
+        default void echoed(double sentAt, Letter.Pong pong) { }
+
+        /** Whether a sign of life is asked for whatever else comes: only its answer tells of contact. */
+        default boolean steady() {
+            return false;
+        }
+
         /** Whether something is waited for; if not, a sign of life is asked for less often. */
         default boolean waits() {
             return true;
@@ -56,6 +64,8 @@
     private static final double NANOS = 1e6;
     /** So many times as long between pings where nothing is waited for. */
     private static final int IDLE_TIMES = 6;
+    /** Pings whose answers are still told apart. */
+    private static final int PINGS_OUT = 16;
 
     private final EventLoop loop;
     private final SocketAddress address;
@@ -66,8 +76,9 @@
     private Link link;
     private Future<?> timer;
     private long heardAt;
+    /** When the last pings left, by their number. */
+    private final double[] sentAt = new double[PINGS_OUT];
     private long pings;
-    private boolean inTouch;
     private boolean pinged;
 
     /** A tie that is not yet dialled. */
@@ -104,11 +115,6 @@
         return state == State.UP;
     }
 
-    /** What an office at the other end last said: whether it hears more than half of the electors. */
-    public boolean inTouch() {
-        return state == State.UP && inTouch;
-    }
-
     /** Sends a letter; false if the link is down. */
     public boolean send(Letter letter) {
         boolean can = link != null && link.open();
@@ -164,9 +170,10 @@
         }
         // Whatever comes is a sign of life.
         boolean quiet = silent >= (owner.waits() || pinged ? pace.ping() / 2 : pace.ping() * IDLE_TIMES);
-        if (quiet) {
+        if (quiet || owner.steady()) {
             pinged = true;
-            link.send(new Letter.Ping(++pings));
+            sentAt[(int) (++pings % PINGS_OUT)] = System.nanoTime() / NANOS;
+            link.send(new Letter.Ping(pings));
         }
         timer = loop.schedule(this::beat, pace.ping(), TimeUnit.MILLISECONDS);
     }
@@ -190,8 +197,9 @@
         public void letter(Link from, Letter letter) {
             heardAt = System.nanoTime();
             pinged = false;
-            if (letter instanceof Letter.Pong pong) {
-                inTouch = pong.inTouch();
+            if (letter instanceof Letter.Pong pong && pong.number() <= pings
+                    && pong.number() > pings - PINGS_OUT && pong.number() > 0) {
+                owner.echoed(sentAt[(int) (pong.number() % PINGS_OUT)], pong);
             }
             if (state == State.SUSPECT) {
                 to(State.UP);
--- a/src/main/java/cobaltrack/standin/post/CouncilPlay.java
+++ b/src/main/java/cobaltrack/standin/post/CouncilPlay.java
@@ -64,12 +64,14 @@
             life++;
             council = new Council(id, disk, random.nextLong(), this);
             int mine = life;
+            ticks = -1;
             tick(mine);
         }
 
         private void tick(int mine) {
             if (up && life == mine) {
                 council.tick(now);
+                // The first at once, as a tie is made.
                 if (++ticks % PING_TICKS == 0) {
                     ping();
                 }
@@ -77,10 +79,23 @@
             }
         }
 
+        // A question, and its answer where both ways are open.
         private void ping() {
+            double sentAt = now;
+            int mine = life;
             machines.values().forEach(m -> {
                 if (m != this && m.up && !cut.containsKey(address + m.address)) {
                     m.council.heard(now, id);
+                    if (!cut.containsKey(m.address + address)) {
+                        String answers = m.id;
+                        long slot = m.council.storedSlot();
+                        at(1 + random.nextDouble() * 4, () -> {
+                            if (up && life == mine) {
+                                council.heard(now, answers);
+                                council.echoed(sentAt, answers, slot);
+                            }
+                        });
+                    }
                 }
             });
         }
@@ -147,6 +162,7 @@
             at(written(1), () -> {
                 if (life == mine && up) {
                     disk = new Elector.Memory(decision, Ballot.NONE, null);
+                    council.stored(now, decision.slot());
                 }
             });
         }
--- /dev/null
+++ b/src/test/java/cobaltrack/post/CouncilContactTest.java
@@ -0,0 +1,96 @@
+package cobaltrack.post;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cobaltrack.post.ballot.Council;
+import cobaltrack.post.ballot.Decision;
+import org.testng.annotations.Test;
+
+/** Contact with a majority, and what an office without it says; calls that are sent again. */
+public class CouncilContactTest {
+    private static final double WITHIN = 1000;
+
+    @Test
+    public void whatArrivesLateIsNoContact() {
+        Councils c = new Councils();
+        Council a = c.all.get("a#0");
+        assertTrue(a.inTouch(c.now, WITHIN));
+        double cutAt = c.now;
+        c.cutOff.add("a#0");
+        c.now += 20_000;
+        // Held back for twenty seconds: pings of the others, and answers to questions of before the cut.
+        a.heard(c.now, "b#0");
+        a.heard(c.now, "c#0");
+        a.echoed(cutAt, "b#0", 0);
+        a.echoed(cutAt, "c#0", 0);
+        assertFalse(a.inTouch(c.now, WITHIN));
+        a.echoed(c.now - 5, "b#0", 0);
+        assertTrue(a.inTouch(c.now, WITHIN));
+    }
+
+    @Test
+    public void contactWithOneThatKnowsMoreConfirmsNothing() {
+        Councils c = new Councils();
+        Council a = c.all.get("a#0");
+        a.echoed(c.now, "b#0", 1);
+        assertFalse(a.inTouch(c.now, WITHIN));
+    }
+
+    @Test
+    public void anOfficeThatIsCutOffSaysAtOnceThatItCannotTell() {
+        Councils c = new Councils();
+        c.cutOff.add("a#0");
+        c.pass(2000);
+        c.verdicts.clear();
+        c.all.get("a#0").replace(c.now, 1, 5, 0, "digest", new byte[] {1});
+        c.all.get("a#0").read(c.now, 2);
+        assertEquals(c.verdicts.size(), 2, "told in the same moment");
+        assertTrue(c.verdicts.stream().allMatch(v -> v == Council.Verdict.UNCLEAR));
+        assertEquals(c.replace("b#0", 5, 0, "digest"), Council.Verdict.TAKEN, "any other takes it");
+        c.cutOff.clear();
+        c.pass(1000);
+        assertEquals(c.all.get("a#0").decided().version(), 5L);
+        assertEquals(c.replace("a#0", 5, 0, "digest"), Council.Verdict.TAKEN);
+    }
+
+    @Test
+    public void eightOrdersUnderWayAtACutOfficeAreAllToldSoon() {
+        Councils c = new Councils();
+        c.cutOff.add("a#0");
+        for (int i = 0; i < 8; i++) {
+            c.all.get("a#0").replace(c.now, i, 5 + i, 0, "digest" + i, new byte[] {1});
+        }
+        double from = c.now;
+        while (c.verdicts.size() < 8 && c.now - from < 5000) {
+            c.pass(25);
+        }
+        assertTrue(c.now - from < 2000, "after " + (c.now - from) + " ms");
+    }
+
+    @Test
+    public void ofTwoChangesUnderOneNumberOneIsTakenAndItsRepeatsAtAnyOffice() {
+        Councils c = new Councils();
+        assertEquals(c.replace("a#0", 5, 0, "mine"), Council.Verdict.TAKEN);
+        assertEquals(c.replace("b#0", 5, 0, "yours"), Council.Verdict.MISMATCH);
+        for (String office : Councils.FOUNDERS) {
+            assertEquals(c.replace(office, 5, 0, "mine"), Council.Verdict.TAKEN);
+            assertEquals(c.replace(office, 5, 0, "yours"), Council.Verdict.MISMATCH);
+        }
+    }
+
+    @Test
+    public void aRepeatAfterHundredsOfChangesIsTakenOrUnclearNeverRefused() {
+        Councils c = new Councils();
+        for (int v = 1; v <= 300; v++) {
+            assertEquals(c.replace("a#0", v, v - 1, "d" + v), Council.Verdict.TAKEN);
+        }
+        for (int v = 1; v <= 300; v++) {
+            Council.Verdict verdict = c.replace("b#0", v, v - 1, "d" + v);
+            assertEquals(verdict, v > 300 - Decision.TAKEN_MOST ? Council.Verdict.TAKEN
+                    : Council.Verdict.UNCLEAR, "version " + v);
+        }
+        assertEquals(c.replace("b#0", 299, 298, "other"), Council.Verdict.MISMATCH);
+    }
+}
--- a/src/test/java/cobaltrack/post/CouncilSeatTest.java
+++ b/src/test/java/cobaltrack/post/CouncilSeatTest.java
@@ -1,134 +1,169 @@
 package cobaltrack.post;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
-import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
 import cobaltrack.post.ballot.Slip;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import org.testng.annotations.Test;
 
-/** Who gets a seat, and when: councils that hear each other at once, and one that has gone. */
+/** Who gets a seat, and when; how one goes out. */
 public class CouncilSeatTest {
-    private static final List<String> FOUNDERS = List.of("a#0", "b#0", "c#0");
-    private static final double TICK = 25;
-
-    private final Map<String, Council> councils = new LinkedHashMap<>();
-    private final ArrayDeque<Runnable> mail = new ArrayDeque<>();
-    private final List<Council.Verdict> verdicts = new ArrayList<>();
-    private double now;
-
-    private void start(String id, Decision known) {
-        councils.put(id, new Council(id, new Elector.Memory(known, Ballot.NONE, null), id.hashCode(),
-                new Council.Actions() {
-                    @Override
-                    public void send(String to, Slip slip) {
-                        councils.forEach((name, c) -> {
-                            if (to == null && !name.equals(id) || name.equals(to)) {
-                                mail.add(() -> c.received(now, id, slip));
-                            }
-                        });
-                    }
+    @Test
+    public void aNewcomerWaitsWhileOneIsQuietAndTakesTheSeatOfOneThatIsSilent() {
+        Councils c = new Councils();
+        c.all.remove("c#0");
+        c.pass(1200);
+        c.start("d#1", null);
+        c.pass(800);
+        assertEquals(c.electors(), Councils.FOUNDERS, "a seat beside one that may be dead leaves no room for a loss");
+        c.pass(1200);
+        assertEquals(c.electors(), List.of("a#0", "b#0", "d#1"));
+    }
 
-                    @Override
-                    public void sync(Elector.Memory memory, String to, Slip slip) {
-                        send(to, slip);
-                    }
+    @Test
+    public void aNewDiskAtAnOldAddressTakesThatSeatAtOnce() {
+        Councils c = new Councils();
+        c.all.remove("b#0");
+        c.start("b#9", null);
+        c.pass(600);
+        assertEquals(c.electors(), List.of("a#0", "b#9", "c#0"));
+    }
 
-                    @Override
-                    public void replaced(long call, Council.Verdict verdict) {
-                        verdicts.add(verdict);
-                    }
+    @Test
+    public void oneMoreIsAddedWhereAllAreThereAndAnEvenNumberDropsOneThatIsSilent() {
+        Councils c = new Councils();
+        c.start("d#1", null);
+        c.pass(600);
+        assertEquals(c.electors(), List.of("a#0", "b#0", "c#0", "d#1"));
+        c.all.remove("b#0");
+        c.pass(3500);
+        assertEquals(c.electors(), List.of("a#0", "c#0", "d#1"));
+    }
 
-                    @Override
-                    public void read(long call, Decision newest) { }
+    @Test
+    public void aBallotWaitsForNoTimerBetweenItsPhases() {
+        Councils c = new Councils();
+        c.all.get("b#0").replace(c.now, 1, 5, 0, "digest", new byte[] {1});
+        c.deliver();
+        assertEquals(c.verdicts, List.of(Council.Verdict.TAKEN));
+        assertEquals(c.all.get("c#0").decided().version(), 5L);
+    }
 
-                    @Override
-                    public void decided(Decision decision) { }
-                }));
+    @Test
+    public void aNewDiskNeverVotesBeforeItHasASeat() {
+        Councils c = new Councils();
+        c.all.remove("b#0");
+        c.all.remove("c#0");
+        c.start("b#9", null);
+        c.start("c#9", null);
+        c.pass(5000);
+        assertEquals(c.electors(), Councils.FOUNDERS, "one of three decides nothing with two that are new");
     }
 
-    // All hear each other all the time.
-    private void pass(double millis) {
-        for (double end = now + millis; now < end; now += TICK) {
-            councils.forEach((id, c) -> councils.keySet().forEach(other -> c.heard(now, other)));
-            councils.values().forEach(c -> c.tick(now));
-            while (!mail.isEmpty()) {
-                mail.poll().run();
-            }
-        }
+    @Test
+    public void oneThatDiedBeforeThisOfficeBeganFallsSilentTooAndLosesItsSeat() {
+        Councils c = new Councils();
+        Decision known = c.all.get("a#0").decided();
+        c.all.clear();
+        c.start("a#0", known);
+        c.start("b#0", known);
+        c.start("d#1", null);
+        c.pass(4000);
+        assertEquals(c.electors(), List.of("a#0", "b#0", "d#1"));
     }
 
-    private void found() {
-        councils.clear();
-        mail.clear();
-        verdicts.clear();
-        now = 0;
-        FOUNDERS.forEach(id -> start(id, Decision.founding(FOUNDERS)));
-        pass(1000);
+    @Test
+    public void aNewcomerIsALearnerUntilItHasTheNewestOnDisk() {
+        Councils c = new Councils();
+        c.replace("a#0", 5, 0, "digest");
+        c.start("d#1", null);
+        c.stall("d#1");
+        c.pass(3000);
+        assertEquals(c.all.get("d#1").decided().version(), 5L, "it learns");
+        assertEquals(c.electors(), Councils.FOUNDERS, "but nothing is on its disk");
     }
 
-    private List<String> electors() {
-        return councils.get("a#0").decided().electors();
+    @Test
+    public void whoLeavesAnEvenNumberGoesOutByAgreementBeforeItEnds() {
+        Councils c = new Councils();
+        c.start("d#1", null);
+        c.pass(1500);
+        assertEquals(c.electors().size(), 4);
+        Council b = c.all.get("b#0");
+        double from = c.now;
+        b.leave(c.now);
+        assertFalse(b.left(c.now));
+        for (int i = 0; i < 40 && !b.left(c.now); i++) {
+            c.pass(25);
+        }
+        assertTrue(b.left(c.now) && c.now - from <= 500, "left after " + (c.now - from) + " ms");
+        c.all.remove("b#0");
+        assertEquals(c.electors(), List.of("a#0", "c#0", "d#1"));
+        // The next loss comes at once, and is borne.
+        c.all.remove("c#0");
+        assertEquals(c.replace("a#0", 7, 0, "next"), Council.Verdict.TAKEN);
     }
 
     @Test
-    public void aNewcomerWaitsWhileOneIsQuietAndTakesTheSeatOfOneThatIsSilent() {
-        found();
-        councils.remove("c#0");
-        pass(1200);
-        start("d#1", null);
-        pass(800);
-        assertEquals(electors(), FOUNDERS, "a seat beside one that may be dead leaves no room for a loss");
-        pass(1200);
-        assertEquals(electors(), List.of("a#0", "b#0", "d#1"));
+    public void whoLeavesWaitsUntilAllThatRemainHaveTheNewestOnDisk() {
+        Councils c = new Councils();
+        c.start("d#1", null);
+        c.pass(1500);
+        c.stall("c#0");
+        Council b = c.all.get("b#0");
+        b.leave(c.now);
+        c.pass(2000);
+        assertEquals(c.electors(), List.of("a#0", "c#0", "d#1"));
+        assertFalse(b.left(c.now), "c has told that its disk has an older decision");
     }
 
     @Test
-    public void aNewDiskAtAnOldAddressTakesThatSeatAtOnce() {
-        found();
-        councils.remove("b#0");
-        start("b#9", null);
-        pass(600);
-        assertEquals(electors(), List.of("a#0", "b#9", "c#0"));
+    public void oneOfAnOddNumberKeepsItsSeatWhenItEnds() {
+        Councils c = new Councils();
+        Council b = c.all.get("b#0");
+        b.leave(c.now);
+        c.pass(100);
+        assertTrue(b.left(c.now));
+        assertEquals(c.electors(), Councils.FOUNDERS, "it may come back, and two would bear no loss");
     }
 
     @Test
-    public void oneMoreIsAddedWhereAllAreThereAndAnEvenNumberDropsOneThatIsSilent() {
-        found();
-        start("d#1", null);
-        pass(600);
-        assertEquals(electors(), List.of("a#0", "b#0", "c#0", "d#1"));
-        councils.remove("b#0");
-        pass(3500);
-        assertEquals(electors(), List.of("a#0", "c#0", "d#1"));
+    public void whoLeavesAnOddNumberGivesItsSeatToANewcomer() {
+        Councils c = new Councils();
+        c.start("d#1", null);
+        c.all.get("b#0").leave(c.now);
+        c.pass(1500);
+        List<String> electors = c.electors();
+        assertTrue(electors.contains("d#1") && !electors.contains("b#0") && electors.size() == 3, "" + electors);
     }
 
     @Test
-    public void aBallotWaitsForNoTimerBetweenItsPhases() {
-        found();
-        councils.get("b#0").replace(now, 1, 5, 0, "digest", new byte[] {1});
-        while (!mail.isEmpty()) {
-            mail.poll().run();
-        }
-        assertEquals(verdicts, List.of(Council.Verdict.TAKEN));
-        assertEquals(councils.get("c#0").decided().version(), 5L);
+    public void anOfficeThatSleptTakesNobodyForSilent() {
+        Councils c = new Councils();
+        c.start("d#1", null);
+        c.pass(1500);
+        Council a = c.all.remove("a#0");
+        c.pass(2000);
+        // Past the time of silence it thaws; nothing has arrived here meanwhile, or is only now to be read.
+        c.now += 2000;
+        c.all.put("a#0", a);
+        a.tick(c.now);
+        c.deliver();
+        assertEquals(a.decided().electors().size(), 4);
     }
 
     @Test
-    public void aNewDiskNeverVotesBeforeItHasASeat() {
-        found();
-        councils.remove("b#0");
-        councils.remove("c#0");
-        start("b#9", null);
-        start("c#9", null);
-        pass(5000);
-        assertEquals(electors(), FOUNDERS, "one of three decides nothing with two that are new");
+    public void aDecisionIsToldAgainUntilEachElectorHasIt() {
+        Councils c = new Councils();
+        c.lost = slip -> slip instanceof Slip.Decided;
+        assertEquals(c.replace("a#0", 5, 0, "digest"), Council.Verdict.TAKEN);
+        c.lost = slip -> slip instanceof Slip.Prepare;
+        c.pass(1000);
+        assertEquals(c.all.get("b#0").decided().version(), 5L);
+        assertEquals(c.all.get("c#0").decided().version(), 5L);
     }
 }
--- /dev/null
+++ b/src/test/java/cobaltrack/post/Councils.java
@@ -0,0 +1,129 @@
+package cobaltrack.post;
+
+import cobaltrack.post.ballot.Ballot;
+import cobaltrack.post.ballot.Council;
+import cobaltrack.post.ballot.Decision;
+import cobaltrack.post.ballot.Elector;
+import cobaltrack.post.ballot.Slip;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/** Real councils that hear and answer each other at once, but for those that a test cuts off. */
+final class Councils {
+    static final List<String> FOUNDERS = List.of("a#0", "b#0", "c#0");
+    private static final double TICK = 25;
+
+    final List<Council.Verdict> verdicts = new ArrayList<>();
+    final Map<String, Council> all = new LinkedHashMap<>();
+    /** Slips that are lost. */
+    Predicate<Slip> lost = slip -> false;
+    /** Offices that no packet reaches or leaves. */
+    final Set<String> cutOff = new HashSet<>();
+    double now;
+    private final ArrayDeque<Runnable> mail = new ArrayDeque<>();
+    private final Map<String, Boolean> stalled = new HashMap<>();
+
+    Councils() {
+        FOUNDERS.forEach(id -> start(id, Decision.founding(FOUNDERS)));
+        pass(1000);
+    }
+
+    Council start(String id, Decision known) {
+        Council council = new Council(id, new Elector.Memory(known, Ballot.NONE, null), id.hashCode(),
+                new Driver(id));
+        all.put(id, council);
+        return council;
+    }
+
+    /** What this one writes to its disk is not there until it is let. */
+    void stall(String id) {
+        stalled.put(id, true);
+    }
+
+    private final class Driver implements Council.Actions {
+        private final String id;
+
+        private Driver(String id) {
+            this.id = id;
+        }
+
+        @Override
+        public void send(String to, Slip slip) {
+            all.forEach((name, c) -> {
+                boolean open = name.equals(id) || !cutOff.contains(id) && !cutOff.contains(name);
+                if ((to == null && !name.equals(id) || name.equals(to)) && open && !lost.test(slip)) {
+                    mail.add(() -> c.received(now, id, slip));
+                }
+            });
+        }
+
+        @Override
+        public void sync(Elector.Memory memory, String to, Slip slip) {
+            if (!stalled.containsKey(id)) {
+                send(to, slip);
+            }
+        }
+
+        @Override
+        public void replaced(long call, Council.Verdict verdict) {
+            verdicts.add(verdict);
+        }
+
+        @Override
+        public void read(long call, Decision newest) {
+            verdicts.add(newest == null ? Council.Verdict.UNCLEAR : Council.Verdict.TAKEN);
+        }
+
+        @Override
+        public void decided(Decision decision) {
+            mail.add(() -> {
+                if (!stalled.containsKey(id) && all.containsKey(id)) {
+                    all.get(id).stored(now, decision.slot());
+                }
+            });
+        }
+    }
+
+    /** All that is on its way arrives, and what that causes. */
+    void deliver() {
+        while (!mail.isEmpty()) {
+            mail.poll().run();
+        }
+    }
+
+    /** Time passes; all that are not cut off hear each other, and answer each other's questions. */
+    void pass(double millis) {
+        for (double end = now + millis; now < end; now += TICK) {
+            all.forEach((id, c) -> all.forEach((other, o) -> {
+                if (!cutOff.contains(id) && !cutOff.contains(other)) {
+                    c.heard(now, other);
+                    c.echoed(now, other, o.storedSlot());
+                }
+            }));
+            all.values().forEach(c -> c.tick(now));
+            deliver();
+        }
+    }
+
+    List<String> electors() {
+        return all.get("a#0").decided().electors();
+    }
+
+    /** The verdict on a change that one office is sent. */
+    Council.Verdict replace(String office, long version, long builtOn, String digest) {
+        verdicts.clear();
+        all.get(office).replace(now, 1, version, builtOn, digest, new byte[] {1});
+        deliver();
+        if (verdicts.isEmpty()) {
+            pass(1000);
+        }
+        return verdicts.isEmpty() ? null : verdicts.get(0);
+    }
+}
--- a/src/test/java/cobaltrack/post/LettersTest.java
+++ b/src/test/java/cobaltrack/post/LettersTest.java
@@ -29,8 +29,9 @@
     private static List<Letter> letters() {
         return List.of(new Letter.Hello("n", true),
                 new Letter.Post(List.of(new Listing("n", 1, 2, "z", "i", "s", Listing.Phase.DRAINING, 6, 5))),
-                new Letter.Ask(-1), new Letter.Notice(8), new Letter.Fetch(), new Letter.News(DECISION),
-                new Letter.Ping(1), new Letter.Pong(1, true),
+                new Letter.Ask(-1), new Letter.Notice(8), new Letter.Fetch(), new Letter.News(DECISION, true),
+                new Letter.Ping(1), new Letter.Pong(1, "10.0.0.1#0", 7), new Letter.Seek(),
+                new Letter.Offices(List.of("10.0.0.1")),
                 new Letter.Paper(new Slip.Prepare(8, BALLOT)),
                 new Letter.Paper(new Slip.Promise(8, BALLOT, null)),
                 new Letter.Paper(new Slip.Promise(8, BALLOT, new Slip.Vote(BALLOT, DECISION))),
@@ -39,7 +40,7 @@
                 new Letter.Paper(new Slip.Outbid(8, BALLOT, BALLOT)),
                 new Letter.Paper(new Slip.Lagging(8, -1)), new Letter.Paper(new Slip.Decided(DECISION)),
                 new Letter.Paper(new Slip.Query(5, 3)), new Letter.Paper(new Slip.State(5, 3, true)),
-                new Letter.Paper(new Slip.Join()), new Letter.Uses(List.of(new Use("t", 0.5)), true),
+                new Letter.Paper(new Slip.Join(6)), new Letter.Uses(List.of(new Use("t", 0.5)), true),
                 new Letter.Sums(3, List.of(new Use("t", 0.5))),
                 new Letter.Returned(4, Letter.Why.MOVED, 0.5, 2));
     }
