Call no ballot of an earlier life anew, and tell one that is behind less and less often

Cause: an office that lost power before its own promise was on disk began its rounds anew and called the same ballot number a second time, with another value. An elector that finds the first life's proposal in its socket after voting for the second's takes both for one ballot, and its vote is overwritten: two values could be decided.

Ruled out: syncing the round before each ballot, which costs every order one more sync.

Change: a ballot names the life that calls it. Telling again doubles from 0.4 to 3.2 s, for the disk at the other end may be stalled.

Result: CouncilContactTest.noLifeOfAnOfficeCallsABallotOfAnEarlierOne gave 1 ballot number for 3 lives before, 3 now.

--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -44,8 +44,10 @@
     private static final double CONTACT = 1000;
     /** Without contact with a majority for so long, calls end unclear at once, in milliseconds. */
     private static final double LONELY = 500;
-    /** One that is behind so long after it was told the newest decision is told again, in milliseconds. */
+    /** One that is behind so long after it was told the newest decision is told again, and doubled up to the
+     *  most, for a disk may be stalled; in milliseconds. */
     private static final double TELL_AGAIN = 400;
+    private static final double TELL_AGAIN_MOST = 3200;
     /** For a newcomer heard of so lately, one that leaves waits: it may take the seat. */
     private static final double NEWCOMER = 1000;
     /** A backoff after a lost ballot lies between these, in milliseconds, doubled up to the most. */
@@ -88,6 +90,8 @@
     }
 
     private final String me;
+    /** Names its ballots: this life's own, for what an earlier life called it may not remember. */
+    private final String caller;
     private final Elector elector;
     private final SplittableRandom random;
     private final Actions out;
@@ -104,6 +108,7 @@
     private double votedAt = Double.NaN;
     private double joinAt;
     private double toldAt = Double.NEGATIVE_INFINITY;
+    private double tellAfter = TELL_AGAIN;
     private double askedForSeatAt = Double.NEGATIVE_INFINITY;
     private boolean begun;
     /** Since when no majority is in contact; NaN while one is. */
@@ -115,11 +120,13 @@
      * An office's council.
      *
      * @param me its id, drawn anew with each new disk
+     * @param seed of all that it draws; another in each life, or it would call an old ballot anew
      */
     public Council(String me, Elector.Memory memory, long seed, Actions out) {
         this.me = me;
         this.elector = new Elector(memory);
         this.random = new SplittableRandom(seed);
+        this.caller = me + "/" + Long.toHexString(random.nextLong());
         this.out = out;
         this.votedAt = memory.vote() == null ? Double.NaN : Double.NEGATIVE_INFINITY;
         this.storedSlot = memory.decided() == null ? -1 : memory.decided().slot();
@@ -338,6 +345,7 @@
             out.decided(decision);
             contact.keep(now, decision.electors());
             toldAt = now;
+            tellAfter = TELL_AGAIN;
             if (!calls.isEmpty()) {
                 calls.peek().stage = Stage.FRESH;
             }
@@ -400,13 +408,14 @@
 
     // A decision is told again until each elector has it on disk: whoever told it first may have gone.
     private void tellAgain(double now) {
-        if (decided() == null || now - toldAt < TELL_AGAIN) {
+        if (decided() == null || now - toldAt < tellAfter) {
             return;
         }
         List<String> behind = decided().electors().stream().filter(e -> !e.equals(me)
                 && contact.echoedAt(e) > toldAt + TELL_AGAIN / 2 && contact.stored(e) < decided().slot()).toList();
         if (!behind.isEmpty()) {
             toldAt = now;
+            tellAfter = Math.min(TELL_AGAIN_MOST, tellAfter * 2);
             behind.forEach(e -> out.send(e, new Slip.Decided(decided())));
         }
     }
@@ -546,7 +555,7 @@
 
     private void run(double now, Decision wanted) {
         round = Math.max(round, elector.memory().promised().round()) + 1;
-        candidacy = new Candidacy(decided(), new Ballot(round, me), wanted);
+        candidacy = new Candidacy(decided(), new Ballot(round, caller), wanted);
         againAt = now;
     }
 
--- a/src/test/java/cobaltrack/post/CouncilContactTest.java
+++ b/src/test/java/cobaltrack/post/CouncilContactTest.java
@@ -4,8 +4,13 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
+import cobaltrack.post.ballot.Elector;
+import cobaltrack.post.ballot.Slip;
+import java.util.HashSet;
+import java.util.Set;
 import org.testng.annotations.Test;
 
 /** Contact with a majority, and what an office without it says; calls that are sent again. */
@@ -80,6 +85,38 @@
         }
     }
 
+    @Test
+    public void noLifeOfAnOfficeCallsABallotOfAnEarlierOne() {
+        // Its own promise was not on disk when it went; what it had called may still be on its way.
+        Set<Ballot> ballots = new HashSet<>();
+        for (int life = 0; life < 3; life++) {
+            Council c = new Council("a#0", new Elector.Memory(Decision.founding(Councils.FOUNDERS), Ballot.NONE,
+                    null), life, new Council.Actions() {
+                        @Override
+                        public void send(String to, Slip slip) {
+                            if (slip instanceof Slip.Prepare p) {
+                                ballots.add(p.ballot());
+                            }
+                        }
+
+                        @Override
+                        public void sync(Elector.Memory memory, String to, Slip slip) { }
+
+                        @Override
+                        public void replaced(long call, Council.Verdict verdict) { }
+
+                        @Override
+                        public void read(long call, Decision newest) { }
+
+                        @Override
+                        public void decided(Decision decision) { }
+                    });
+            Councils.FOUNDERS.forEach(other -> c.echoed(0, other, 0));
+            c.replace(0, 1, 5, 0, "digest", new byte[] {1});
+        }
+        assertEquals(ballots.size(), 3);
+    }
+
     @Test
     public void aRepeatAfterHundredsOfChangesIsTakenOrUnclearNeverRefused() {
         Councils c = new Councils();
