Ledger: refuse what is damaged, sync what a killed process left

Need: an office that forgets a promise must not vote on under its name. The system calls of the ledger were traced (a trial): SQLite's own order is sound for losses of power, a commit is one sync, and the folder is synced before the first frame. Not covered were: a log that a killed process had written and not synced was read and told on as if it lasted; a folder that the ledger made was not synced into the one above; a damaged memory was taken for good; a log whose office.db was lost was removed by SQLite, and the office began anew; a row hidden by a damaged page read as a new ledger.

Ruled out: DELETE journalling coming back (the folder is synced before anything is said; synchronous=EXTRA now says it at the unlink too); a second table for the checksum (a page more in each commit); an integrity check at each start (only where no row is found).

Change: CRC32C beside the row, user_version 1, ledgers of before are upgraded in one transaction; one clear line for each refusal; a log that is there is synced before it is opened; a new ledger's folder, and folders made for it, are synced; the statement is prepared once.

--- a/src/main/java/cobaltrack/post/ledger/Ledger.java
+++ b/src/main/java/cobaltrack/post/ledger/Ledger.java
@@ -1,6 +1,7 @@
 package cobaltrack.post.ledger;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.sql.Connection;
@@ -9,23 +10,36 @@
 import java.sql.ResultSet;
 import java.sql.SQLException;
 import java.sql.Statement;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.zip.CRC32C;
 
 /**
  * An office's memory on disk: one row, replaced and synced each time. SQLite in WAL mode with full syncs: a
  * commit is one sync. One thread; a call may wait for the disk.
+ *
+ * <p>What {@link #read} gives lasts: a log that a process left unsynced is synced before it is read. What is
+ * damaged is refused, never mended: an office that has forgotten what it promised must not vote under its
+ * old name.
  */
 public final class Ledger implements AutoCloseable {
     private static final String FILE = "office.db";
+    private static final String LOG = FILE + "-wal";
     /** Pages in the log after which it is folded into the file; keeps it at some hundred kilobytes. */
     private static final int CHECKPOINT_PAGES = 200;
+    /** The table with a checksum. Before it there was version 0, without one. */
+    private static final int VERSION = 1;
 
     /** What was found. */
     public record Entry(String id, byte[] memory) { }
 
     private final Connection connection;
+    private final PreparedStatement replace;
 
-    private Ledger(Connection connection) {
+    private Ledger(Connection connection) throws SQLException {
         this.connection = connection;
+        replace = connection.prepareStatement("INSERT INTO office VALUES (1, ?, ?, ?) ON CONFLICT (one)"
+                + " DO UPDATE SET id = excluded.id, memory = excluded.memory, crc = excluded.crc");
     }
 
     /**
@@ -34,49 +48,172 @@
      * @throws LedgerException if that can't be done, or what is there is damaged
      */
     public static Ledger open(Path folder) throws LedgerException {
+        return open(folder, Syncer.DISK);
+    }
+
+    /**
+     * Opens the ledger in this folder, or founds one, with these syncs besides SQLite's own.
+     *
+     * @throws LedgerException if that can't be done, or what is there is damaged
+     */
+    public static Ledger open(Path folder, Syncer syncer) throws LedgerException {
+        Connection c = null;
         try {
-            Files.createDirectories(folder);
-            Connection c = DriverManager.getConnection("jdbc:sqlite:" + folder.resolve(FILE));
-            try (Statement s = c.createStatement()) {
-                // The locking mode first: then the log's index needs no mapped file.
-                s.execute("PRAGMA locking_mode=EXCLUSIVE");
-                s.execute("PRAGMA journal_mode=WAL");
-                s.execute("PRAGMA synchronous=FULL");
-                s.execute("PRAGMA wal_autocheckpoint=" + CHECKPOINT_PAGES);
-                s.execute("CREATE TABLE IF NOT EXISTS office"
-                        + " (one INTEGER PRIMARY KEY CHECK (one = 1), id TEXT NOT NULL, memory BLOB NOT NULL)");
+            make(folder, syncer);
+            boolean log = size(folder.resolve(LOG)) > 0;
+            if (log && size(folder.resolve(FILE)) == 0) {
+                // SQLite would remove the log and begin anew.
+                throw new LedgerException("the ledger in " + folder + " has a log, but no " + FILE
+                        + "; remove both to join as a new office");
             }
+            if (log) {
+                // A process that was killed may have left there what no sync has covered.
+                syncer.file(folder.resolve(LOG));
+            }
+            c = DriverManager.getConnection("jdbc:sqlite:" + folder.resolve(FILE));
+            prepare(c, folder, syncer);
             return new Ledger(c);
         } catch (SQLException | IOException e) {
+            close(c);
             throw new LedgerException("the ledger in " + folder + " can't be opened: " + e.getMessage(), e);
+        } catch (LedgerException e) {
+            close(c);
+            throw e;
+        }
+    }
+
+    private static void close(Connection c) {
+        try {
+            if (c != null) {
+                c.close();
+            }
+        } catch (SQLException e) {
+            // What made it useless is reported; nothing was written that this could lose.
+        }
+    }
+
+    // A new folder's name lasts when the folder above it is synced.
+    private static void make(Path folder, Syncer syncer) throws IOException {
+        Deque<Path> missing = new ArrayDeque<>();
+        for (Path p = folder.toAbsolutePath(); p != null && !Files.exists(p); p = p.getParent()) {
+            missing.push(p);
+        }
+        for (Path p : missing) {
+            Files.createDirectory(p);
+            syncer.folder(p.getParent());
+        }
+    }
+
+    private static long size(Path file) throws IOException {
+        return Files.exists(file) ? Files.size(file) : 0;
+    }
+
+    private static void prepare(Connection c, Path folder, Syncer syncer) throws SQLException, IOException,
+            LedgerException {
+        try (Statement s = c.createStatement()) {
+            // The locking mode first: then the log's index needs no mapped file. And before the switch to the
+            // log that removed names are synced: a journal that comes back would undo the founding.
+            s.execute("PRAGMA locking_mode=EXCLUSIVE");
+            s.execute("PRAGMA synchronous=EXTRA");
+            s.execute("PRAGMA journal_mode=WAL");
+            s.execute("PRAGMA wal_autocheckpoint=" + CHECKPOINT_PAGES);
+            long version = number(s, "PRAGMA user_version");
+            if (number(s, "SELECT count(*) FROM sqlite_schema") == 0) {
+                s.execute("BEGIN");
+                s.execute("CREATE TABLE office (one INTEGER PRIMARY KEY CHECK (one = 1), id TEXT NOT NULL,"
+                        + " memory BLOB NOT NULL, crc INTEGER)");
+                s.execute("PRAGMA user_version=" + VERSION);
+                s.execute("COMMIT");
+                syncer.folder(folder);
+            } else if (version == 0) {
+                upgrade(c, s);
+            } else if (version != VERSION) {
+                throw new LedgerException("the ledger in " + folder + " is damaged, or of a later version: "
+                        + version);
+            }
+        }
+    }
+
+    private static long number(Statement s, String query) throws SQLException {
+        try (ResultSet r = s.executeQuery(query)) {
+            return r.getLong(1);
+        }
+    }
+
+    // A ledger of before: its row gets a checksum. All or nothing.
+    private static void upgrade(Connection c, Statement s) throws SQLException {
+        s.execute("BEGIN");
+        s.execute("ALTER TABLE office ADD COLUMN crc INTEGER");
+        Entry entry = null;
+        try (ResultSet r = s.executeQuery("SELECT id, memory FROM office")) {
+            if (r.next()) {
+                entry = new Entry(r.getString(1), r.getBytes(2));
+            }
+        }
+        if (entry != null) {
+            try (PreparedStatement p = c.prepareStatement("UPDATE office SET crc = ?")) {
+                p.setLong(1, checksum(entry.id(), entry.memory()));
+                p.executeUpdate();
+            }
         }
+        s.execute("PRAGMA user_version=" + VERSION);
+        s.execute("COMMIT");
+    }
+
+    private static long checksum(String id, byte[] memory) {
+        CRC32C crc = new CRC32C();
+        crc.update(id.getBytes(StandardCharsets.UTF_8));
+        crc.update(0);
+        crc.update(memory);
+        return crc.getValue();
     }
 
     /**
-     * What was written last, or null in a new ledger.
+     * What was written last, or null in a new ledger. It lasts: no loss of power after this takes it.
      *
-     * @throws LedgerException if it can't be read
+     * @throws LedgerException if it can't be read, or is damaged
      */
     public Entry read() throws LedgerException {
         try (Statement s = connection.createStatement();
-                ResultSet r = s.executeQuery("SELECT id, memory FROM office")) {
-            return r.next() ? new Entry(r.getString(1), r.getBytes(2)) : null;
+                ResultSet r = s.executeQuery("SELECT one, id, memory, crc FROM office LIMIT 2")) {
+            if (!r.next()) {
+                return unwritten();
+            }
+            Entry entry = new Entry(r.getString(2), r.getBytes(3));
+            boolean whole = r.getLong(1) == 1 && entry.id() != null && entry.memory() != null
+                    && r.getString(4) != null && r.getLong(4) == checksum(entry.id(), entry.memory());
+            if (!whole || r.next()) {
+                throw new LedgerException("the ledger's entry is damaged; remove it to join as a new office");
+            }
+            return entry;
         } catch (SQLException e) {
             throw new LedgerException("the ledger can't be read: " + e.getMessage(), e);
         }
     }
 
+    // Nothing was said yet, or a damaged page hides the row.
+    private Entry unwritten() throws SQLException, LedgerException {
+        try (Statement s = connection.createStatement();
+                ResultSet r = s.executeQuery("PRAGMA quick_check")) {
+            if (!"ok".equals(r.getString(1))) {
+                throw new LedgerException("the ledger is damaged: " + r.getString(1)
+                        + "; remove it to join as a new office");
+            }
+            return null;
+        }
+    }
+
     /**
      * Writes and syncs; it is on disk when this returns.
      *
      * @throws LedgerException if it may not be
      */
     public void write(String id, byte[] memory) throws LedgerException {
-        try (PreparedStatement s = connection.prepareStatement("INSERT INTO office VALUES (1, ?, ?)"
-                + " ON CONFLICT (one) DO UPDATE SET id = excluded.id, memory = excluded.memory")) {
-            s.setString(1, id);
-            s.setBytes(2, memory);
-            s.executeUpdate();
+        try {
+            replace.setString(1, id);
+            replace.setBytes(2, memory);
+            replace.setLong(3, checksum(id, memory));
+            replace.executeUpdate();
         } catch (SQLException e) {
             throw new LedgerException("the ledger can't be written: " + e.getMessage(), e);
         }
@@ -85,6 +222,7 @@
     @Override
     public void close() throws LedgerException {
         try {
+            replace.close();
             connection.close();
         } catch (SQLException e) {
             throw new LedgerException("the ledger can't be closed: " + e.getMessage(), e);
--- a/src/main/java/cobaltrack/post/ledger/LedgerException.java
+++ b/src/main/java/cobaltrack/post/ledger/LedgerException.java
@@ -8,4 +8,9 @@
     public LedgerException(String message, Throwable cause) {
         super(message, cause);
     }
+
+    /** What was found. */
+    public LedgerException(String message) {
+        super(message);
+    }
 }
--- /dev/null
+++ b/src/test/java/cobaltrack/post/ledger/LedgerTest.java
@@ -0,0 +1,220 @@
+package cobaltrack.post.ledger;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.Statement;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What the ledger gives back, and what it refuses. */
+public class LedgerTest {
+    private static final int PAGE = 4096;
+
+    private Path base;
+    private Path folder;
+    private Path file;
+
+    @BeforeMethod
+    public void make() throws IOException {
+        base = Files.createTempDirectory("ledger");
+        folder = base.resolve("a").resolve("b");
+        file = folder.resolve("office.db");
+    }
+
+    @AfterMethod
+    public void remove() throws IOException {
+        try (Stream<Path> all = Files.walk(base)) {
+            for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(p);
+            }
+        }
+    }
+
+    private static byte[] memory(int fill) {
+        byte[] m = new byte[1500];
+        Arrays.fill(m, (byte) fill);
+        return m;
+    }
+
+    private void written(String id, byte[] memory) throws LedgerException {
+        try (Ledger l = Ledger.open(folder)) {
+            l.write(id, memory);
+        }
+    }
+
+    private String refused() {
+        return expectThrows(LedgerException.class, () -> {
+            try (Ledger l = Ledger.open(folder)) {
+                l.read();
+            }
+        }).getMessage();
+    }
+
+    // What a process that is killed now would leave.
+    private Path copy() throws IOException {
+        Path to = Files.createDirectory(base.resolve("copy"));
+        try (Stream<Path> list = Files.list(folder)) {
+            for (Path p : list.toList()) {
+                Files.copy(p, to.resolve(p.getFileName()));
+            }
+        }
+        return to;
+    }
+
+    @Test
+    public void givesWhatWasWrittenLast() throws LedgerException {
+        try (Ledger l = Ledger.open(folder)) {
+            assertNull(l.read());
+            l.write("a#0", memory(1));
+            l.write("a#0", memory(2));
+            assertEquals(l.read().memory(), memory(2));
+        }
+        try (Ledger l = Ledger.open(folder)) {
+            assertEquals(l.read().id(), "a#0");
+            assertEquals(l.read().memory(), memory(2));
+        }
+    }
+
+    @Test
+    public void anEmptyFileIsANewLedger() throws LedgerException, IOException {
+        Files.createDirectories(folder);
+        Files.createFile(file);
+        try (Ledger l = Ledger.open(folder)) {
+            assertNull(l.read());
+            l.write("a#0", memory(1));
+            assertEquals(l.read().memory(), memory(1));
+        }
+    }
+
+    @Test
+    public void readsALedgerOfBeforeAndGuardsItFromThenOn() throws Exception {
+        Files.createDirectories(folder);
+        try (Connection c = DriverManager.getConnection("jdbc:sqlite:" + file);
+                Statement s = c.createStatement()) {
+            s.execute("PRAGMA journal_mode=WAL");
+            s.execute("CREATE TABLE IF NOT EXISTS office"
+                    + " (one INTEGER PRIMARY KEY CHECK (one = 1), id TEXT NOT NULL, memory BLOB NOT NULL)");
+            s.execute("INSERT INTO office VALUES (1, 'a#0', x'" + "07".repeat(1500) + "')");
+        }
+        try (Ledger l = Ledger.open(folder)) {
+            assertEquals(l.read().memory(), memory(7));
+        }
+        spoil(7);
+        assertTrue(refused().contains("damaged"));
+    }
+
+    // One bit of the first byte in the file from which on this fill stands.
+    private void spoil(int fill) throws IOException {
+        byte[] all = Files.readAllBytes(file);
+        int at = 0;
+        while (!Arrays.equals(all, at, at + 100, memory(fill), 0, 100)) {
+            at++;
+        }
+        all[at + 50] ^= 4;
+        Files.write(file, all);
+    }
+
+    @Test
+    public void aDamagedMemoryIsRefused() throws LedgerException, IOException {
+        written("a#0", memory(9));
+        spoil(9);
+        assertEquals(refused(), "the ledger's entry is damaged; remove it to join as a new office");
+    }
+
+    @Test
+    public void aRowHiddenByADamagedPageIsNoNewLedger() throws LedgerException, IOException {
+        written("a#0", memory(9));
+        byte[] all = Files.readAllBytes(file);
+        // The number of cells on the table's only page.
+        assertEquals(all[PAGE + 4], 1);
+        all[PAGE + 4] = 0;
+        Files.write(file, all);
+        assertTrue(refused().contains("damaged"));
+    }
+
+    @Test
+    public void aLogWithoutItsFileIsNoNewLedger() throws LedgerException, IOException {
+        try (Ledger l = Ledger.open(folder)) {
+            l.write("a#0", memory(1));
+            folder = copy();
+        }
+        Files.delete(folder.resolve("office.db"));
+        assertTrue(refused().contains("has a log, but no office.db"));
+        assertTrue(Files.size(folder.resolve("office.db-wal")) > 0, "refused, and left as it was");
+    }
+
+    @Test
+    public void aLedgerOfALaterVersionIsRefused() throws Exception {
+        written("a#0", memory(1));
+        try (Connection c = DriverManager.getConnection("jdbc:sqlite:" + file);
+                Statement s = c.createStatement()) {
+            s.execute("PRAGMA user_version=2");
+        }
+        assertTrue(refused().contains("later version"));
+    }
+
+    @Test
+    public void theNamesOfANewLedgerAreSynced() throws LedgerException {
+        Recorder r = new Recorder();
+        Ledger.open(folder, r).close();
+        assertEquals(r.asked, List.of("folder " + base, "folder " + folder.getParent(), "folder " + folder));
+    }
+
+    @Test
+    public void theLogOfAKilledProcessIsSyncedBeforeItIsRead() throws LedgerException, IOException {
+        try (Ledger l = Ledger.open(folder)) {
+            l.write("a#0", memory(1));
+            folder = copy();
+        }
+        Recorder r = new Recorder();
+        try (Ledger l = Ledger.open(folder, r)) {
+            assertEquals(r.asked, List.of("file " + folder.resolve("office.db-wal")));
+            assertEquals(l.read().memory(), memory(1));
+        }
+    }
+
+    @Test
+    public void aSyncThatFailsRefusesTheLedger() throws LedgerException {
+        written("a#0", memory(1));
+        assertThrows(LedgerException.class, () -> Ledger.open(base.resolve("other"), new Syncer() {
+            @Override
+            public void file(Path synced) { }
+
+            @Override
+            public void folder(Path synced) throws IOException {
+                throw new IOException("no sync");
+            }
+        }));
+    }
+
+    private static final class Recorder implements Syncer {
+        private final List<String> asked = new ArrayList<>();
+
+        @Override
+        public void file(Path synced) throws IOException {
+            asked.add("file " + synced);
+            DISK.file(synced);
+        }
+
+        @Override
+        public void folder(Path synced) throws IOException {
+            asked.add("folder " + synced);
+            DISK.folder(synced);
+        }
+    }
+}
