Scribe: try a refused memory again, bound what waits, say when the disk fails

Need: a memory that the disk refused was dropped; a decision stayed off the disk until the next promise or vote. What waited for a stalled disk was unbounded. An unchecked exception from below ended the thread, and with it the office's vote, without a word. One failing task kept those behind it from running. A full disk logged each refusal.

Ruled out: running what waited for a refused memory once it is written after all: a slip so late is of no use, and lost slips are borne by the ballots.

--- a/src/main/java/cobaltrack/post/office/Scribe.java
+++ b/src/main/java/cobaltrack/post/office/Scribe.java
@@ -3,21 +3,45 @@
 import cobaltrack.post.ledger.Ledger;
 import cobaltrack.post.ledger.LedgerException;
 import cobaltrack.post.log.Event;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.concurrent.Executor;
+import java.util.function.DoubleSupplier;
 
 /**
  * Writes an office's memory on a thread of its own, for a disk may stall. What waits meanwhile is written
- * once, as it is last: each memory holds all that was promised before. Called from the office's loop.
+ * once, as it is last: each memory holds all that was promised before. A memory that the disk refuses is
+ * tried again until it, or a later one, is written; what waited for it is never run, as if lost on the
+ * way. Called from the office's loop.
  */
 final class Scribe {
-    private final Ledger ledger;
-    private final String id;
+    /** Between two tries of a disk that refuses, unless there is a later memory, in milliseconds. */
+    static final long PAUSE_MS = 250;
+    /** What may wait for a disk that stalls; the oldest beyond are dropped, as slips lost on the way. */
+    static final int WAITING_MOST = 1000;
+    private static final double NANOS = 1e6;
+
+    /** Where it writes: a ledger. */
+    interface Disk {
+        /**
+         * Writes and syncs; it is on disk when this returns.
+         *
+         * @throws LedgerException if it may not be
+         */
+        void write(byte[] memory) throws LedgerException;
+    }
+
+    private final Disk disk;
     private final Executor loop;
+    private final DoubleSupplier clock;
     private final Object lock = new Object();
-    private List<Runnable> waiting = new ArrayList<>();
+    private Queue<Runnable> waiting = new ArrayDeque<>();
     private byte[] newest;
+    /** When the oldest memory that is not on disk was handed in, in milliseconds; NaN if there is none. */
+    private double since = Double.NaN;
+    /** The same, of those that came while the disk was busy. */
+    private double sinceNext = Double.NaN;
+    private boolean refused;
 
     /**
      * A scribe.
@@ -25,9 +49,18 @@
      * @param loop runs what waited for the disk
      */
     Scribe(Ledger ledger, String id, Executor loop) {
-        this.ledger = ledger;
-        this.id = id;
+        this(memory -> ledger.write(id, memory), loop, () -> System.nanoTime() / NANOS);
+    }
+
+    /**
+     * A scribe of this disk.
+     *
+     * @param clock steady, in milliseconds
+     */
+    Scribe(Disk disk, Executor loop, DoubleSupplier clock) {
+        this.disk = disk;
         this.loop = loop;
+        this.clock = clock;
     }
 
     /** Begins to write. */
@@ -41,35 +74,95 @@
     void write(byte[] memory, Runnable then) {
         synchronized (lock) {
             newest = memory;
+            if (waiting.size() >= WAITING_MOST) {
+                waiting.remove();
+            }
             waiting.add(then);
+            if (Double.isNaN(sinceNext)) {
+                sinceNext = clock.getAsDouble();
+            }
             lock.notifyAll();
         }
     }
 
+    /** Whether the disk refused what it was last given. For any thread. */
+    boolean failing() {
+        synchronized (lock) {
+            return refused;
+        }
+    }
+
+    /** For how long there has been a memory that is not on disk, in ms; 0 if all is. For any thread. */
+    double stalledMs() {
+        synchronized (lock) {
+            double from = Double.isNaN(since) ? sinceNext : since;
+            return Double.isNaN(from) ? 0 : Math.max(0, clock.getAsDouble() - from);
+        }
+    }
+
     private void run() {
         try {
             while (true) {
-                byte[] memory;
-                List<Runnable> then;
                 synchronized (lock) {
                     while (newest == null) {
                         lock.wait();
                     }
-                    memory = newest;
-                    then = waiting;
-                    newest = null;
-                    waiting = new ArrayList<>();
-                }
-                try {
-                    ledger.write(id, memory);
-                    loop.execute(() -> then.forEach(Runnable::run));
-                } catch (LedgerException e) {
-                    // Not voting is all that a member may do then; the others carry on.
-                    Event.DISK_FAILED.log(e.getMessage());
+                    if (refused && waiting.isEmpty()) {
+                        lock.wait(PAUSE_MS);
+                    }
                 }
+                step();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    /** Writes what is newest, if anything is, once. On the scribe's thread. */
+    void step() {
+        byte[] memory;
+        Queue<Runnable> then;
+        synchronized (lock) {
+            if (newest == null) {
+                return;
+            }
+            memory = newest;
+            then = waiting;
+            newest = null;
+            waiting = new ArrayDeque<>();
+            if (Double.isNaN(since)) {
+                since = sinceNext;
+            }
+            sinceNext = Double.NaN;
+        }
+        String fault = attempt(memory);
+        boolean first;
+        synchronized (lock) {
+            first = fault != null && !refused;
+            refused = fault != null;
+            if (!refused) {
+                since = Double.NaN;
+            } else if (newest == null) {
+                newest = memory;
+            }
+        }
+        if (first) {
+            // Not voting is all that a member may do then; the others carry on. Said once, not at each try.
+            Event.DISK_FAILED.log(fault);
+        } else if (fault == null) {
+            then.forEach(loop::execute);
+        }
+    }
+
+    // What failed, or null. Whatever is thrown: an ended scribe would keep the office from voting for good.
+    private String attempt(byte[] memory) {
+        try {
+            disk.write(memory);
+            return null;
+        } catch (LedgerException e) {
+            return e.getMessage();
+        } catch (RuntimeException e) {
+            return e.toString();
+        }
+    }
 }
