Answer the calls of one connection in their order

Need: two calls pipelined on one connection to a control address got each other's answers, for each answer was written when it came (seen: a config.read and behind it a call of no name, whose 404 came first). The aggregator in front said its own 413 and 100 out of turn as well.

Ruled out: one call at a time per connection, which would hold a heartbeat behind a configuration that is being agreed on; and keeping the aggregator, whose own answers know no turns.

Change: RpcConnection keeps a turn for each call and writes answers from the head of the queue; an answer is said once, from any thread; 16 calls or 8 MiB of bodies under way stop the reading (flow control handler); Connection: close and what can't be read end it after the answers before; a broken connection drops its turns.

--- /dev/null
+++ b/src/main/java/cobaltrack/post/rpc/RpcConnection.java
@@ -0,0 +1,211 @@
+package cobaltrack.post.rpc;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+
+/**
+ * One caller's connection: reads whole calls and writes their answers in the order of the calls, whatever
+ * order they come in (HTTP/1.1 pipelining). Reading stops while {@link #UNDER_WAY} calls, or bodies of
+ * {@link #BODY_MOST} bytes, wait for their answers; it needs a flow control handler in front for that. On the
+ * loop's thread; answers may come from any.
+ */
+final class RpcConnection extends ChannelInboundHandlerAdapter {
+    /** Calls of one connection that are under way at a time. */
+    static final int UNDER_WAY = 16;
+    /** The largest body that is read, in bytes. */
+    static final int BODY_MOST = 8 << 20;
+    private static final int BAD = 400;
+    private static final int TOO_LARGE = 413;
+
+    /** Runs whole calls. */
+    interface Calls {
+        /** Runs one; it may be answered at once or later, on any thread. */
+        void run(HttpRequest head, byte[] body, Consumer<Answer> answer);
+    }
+
+    /** One call's place in the order of answers. */
+    private final class Turn implements Consumer<Answer> {
+        private final boolean keep;
+        private final int bytes;
+        private Answer answer;
+
+        private Turn(boolean keep, int bytes) {
+            this.keep = keep;
+            this.bytes = bytes;
+        }
+
+        @Override
+        public void accept(Answer a) {
+            if (channel.eventLoop().inEventLoop()) {
+                answered(this, a);
+            } else {
+                channel.eventLoop().execute(() -> answered(this, a));
+            }
+        }
+    }
+
+    private final Calls calls;
+    private final ArrayDeque<Turn> turns = new ArrayDeque<>();
+    private Channel channel;
+    private HttpRequest head;
+    private ByteBuf body;
+    private boolean tooLarge;
+    private boolean awaitsContinue;
+    private int bytesUnderWay;
+    private boolean ending;
+
+    RpcConnection(Calls calls) {
+        this.calls = calls;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (ending) {
+                return;
+            }
+            if (message instanceof HttpObject o && o.decoderResult().isFailure()) {
+                refuse(BAD, "the call can't be read");
+                return;
+            }
+            if (message instanceof HttpRequest r) {
+                begin(r);
+            }
+            if (message instanceof HttpContent c && head != null && !ending) {
+                more(c);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void begin(HttpRequest r) {
+        head = r;
+        body = Unpooled.buffer(0);
+        tooLarge = HttpUtil.getContentLength(r, 0L) > BODY_MOST;
+        awaitsContinue = HttpUtil.is100ContinueExpected(r);
+        if (tooLarge && awaitsContinue) {
+            refuse(TOO_LARGE, "the body is too large");
+            return;
+        }
+        goOn();
+    }
+
+    // The go-ahead is a message of its own and would be taken for a part of an earlier call's answer.
+    private void goOn() {
+        if (head != null && awaitsContinue && turns.isEmpty()) {
+            awaitsContinue = false;
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void more(HttpContent c) {
+        tooLarge |= body.readableBytes() + (long) c.content().readableBytes() > BODY_MOST;
+        if (!tooLarge) {
+            body.writeBytes(c.content());
+        }
+        if (c instanceof LastHttpContent) {
+            HttpRequest whole = head;
+            byte[] bytes = ByteBufUtil.getBytes(body);
+            head = null;
+            body = null;
+            Turn turn = begun(new Turn(HttpUtil.isKeepAlive(whole), bytes.length));
+            if (tooLarge) {
+                turn.accept(Answer.not(TOO_LARGE, "the body is too large"));
+            } else {
+                calls.run(whole, bytes, turn);
+            }
+        }
+    }
+
+    private Turn begun(Turn turn) {
+        turns.add(turn);
+        bytesUnderWay += turn.bytes;
+        ending |= !turn.keep;
+        reading();
+        return turn;
+    }
+
+    // An answer to what can't be taken, in its turn, and the end of the connection.
+    private void refuse(int status, String why) {
+        head = null;
+        body = null;
+        begun(new Turn(false, 0)).accept(Answer.not(status, why));
+    }
+
+    private void answered(Turn turn, Answer a) {
+        if (turn.answer != null || !channel.isActive()) {
+            return;
+        }
+        turn.answer = a;
+        boolean wrote = false;
+        while (!turns.isEmpty() && turns.peek().answer != null) {
+            Turn next = turns.poll();
+            bytesUnderWay -= next.bytes;
+            write(next);
+            wrote = true;
+        }
+        if (wrote) {
+            channel.flush();
+            goOn();
+            reading();
+        }
+    }
+
+    private void write(Turn turn) {
+        byte[] said = turn.answer.body();
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(turn.answer.status()), Unpooled.wrappedBuffer(said));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, said.length);
+        if (!turn.keep) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        ChannelFuture sent = channel.write(response);
+        if (!turn.keep) {
+            sent.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    private void reading() {
+        boolean want = turns.size() < UNDER_WAY && bytesUnderWay < BODY_MOST;
+        if (want != channel.config().isAutoRead()) {
+            channel.config().setAutoRead(want);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        // Who called is gone: what is still answered has nowhere to go.
+        turns.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- a/src/main/java/cobaltrack/post/rpc/RpcServer.java
+++ b/src/main/java/cobaltrack/post/rpc/RpcServer.java
@@ -3,27 +3,17 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.flow.FlowControlHandler;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.List;
@@ -31,11 +21,10 @@
 
 /**
  * Takes the calls of endpoints and operators: decodes each into an {@link Order}, which is run elsewhere, and
- * sends the {@link Answer}, from whichever thread it comes. One loop.
+ * sends the {@link Answer}, from whichever thread it comes, in the order of the calls of each connection. One
+ * loop.
  */
 public final class RpcServer {
-    /** The largest configuration that is read, in bytes. */
-    private static final int BODY_MOST = 8 << 20;
     private static final String PATH = "/whinlead/rpc";
     private static final int BAD = 400;
     private static final int NOT_FOUND = 404;
@@ -60,22 +49,36 @@
     /** Listens. */
     public ChannelFuture listen(SocketAddress address) {
         return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY_MOST),
-                                new Calls());
-                    }
-                }).bind(address);
+                .childHandler(handlers()).bind(address);
     }
 
-    private Order decode(FullHttpRequest request) throws IOException, BadCall {
+    /** What goes on each connection. */
+    ChannelInitializer<Channel> handlers() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new HttpServerCodec(), new FlowControlHandler(),
+                        new RpcConnection(RpcServer.this::run));
+            }
+        };
+    }
+
+    private void run(HttpRequest head, byte[] body, Consumer<Answer> answer) {
+        try {
+            clerk.run(decode(head, body), answer);
+        } catch (BadCall e) {
+            answer.accept(Answer.not(e.status, e.getMessage()));
+        } catch (IOException e) {
+            answer.accept(Answer.not(BAD, "the body can't be read"));
+        }
+    }
+
+    private Order decode(HttpRequest request, byte[] body) throws IOException, BadCall {
         QueryStringDecoder query = new QueryStringDecoder(request.uri());
         if (!PATH.equals(query.path()) || !HttpMethod.POST.equals(request.method())) {
             throw new BadCall(NOT_FOUND, "nothing is at " + query.path());
         }
         String call = first(query, "call");
-        byte[] body = ByteBufUtil.getBytes(request.content());
         return switch (call) {
             case "members.heartbeat" -> new Order.Beat(id(query), mapper.readValue(body, Order.Card.class));
             case "members.depart" -> new Order.Depart(id(query));
@@ -98,7 +101,7 @@
         return id;
     }
 
-    private static long version(FullHttpRequest request) throws BadCall {
+    private static long version(HttpRequest request) throws BadCall {
         String text = request.headers().get(HttpHeaderNames.IF_MATCH, "").replace("\"", "").trim();
         try {
             return Long.parseLong(text, 16);
@@ -117,42 +120,4 @@
             this.status = status;
         }
     }
-
-    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            boolean keep = HttpUtil.isKeepAlive(request);
-            Consumer<Answer> answer = a -> say(ctx, a, keep);
-            if (request.decoderResult().isFailure()) {
-                answer.accept(Answer.not(BAD, "the call can't be read"));
-                return;
-            }
-            try {
-                clerk.run(decode(request), answer);
-            } catch (BadCall e) {
-                answer.accept(Answer.not(e.status, e.getMessage()));
-            } catch (IOException e) {
-                answer.accept(Answer.not(BAD, "the body can't be read"));
-            }
-        }
-
-        private void say(ChannelHandlerContext ctx, Answer a, boolean keep) {
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(a.status()), Unpooled.wrappedBuffer(a.body()));
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-                    .setInt(HttpHeaderNames.CONTENT_LENGTH, a.body().length);
-            if (!keep) {
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-            ChannelFuture sent = ctx.writeAndFlush(response);
-            if (!keep) {
-                sent.addListener(ChannelFutureListener.CLOSE);
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/cobaltrack/post/rpc/RpcConnectionTest.java
@@ -0,0 +1,101 @@
+package cobaltrack.post.rpc;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** One caller's connection, byte by byte: how much is under way, and what goes out before what. */
+public class RpcConnectionTest {
+    private static final String HEAD = "POST /whinlead/rpc?call=config.read HTTP/1.1\r\n";
+    private static final String READ = HEAD + "Content-Length: 0\r\n\r\n";
+
+    private List<Consumer<Answer>> open;
+    private EmbeddedChannel channel;
+
+    @BeforeMethod
+    public void connect() {
+        open = new ArrayList<>();
+        channel = new EmbeddedChannel();
+        channel.pipeline().addLast(new RpcServer(channel.eventLoop(), new ObjectMapper(),
+                (order, answer) -> open.add(answer)).handlers());
+    }
+
+    private void say(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    private String heard() {
+        StringBuilder all = new StringBuilder();
+        for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+            all.append(b.toString(StandardCharsets.ISO_8859_1));
+            b.release();
+        }
+        return all.toString();
+    }
+
+    @Test
+    public void noMoreAreUnderWayThanTheBound() {
+        say(READ.repeat(RpcConnection.UNDER_WAY * 3));
+        assertEquals(open.size(), RpcConnection.UNDER_WAY);
+        open.get(1).accept(Answer.done());
+        assertEquals(open.size(), RpcConnection.UNDER_WAY, "the first is still unanswered");
+        open.get(0).accept(Answer.done());
+        channel.runPendingTasks();
+        assertEquals(open.size(), RpcConnection.UNDER_WAY + 2);
+        for (int i = 2; i < open.size(); i++) {
+            open.get(i).accept(Answer.done());
+            channel.runPendingTasks();
+        }
+        assertEquals(open.size(), RpcConnection.UNDER_WAY * 3);
+        assertEquals(heard().split("HTTP/1.1 200").length - 1, RpcConnection.UNDER_WAY * 3);
+    }
+
+    @Test
+    public void aGoAheadWaitsForTheAnswersBefore() {
+        say(READ + HEAD + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        assertEquals(heard(), "");
+        open.get(0).accept(Answer.done());
+        String heard = heard();
+        assertTrue(heard.startsWith("HTTP/1.1 200") && heard.contains("HTTP/1.1 100"), heard);
+        say("{}");
+        assertEquals(open.size(), 2);
+    }
+
+    @Test
+    public void aBodyThatIsTooLargeIsAnsweredInItsTurn() {
+        say(READ + HEAD + "Content-Length: " + (RpcConnection.BODY_MOST + 1) + "\r\n\r\n");
+        String piece = "x".repeat(1 << 16);
+        for (int left = RpcConnection.BODY_MOST + 1; left > 0; left -= piece.length()) {
+            say(piece.substring(0, Math.min(left, piece.length())));
+        }
+        say(READ);
+        assertEquals(heard(), "");
+        assertEquals(open.size(), 2, "the one before and the one behind");
+        open.get(1).accept(Answer.done());
+        open.get(0).accept(Answer.done());
+        String heard = heard();
+        assertTrue(heard.matches("(?s)HTTP/1.1 200 .*HTTP/1.1 413 .*HTTP/1.1 200 .*"), heard);
+        assertTrue(channel.isActive());
+    }
+
+    @Test
+    public void oneWhoseConnectionIsGoneIsAnsweredNowhere() {
+        say(READ);
+        channel.close();
+        assertFalse(channel.isActive());
+        open.get(0).accept(Answer.done());
+        assertEquals(heard(), "");
+        channel.checkException();
+    }
+}
