Count a request's time down while it waits, and never reuse a connection under one id

A parcel that waited for its tie to be dialled, or for a connection to the endpoint, went out with the time it had when it was made, and after a stall of the process (the dial's end and the timers fall due together) even when that was up and its caller had been answered. A surplus "not executed" answer to an Attempt-Id was taken for the answer to a second request of that id on the same connection, which the endpoint was running: the client would have been told 503.

Change: Round and EndpointLine keep until when an answer is of use, write what is left, and tell UNREACHED where nothing is. A connection remembers the last 64 ids asked on it and isn't used for one of them again. One that was a tunnel isn't reused (its decoder passes bytes through). LATE is said before the close. Both classes take timers and a way to connect, so that tests drive them; the sidecar's calls are unchanged.

--- a/src/main/java/cobaltrack/post/carrier/EndpointLine.java
+++ b/src/main/java/cobaltrack/post/carrier/EndpointLine.java
@@ -1,11 +1,16 @@
 package cobaltrack.post.carrier;
 
+import cobaltrack.engine.Clock;
+import cobaltrack.engine.Timers;
+import cobaltrack.loop.LoopTimers;
 import cobaltrack.post.wire.Letter;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -25,18 +30,19 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
  * Connections to the endpoint beside this sidecar, and what became of a request there: has run, may have run,
  * has not. An answer is passed on only when it is whole and this request's own. On its loop's thread.
  */
-final class EndpointLine {
+public final class EndpointLine {
     /** The largest answer that is held, in bytes. */
     private static final int ANSWER_MOST = 16 << 20;
     private static final int CONNECT_MS = 800;
@@ -48,54 +54,89 @@
     private static final double IDLE_PART = 0.6;
     /** The idle time where the endpoint tells none, in milliseconds. */
     private static final double IDLE_MS = 4000;
-    private static final double NANOS = 1e6;
+    /** Requests of one connection whose ids are remembered. */
+    private static final int REMEMBERED = 64;
 
-    private final EventLoop loop;
-    private final SocketAddress address;
+    /** Makes a connection to the endpoint with these handlers on it. */
+    public interface Connector {
+        /** Begins to; who listens to the future is told before the channel is said to be active. */
+        ChannelFuture connect(ChannelHandler handlers);
+    }
+
+    private final Timers timers;
+    private final Connector connector;
     private final ArrayDeque<Wire> idle = new ArrayDeque<>();
     private double idleMs = IDLE_MS;
 
     EndpointLine(EventLoop loop, SocketAddress address) {
-        this.loop = loop;
-        this.address = address;
+        this(new LoopTimers(loop, new Clock()), handlers -> new Bootstrap().group(loop)
+                .channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(handlers).connect(address));
     }
 
-    private static double now() {
-        return System.nanoTime() / NANOS;
+    /** A line by these timers, whose thread is its own too. */
+    public EndpointLine(Timers timers, Connector connector) {
+        this.timers = timers;
+        this.connector = connector;
     }
 
     /**
-     * Sends a request; {@code done} gets the answer, a {@link Letter.Delivered} or {@link Letter.Returned}
-     * with no figures of load, once.
+     * Sends a request, at most once; {@code done} gets the answer, a {@link Letter.Delivered} or
+     * {@link Letter.Returned} with no figures of load, once.
+     *
+     * @param instance the endpoint's id, which every other endpoint turns away; empty where none is known
      */
-    void send(Letter.Parcel parcel, String instance, Consumer<Letter> done) {
-        Wire wire = null;
-        while (wire == null && !idle.isEmpty()) {
-            wire = idle.pollLast();
+    public void send(Letter.Parcel parcel, String instance, Consumer<Letter> done) {
+        double until = timers.now() + parcel.leftMs();
+        String attempt = attempt(parcel);
+        Wire wire = idle(attempt);
+        if (wire != null) {
+            wire.ask(parcel, attempt, until, instance, done);
+            return;
+        }
+        Wire made = new Wire();
+        connector.connect(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new HttpClientCodec(), made);
+            }
+        }).addListener(f -> {
+            if (f.isSuccess()) {
+                made.ask(parcel, attempt, until, instance, done);
+            } else {
+                done.accept(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, 0, 0));
+            }
+        });
+    }
+
+    // The one that was used last of those that are still good, but none that was asked under this id before:
+    // a late answer to that would be taken for the answer to this.
+    private Wire idle(String attempt) {
+        List<Wire> passed = new ArrayList<>();
+        Wire found = null;
+        while (found == null && !idle.isEmpty()) {
+            Wire wire = idle.pollLast();
             if (!wire.usable()) {
                 wire.close();
-                wire = null;
+            } else if (wire.asked.contains(attempt)) {
+                passed.add(wire);
+            } else {
+                found = wire;
             }
         }
-        if (wire != null) {
-            wire.ask(parcel, instance, done);
-            return;
+        for (int i = passed.size() - 1; i >= 0; i--) {
+            idle.addLast(passed.get(i));
         }
-        Wire made = new Wire();
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), made);
-                    }
-                }).connect(address).addListener(f -> {
-                    if (f.isSuccess()) {
-                        made.ask(parcel, instance, done);
-                    } else {
-                        done.accept(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, 0, 0));
-                    }
-                });
+        return found;
+    }
+
+    private static String attempt(Letter.Parcel parcel) {
+        String attempt = null;
+        List<String> headers = parcel.headers();
+        for (int i = 0; i + 1 < headers.size(); i += 2) {
+            attempt = headers.get(i).equalsIgnoreCase(Headers.ATTEMPT) ? headers.get(i + 1) : attempt;
+        }
+        return attempt;
     }
 
     /** Closes connections that have been idle for too long to be used again. */
@@ -117,12 +158,13 @@
         private Letter.Parcel parcel;
         private String attempt;
         private Consumer<Letter> done;
-        private Future<?> timer;
+        private Timers.Timer timer;
         private HttpResponse head;
         private boolean ours;
         private boolean interim;
         private ByteBuf body;
         private double idleSince;
+        private final Set<String> asked = new LinkedHashSet<>();
 
         // Not when it is active: who waits for the connect is told before that.
         @Override
@@ -131,31 +173,36 @@
         }
 
         boolean usable() {
-            return channel.isActive() && now() - idleSince < idleMs * IDLE_PART;
+            return channel.isActive() && timers.now() - idleSince < idleMs * IDLE_PART;
         }
 
         void close() {
             channel.close();
         }
 
-        void ask(Letter.Parcel sent, String instance, Consumer<Letter> whenDone) {
+        void ask(Letter.Parcel sent, String id, double until, String instance, Consumer<Letter> whenDone) {
             parcel = sent;
+            attempt = id;
             done = whenDone;
-            if (channel == null || !channel.isActive()) {
+            double left = until - timers.now();
+            if (channel == null || !channel.isActive() || left < 1) {
+                // Nothing was written. Its time may have gone by while this connection was being made.
+                boolean sound = channel != null && channel.isActive();
                 end(Letter.Why.UNREACHED);
+                if (sound) {
+                    idleSince = timers.now();
+                    idle.addLast(this);
+                }
                 return;
             }
+            remember(id);
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                     HttpMethod.valueOf(sent.method()), sent.uri(), Unpooled.wrappedBuffer(sent.body()));
-            attempt = null;
             List<String> headers = sent.headers();
             for (int i = 0; i + 1 < headers.size(); i += 2) {
                 request.headers().add(headers.get(i), headers.get(i + 1));
-                if (headers.get(i).equalsIgnoreCase(Headers.ATTEMPT)) {
-                    attempt = headers.get(i + 1);
-                }
             }
-            request.headers().set(Headers.DEADLINE, Integer.toString(Math.max(1, sent.leftMs() - BACK_MS)));
+            request.headers().set(Headers.DEADLINE, Integer.toString((int) Math.max(1, left - BACK_MS)));
             if (!instance.isEmpty()) {
                 request.headers().set(Headers.INSTANCE, instance);
             }
@@ -164,11 +211,16 @@
             if (bodied) {
                 request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, sent.body().length);
             }
-            timer = loop.schedule(() -> spoilt(Letter.Why.LATE), sent.leftMs() + SLACK_MS,
-                    TimeUnit.MILLISECONDS);
+            timer = timers.after(left + SLACK_MS, () -> spoilt(Letter.Why.LATE));
             channel.writeAndFlush(request, channel.voidPromise());
         }
 
+        private void remember(String id) {
+            if (id != null && asked.add(id) && asked.size() > REMEMBERED) {
+                asked.remove(asked.iterator().next());
+            }
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             try {
@@ -224,7 +276,7 @@
                 }
                 return;
             }
-            boolean keep = HttpUtil.isKeepAlive(answer);
+            boolean keep = HttpUtil.isKeepAlive(answer) && !HttpMethod.CONNECT.name().equals(parcel.method());
             keepAlive(answer);
             Letter.Why why = judge(answer);
             Consumer<Letter> tell = done;
@@ -265,25 +317,29 @@
         }
 
         private void rest(boolean keep) {
-            timer.cancel(false);
+            timer.cancel();
             done = null;
             parcel = null;
             if (!keep || !channel.isActive()) {
                 channel.close();
                 return;
             }
-            idleSince = now();
+            idleSince = timers.now();
             idle.addLast(this);
         }
 
         private void spoilt(Letter.Why why) {
-            channel.close();
+            // What still comes in the same breath belongs to nothing.
+            head = null;
+            body = null;
+            // Told first: the close would be told as a break.
             end(why);
+            channel.close();
         }
 
         private void end(Letter.Why why) {
             if (timer != null) {
-                timer.cancel(false);
+                timer.cancel();
             }
             idle.remove(this);
             Consumer<Letter> tell = done;
--- a/src/main/java/cobaltrack/post/carrier/Round.java
+++ b/src/main/java/cobaltrack/post/carrier/Round.java
@@ -2,6 +2,9 @@
 
 import cobaltrack.Contract;
 import cobaltrack.engine.Carrier;
+import cobaltrack.engine.Clock;
+import cobaltrack.engine.Timers;
+import cobaltrack.loop.LoopTimers;
 import cobaltrack.post.directory.Directory;
 import cobaltrack.post.directory.Listing;
 import cobaltrack.post.log.Event;
@@ -14,27 +17,57 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
- * The ways to the sidecars beside the endpoints: a tie to each that was used, and the requests out on it. On
- * its loop's thread.
+ * The ways to the sidecars beside the endpoints: a tie to each that was used, and the requests out on it. Each
+ * request is written once at most, on one connection, under a number that this process gives once; what comes
+ * back counts for the request of that number and no other. On its loop's thread.
  */
-final class Round {
+public final class Round {
     private static final Tie.Pace PACE = new Tie.Pace(250, 700, 5000, 250);
 
     /** Takes requests for the endpoint beside this sidecar. */
-    interface Local {
+    public interface Local {
         /** Delivers it, and tells what became of it once. */
         void deliver(Letter.Parcel parcel, Consumer<Letter> done);
     }
 
-    private final EventLoop loop;
+    /** A connection to another sidecar that is kept. */
+    public interface Path {
+        /** Begins to keep it. */
+        void dial();
+
+        /** Where it stands. */
+        Tie.State state();
+
+        /** Sends a letter; false if nothing of it was sent. */
+        boolean send(Letter letter);
+
+        /** Ends it for good. */
+        void close();
+    }
+
+    /** Hears of a path. */
+    public interface Ear {
+        /** It stands otherwise than before. */
+        void changed(Tie.State now, Tie.State before);
+
+        /** A letter came. */
+        void letter(Letter letter);
+
+        /** Whether something is waited for. */
+        boolean waits();
+    }
+
+    private final Timers timers;
+    private final Executor soon;
     private final String self;
     private final Local local;
-    private final BiFunction<String, Tie.Owner, Tie> ties;
+    private final BiFunction<String, Ear, Path> paths;
     private final Runnable changed;
     private final Map<String, Way> ways = new HashMap<>();
     private long streams;
@@ -46,17 +79,76 @@
      */
     Round(EventLoop loop, String self, Local local, Letter hello,
             Function<String, SocketAddress> addresses, Runnable changed) {
-        this.loop = loop;
+        this(new LoopTimers(loop, new Clock()), loop, self, local,
+                (node, ear) -> new Tied(loop, addresses.apply(node), hello, ear), changed);
+    }
+
+    /**
+     * Ways by these timers.
+     *
+     * @param soon runs a task on this thread, after the one that runs
+     */
+    public Round(Timers timers, Executor soon, String self, Local local, BiFunction<String, Ear, Path> paths,
+            Runnable changed) {
+        this.timers = timers;
+        this.soon = soon;
         this.self = self;
         this.local = local;
-        this.ties = (node, owner) -> new Tie(loop, addresses.apply(node), hello, PACE, owner);
+        this.paths = paths;
         this.changed = changed;
     }
 
+    /** A path that is a tie. */
+    private static final class Tied implements Path, Tie.Owner {
+        private final Ear ear;
+        private final Tie tie;
+
+        private Tied(EventLoop loop, SocketAddress address, Letter hello, Ear ear) {
+            this.ear = ear;
+            this.tie = new Tie(loop, address, hello, PACE, this);
+        }
+
+        @Override
+        public void dial() {
+            tie.dial();
+        }
+
+        @Override
+        public Tie.State state() {
+            return tie.state();
+        }
+
+        @Override
+        public boolean send(Letter letter) {
+            return tie.send(letter);
+        }
+
+        @Override
+        public void close() {
+            tie.close();
+        }
+
+        @Override
+        public void changed(Tie t, Tie.State before) {
+            ear.changed(t.state(), before);
+        }
+
+        @Override
+        public void letter(Tie t, Letter letter) {
+            ear.letter(letter);
+        }
+
+        @Override
+        public boolean waits() {
+            return ear.waits();
+        }
+    }
+
     /** One request's way out. */
     static final class Out implements Carrier.Sending {
         private final Consumer<Letter> done;
         private final boolean repeatable;
+        private Runnable forget = () -> { };
         private boolean written;
         private boolean over;
 
@@ -75,38 +167,44 @@
         @Override
         public boolean giveUp() {
             over = true;
+            if (!written) {
+                forget.run();
+            }
             return written;
         }
     }
 
-    private final class Way implements Tie.Owner {
+    /** A request that waits for its path, and until when its answer is of use. */
+    private record Waiting(Letter.Parcel parcel, double until) { }
+
+    private final class Way implements Ear {
         private final String node;
-        private final Tie tie;
+        private final Path path;
         private final Map<Long, Out> out = new LinkedHashMap<>();
         /** What waits for the tie's first moments. */
-        private final Map<Long, Letter.Parcel> waiting = new LinkedHashMap<>();
+        private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
 
         private Way(String node) {
             this.node = node;
-            this.tie = ties.apply(node, this);
+            this.path = paths.apply(node, this);
         }
 
         @Override
-        public void changed(Tie t, Tie.State before) {
-            if (t.state() == Tie.State.UP) {
-                List<Letter.Parcel> parcels = new ArrayList<>(waiting.values());
+        public void changed(Tie.State now, Tie.State before) {
+            if (now == Tie.State.UP) {
+                List<Waiting> parcels = new ArrayList<>(waiting.values());
                 waiting.clear();
                 parcels.forEach(this::write);
-            } else if (t.state() == Tie.State.SUSPECT) {
+            } else if (now == Tie.State.SUSPECT) {
                 // The answers may still come; but what may run again had better be served elsewhere.
                 fail(Letter.Why.BROKEN, true);
-            } else if (t.state() == Tie.State.DOWN || t.state() == Tie.State.CLOSED) {
+            } else if (now == Tie.State.DOWN || now == Tie.State.CLOSED) {
                 fail(Letter.Why.BROKEN, false);
             }
-            if (before == Tie.State.UP && t.state() != Tie.State.CLOSED) {
-                Event.PEER_DOWN.log(node + " " + t.state());
+            if (before == Tie.State.UP && now != Tie.State.CLOSED) {
+                Event.PEER_DOWN.log(node + " " + now);
             }
-            if (t.state() != Tie.State.DIALLING && t.state() != Tie.State.CLOSED) {
+            if (now != Tie.State.DIALLING && now != Tie.State.CLOSED) {
                 changed.run();
             }
         }
@@ -116,23 +214,26 @@
                 Out o = e.getValue();
                 if (!onlyRepeatable || o.repeatable) {
                     out.remove(e.getKey());
-                    boolean waited = waiting.remove(e.getKey()) != null;
-                    o.end(new Letter.Returned(e.getKey(), waited ? Letter.Why.UNREACHED : why, 0, 0));
+                    waiting.remove(e.getKey());
+                    o.end(new Letter.Returned(e.getKey(), o.written ? why : Letter.Why.UNREACHED, 0, 0));
                 }
             }
         }
 
-        private void write(Letter.Parcel parcel) {
-            Out o = out.get(parcel.stream());
+        // Its time runs while it waits; once that is up nobody waits for it any more, and it must not run.
+        private void write(Waiting w) {
+            long stream = w.parcel.stream();
+            Out o = out.get(stream);
             if (o == null || o.over) {
-                out.remove(parcel.stream());
+                out.remove(stream);
                 return;
             }
-            o.written = true;
-            if (!tie.send(parcel)) {
+            double left = w.until - timers.now();
+            o.written = left >= 1;
+            if (!o.written || !path.send(numbered(stream, w.parcel, (int) Math.round(left)))) {
                 o.written = false;
-                out.remove(parcel.stream());
-                o.end(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, 0, 0));
+                out.remove(stream);
+                o.end(new Letter.Returned(stream, Letter.Why.UNREACHED, 0, 0));
             }
         }
 
@@ -142,7 +243,7 @@
         }
 
         @Override
-        public void letter(Tie t, Letter letter) {
+        public void letter(Letter letter) {
             long stream = letter instanceof Letter.Delivered d ? d.stream()
                     : letter instanceof Letter.Returned r ? r.stream() : -1;
             Out o = out.remove(stream);
@@ -155,21 +256,21 @@
     /** Whether a request for this node can be sent now, or at least is worth a try. */
     boolean reaches(String node) {
         Way way = ways.get(node);
-        return node.equals(self) || way == null || way.tie.up()
-                || way.tie.state() == Tie.State.DIALLING && !way.waiting.isEmpty();
+        return node.equals(self) || way == null || way.path.state() == Tie.State.UP
+                || way.path.state() == Tie.State.DIALLING && !way.waiting.isEmpty();
     }
 
     /** Whether it would go out without waiting for a connection. */
     boolean connected(String node) {
         Way way = ways.get(node);
-        return node.equals(self) || way != null && way.tie.up();
+        return node.equals(self) || way != null && way.path.state() == Tie.State.UP;
     }
 
     private Way way(String node) {
         return ways.computeIfAbsent(node, n -> {
             Way way = new Way(n);
             // Not at once: what it tells must not reach the map while it changes.
-            loop.execute(way.tie::dial);
+            soon.execute(way.path::dial);
             return way;
         });
     }
@@ -179,34 +280,48 @@
         for (String node : List.copyOf(ways.keySet())) {
             Listing l = directory.of(node);
             if ((l == null || l.phase() == Listing.Phase.GONE) && ways.get(node).out.isEmpty()) {
-                ways.remove(node).tie.close();
+                ways.remove(node).path.close();
             }
         }
     }
 
-    /** Sends a request. */
-    Carrier.Sending send(String node, Letter.Parcel draft, boolean repeatable, Consumer<Letter> done) {
+    /**
+     * Sends a request, at most once; {@code done} gets what became of it, once, unless it is given up before.
+     *
+     * @param draft with any number
+     * @param repeatable whether it may run again, so that it needn't wait for a path that is silent
+     */
+    public Carrier.Sending send(String node, Letter.Parcel draft, boolean repeatable, Consumer<Letter> done) {
         Out o = new Out(done, repeatable);
-        Letter.Parcel parcel = new Letter.Parcel(++streams, draft.method(), draft.uri(), draft.headers(),
-                draft.body(), draft.leftMs(), draft.target(), draft.endpoint(), draft.rank());
+        long stream = ++streams;
         if (node.equals(self)) {
             o.written = true;
-            local.deliver(parcel, o::end);
+            local.deliver(numbered(stream, draft, draft.leftMs()), o::end);
             return o;
         }
         Way way = way(node);
-        way.out.put(parcel.stream(), o);
-        if (way.tie.up()) {
-            way.write(parcel);
-        } else if (way.tie.state() == Tie.State.SUSPECT) {
-            way.out.remove(parcel.stream());
-            loop.execute(() -> o.end(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, 0, 0)));
+        way.out.put(stream, o);
+        o.forget = () -> {
+            way.out.remove(stream);
+            way.waiting.remove(stream);
+        };
+        Waiting w = new Waiting(numbered(stream, draft, draft.leftMs()), timers.now() + draft.leftMs());
+        if (way.path.state() == Tie.State.UP) {
+            way.write(w);
+        } else if (way.path.state() == Tie.State.SUSPECT) {
+            way.out.remove(stream);
+            soon.execute(() -> o.end(new Letter.Returned(stream, Letter.Why.UNREACHED, 0, 0)));
         } else {
-            way.waiting.put(parcel.stream(), parcel);
+            way.waiting.put(stream, w);
         }
         return o;
     }
 
+    private static Letter.Parcel numbered(long stream, Letter.Parcel p, int leftMs) {
+        return new Letter.Parcel(stream, p.method(), p.uri(), p.headers(), p.body(), leftMs, p.target(),
+                p.endpoint(), p.rank());
+    }
+
     /** What the module is told of a letter. */
     static Contract.Outcome outcome(Letter letter) {
         if (letter instanceof Letter.Delivered d) {
--- a/src/main/java/cobaltrack/post/rpc/RpcServer.java
+++ b/src/main/java/cobaltrack/post/rpc/RpcServer.java
@@ -53,7 +53,7 @@
     }
 
     /** What goes on each connection. */
-    ChannelInitializer<Channel> handlers() {
+    public ChannelInitializer<Channel> handlers() {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
--- /dev/null
+++ b/src/test/java/cobaltrack/post/carrier/RoundTest.java
@@ -0,0 +1,238 @@
+package cobaltrack.post.carrier;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import cobaltrack.engine.Carrier;
+import cobaltrack.plan.Calendar;
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Tie;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Requests on their way to other sidecars, over paths that break, are silent, or are made anew. */
+public class RoundTest {
+    private static final int LEFT_MS = 1000;
+
+    /** A path that stands as it is told to. */
+    private static final class Script implements Round.Path {
+        private final Round.Ear ear;
+        private final List<Letter.Parcel> sent = new ArrayList<>();
+        private Tie.State state = Tie.State.DOWN;
+        private boolean open = true;
+
+        private Script(Round.Ear ear) {
+            this.ear = ear;
+        }
+
+        private void to(Tie.State next) {
+            Tie.State before = state;
+            state = next;
+            ear.changed(next, before);
+        }
+
+        @Override
+        public void dial() {
+            to(Tie.State.DIALLING);
+        }
+
+        @Override
+        public Tie.State state() {
+            return state;
+        }
+
+        @Override
+        public boolean send(Letter letter) {
+            if (open) {
+                sent.add((Letter.Parcel) letter);
+            }
+            return open;
+        }
+
+        @Override
+        public void close() {
+            to(Tie.State.CLOSED);
+        }
+    }
+
+    private Calendar calendar;
+    private ArrayDeque<Runnable> soon;
+    private List<Script> paths;
+    private Round round;
+    private List<String> told;
+
+    @BeforeMethod
+    public void start() {
+        calendar = new Calendar();
+        soon = new ArrayDeque<>();
+        paths = new ArrayList<>();
+        told = new ArrayList<>();
+        round = round();
+    }
+
+    private Round round() {
+        return new Round(calendar, soon::add, "here", (parcel, done) -> { }, (node, ear) -> {
+            Script path = new Script(ear);
+            paths.add(path);
+            return path;
+        }, () -> { });
+    }
+
+    private void soon() {
+        while (!soon.isEmpty()) {
+            soon.poll().run();
+        }
+    }
+
+    private Carrier.Sending send(String id, boolean repeatable) {
+        Letter.Parcel draft = new Letter.Parcel(0, "POST", "/x", List.of("Attempt-Id", id), new byte[0], LEFT_MS,
+                "svc", "i-1", 0);
+        Carrier.Sending sending = round.send("there", draft, repeatable, letter -> told.add(id + " "
+                + (letter instanceof Letter.Delivered d ? d.status() : ((Letter.Returned) letter).why())));
+        soon();
+        return sending;
+    }
+
+    private Script up() {
+        if (paths.isEmpty()) {
+            send("first", true);
+            paths.get(0).to(Tie.State.UP);
+            paths.get(0).ear.letter(answer(paths.get(0).sent.remove(0)));
+            told.clear();
+        } else {
+            paths.get(0).to(Tie.State.UP);
+        }
+        return paths.get(0);
+    }
+
+    private static Letter answer(Letter.Parcel parcel) {
+        return new Letter.Delivered(parcel.stream(), 200, List.of(), new byte[0], 0, 0);
+    }
+
+    private static String id(Letter.Parcel parcel) {
+        return parcel.headers().get(1);
+    }
+
+    @Test
+    public void timeRunsWhileARequestWaitsForItsPath() {
+        send("a", false);
+        calendar.runTo(400);
+        send("b", false);
+        calendar.runTo(LEFT_MS);
+        paths.get(0).to(Tie.State.UP);
+        assertEquals(told, List.of("a UNREACHED"), "its time is up: it is never sent");
+        assertEquals(paths.get(0).sent.size(), 1);
+        assertEquals(id(paths.get(0).sent.get(0)), "b");
+        assertEquals(paths.get(0).sent.get(0).leftMs(), 400);
+    }
+
+    @Test
+    public void whatWasGivenUpWhileItWaitedNeverGoesOut() {
+        Carrier.Sending a = send("a", false);
+        assertFalse(a.giveUp(), "nothing of it was written");
+        paths.get(0).to(Tie.State.UP);
+        assertEquals(paths.get(0).sent.size(), 0);
+        assertEquals(told, List.of());
+    }
+
+    @Test
+    public void whatWasGivenUpAfterItWasWrittenMayRunAndItsLateAnswerIsNobodys() {
+        Script path = up();
+        Carrier.Sending a = send("a", false);
+        assertTrue(a.giveUp(), "it may run");
+        send("b", false);
+        path.ear.letter(answer(path.sent.get(0)));
+        assertEquals(told, List.of());
+        path.ear.letter(answer(path.sent.get(1)));
+        path.ear.letter(answer(path.sent.get(1)));
+        assertEquals(told, List.of("b 200"));
+    }
+
+    @Test
+    public void aPathThatBreaksTellsWhatMayHaveRunAndWritesNothingAgain() {
+        Script path = up();
+        send("a", false);
+        send("b", true);
+        path.to(Tie.State.DOWN);
+        assertEquals(told, List.of("a BROKEN", "b BROKEN"));
+        path.dial();
+        path.to(Tie.State.UP);
+        assertEquals(path.sent.size(), 2);
+        send("c", false);
+        // The numbers of before are not given again: what still comes of them is nobody's.
+        path.ear.letter(answer(path.sent.get(0)));
+        path.ear.letter(answer(path.sent.get(1)));
+        assertEquals(told, List.of("a BROKEN", "b BROKEN"));
+        path.ear.letter(answer(path.sent.get(2)));
+        assertEquals(told.get(2), "c 200");
+    }
+
+    @Test
+    public void aPathThatIsSilentEndsOnlyWhatMayRunAgain() {
+        Script path = up();
+        send("a", false);
+        send("b", true);
+        path.to(Tie.State.SUSPECT);
+        assertEquals(told, List.of("b BROKEN"));
+        send("c", false);
+        assertEquals(told, List.of("b BROKEN", "c UNREACHED"));
+        path.to(Tie.State.UP);
+        path.ear.letter(answer(path.sent.get(1)));
+        path.ear.letter(answer(path.sent.get(0)));
+        assertEquals(told, List.of("b BROKEN", "c UNREACHED", "a 200"));
+        assertEquals(path.sent.size(), 2);
+    }
+
+    @Test
+    public void whatWaitsForADialThatFailsNeverRan() {
+        send("a", false);
+        paths.get(0).to(Tie.State.DOWN);
+        assertEquals(told, List.of("a UNREACHED"));
+        paths.get(0).dial();
+        paths.get(0).to(Tie.State.UP);
+        assertEquals(paths.get(0).sent.size(), 0);
+    }
+
+    @Test
+    public void whatAClosedConnectionDidNotTakeNeverRan() {
+        Script path = up();
+        path.open = false;
+        send("a", false);
+        assertEquals(told, List.of("a UNREACHED"));
+        path.to(Tie.State.DOWN);
+        assertEquals(told, List.of("a UNREACHED"));
+    }
+
+    @Test
+    public void aBreakInTheMidstOfWritingTellsTheRestThatItNeverRan() {
+        send("a", false);
+        send("b", false);
+        Script path = paths.get(0);
+        path.sent.clear();
+        Round.Ear ear = path.ear;
+        path.state = Tie.State.UP;
+        path.open = false;
+        ear.changed(Tie.State.UP, Tie.State.DIALLING);
+        assertEquals(told, List.of("a UNREACHED", "b UNREACHED"));
+    }
+
+    @Test
+    public void oneThatBeganAnewKnowsNothingOfItsFormerLifesNumbers() {
+        Script old = up();
+        send("a", false);
+        round = round();
+        send("b", false);
+        Script path = paths.get(1);
+        path.to(Tie.State.UP);
+        assertEquals(path.sent.get(0).stream(), 1, "it counts from the start again");
+        // What was asked by the former life is answered on its connection, whose process has ended.
+        old.ear.letter(answer(old.sent.get(0)));
+        assertEquals(told, List.of("a 200"));
+        path.ear.letter(answer(path.sent.get(0)));
+        assertEquals(told, List.of("a 200", "b 200"));
+    }
+}
