Seat a newcomer beside the others only while all of them are in contact

Also: a decision whose first write the disk refused was written later, but the council never heard of it, so a learner on such a disk would not ask for a seat.

Change: an additional seat needs contact with every elector, by the questions they answered; the second, weaker bound on silence is gone. The office tells its council what is on disk whenever the scribe has nothing left to write.

--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -55,9 +55,6 @@
     private static final double JOIN_EVERY = 250;
     /** An elector that has said nothing for so many milliseconds may lose its seat to a newcomer. */
     private static final double SILENT = 2500;
-    /** One that has said nothing for so long may be about to: a newcomer waits, for a seat beside a dead one
-     *  would leave no room for the next loss. */
-    private static final double QUIET = 1000;
 
     private enum Stage { FRESH, ASKING, ASKED, BALLOT }
 
@@ -413,9 +410,9 @@
                 && contact.silence(now, e) > SILENT).findFirst().orElse(null);
     }
 
-    private double quietest(double now) {
-        return decided().electors().stream().filter(e -> !e.equals(me))
-                .mapToDouble(e -> contact.silence(now, e)).max().orElse(0);
+    // A seat beside one that may be dead would leave no room for the next loss.
+    private boolean allReached(double now) {
+        return decided().electors().stream().allMatch(e -> e.equals(me) || contact.reached(now, CONTACT, e));
     }
 
     /** Where an id's office can be found: the address in it. */
@@ -434,7 +431,7 @@
         String old = electors.stream().filter(e -> address(e).equals(address(joiner))).findFirst()
                 .orElse(null);
         String gone = old != null ? old : leaving && electors.contains(me) ? me : silent(now);
-        if (gone == null && quietest(now) > QUIET) {
+        if (gone == null && !allReached(now)) {
             return null;
         }
         if (joiner.isEmpty()) {
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -184,11 +184,18 @@
         if (council.decided() != null) {
             council.decided().electors().forEach(e -> know(Council.address(e)));
         }
-        loop.scheduleAtFixedRate(() -> guard(() -> council.tick(now())), TICK_MS, TICK_MS,
-                TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(() -> guard(this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(() -> guard(this::share), SHARE_MS, SHARE_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void tick() {
+        // What was to be told of a write that the disk refused at first never is; that it is there now, is.
+        if (scribe.settled()) {
+            council.stored(now(), slot());
+        }
+        council.tick(now());
+    }
+
     private void guard(Runnable task) {
         try {
             task.run();
--- a/src/main/java/cobaltrack/post/office/Scribe.java
+++ b/src/main/java/cobaltrack/post/office/Scribe.java
@@ -100,6 +100,13 @@
         }
     }
 
+    /** Whether all that it was given is on disk. For any thread. */
+    boolean settled() {
+        synchronized (lock) {
+            return Double.isNaN(since) && Double.isNaN(sinceNext);
+        }
+    }
+
     private void run() {
         try {
             while (true) {
--- a/src/test/java/cobaltrack/post/office/ScribeTest.java
+++ b/src/test/java/cobaltrack/post/office/ScribeTest.java
@@ -111,6 +111,7 @@
         step();
         now = 500;
         assertTrue(scribe.failing());
+        assertFalse(scribe.settled());
         assertEquals(scribe.stalledMs(), 500.0);
         step();
         assertEquals(onDisk, List.of());
@@ -119,6 +120,7 @@
         assertEquals(onDisk, List.of(1));
         assertEquals(said, List.of());
         assertFalse(scribe.failing());
+        assertTrue(scribe.settled());
         assertEquals(scribe.stalledMs(), 0.0);
     }
 
