--- a/src/main/java/cobaltrack/post/carrier/Desk.java
+++ b/src/main/java/cobaltrack/post/carrier/Desk.java
@@ -30,7 +30,10 @@
  * newer one. It never goes back. On its loop's thread; configurations are read on another.
  */
 final class Desk {
-    private static final Tie.Pace PACE = new Tie.Pace(300, 900, 1500, 150);
+    /** Longer until it is given up than an idle tie goes without a ping. */
+    private static final Tie.Pace PACE = new Tie.Pace(300, 900, 3000, 150);
+    /** Offices that are not asked for the sums hear of what is asked for here each so many times. */
+    private static final int USES_TIMES = 3;
     /** Until another office is asked for what one has not sent, in milliseconds. */
     private static final double FETCH_MS = 500;
     private static final int OFFICES_MOST = 16;
@@ -57,6 +60,7 @@
     private Beginning beginning = new Beginning();
     private double fetchAt = Double.NEGATIVE_INFINITY;
     private double seekAt;
+    private int usesTold;
     private Tie seeking;
 
     /** Hears what the offices say. */
@@ -105,11 +109,12 @@
         offices.values().forEach(t -> t.send(post));
     }
 
-    /** Tells all offices in reach what is asked for here, and asks the first of them for the sums. */
+    /** Tells offices in reach what is asked for here, and asks the first of them for the sums. */
     void uses(List<Use> uses) {
         boolean wanted = true;
+        boolean others = ++usesTold % USES_TIMES == 0;
         for (Tie tie : offices.values()) {
-            if (tie.up()) {
+            if (tie.up() && (wanted || others)) {
                 tie.send(new Letter.Uses(uses, wanted));
                 wanted = false;
             }
@@ -158,6 +163,11 @@
                     public void letter(Tie t, Letter letter) {
                         came(t, letter);
                     }
+
+                    @Override
+                    public boolean waits() {
+                        return newest == null || noticed.getOrDefault(offices.get(ip), -1L) > slot();
+                    }
                 });
         offices.put(ip, tie);
         tie.dial();
