Bound what one client has under way, and let go of what a client left behind

A burst of pipelined requests was handed in whole, however many, as stopping the reading stops the next read only; "100 Continue" to a request went out ahead of the answers to those before it; and the bytes of bodies whose client went away before the answer counted as held for ever, so that after 40 MiB of them every body would have been answered 503.

Change: a flow control handler between codec and window; the go-ahead waits for the answers before; a connection that ends lets go of what its unanswered requests held.

--- a/src/main/java/cobaltrack/post/carrier/Egress.java
+++ b/src/main/java/cobaltrack/post/carrier/Egress.java
@@ -15,10 +15,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.SocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -90,10 +88,7 @@
                         Window window = new Window(Egress.this);
                         windows.add(window);
                         ch.closeFuture().addListener(f -> windows.remove(window));
-                        HttpDecoderConfig config = new HttpDecoderConfig()
-                                .setMaxInitialLineLength(limits().headerBytes())
-                                .setMaxHeaderSize(limits().headerBytes());
-                        ch.pipeline().addLast(new HttpServerCodec(config), window);
+                        window.on(ch);
                     }
                 }).bind(address);
         listener = bound.channel();
--- a/src/main/java/cobaltrack/post/carrier/Window.java
+++ b/src/main/java/cobaltrack/post/carrier/Window.java
@@ -14,14 +14,17 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -79,7 +82,7 @@
 
         /** Answers it; names and values in turn. */
         void answer(int status, List<String> headers, byte[] body) {
-            if (answer != null) {
+            if (answer != null || Window.this.gone) {
                 return;
             }
             FullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
@@ -102,7 +105,9 @@
     private HttpRequest head;
     private ByteBuf body;
     private int held;
+    private boolean awaitsContinue;
     private boolean ending;
+    private boolean gone;
     private boolean read = true;
     private double since = now();
 
@@ -110,6 +115,13 @@
         this.taker = taker;
     }
 
+    /** Puts it on a connection. What was read at once is handed in piece by piece, so that the bound holds. */
+    void on(Channel ch) {
+        HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(taker.limits().headerBytes())
+                .setMaxHeaderSize(taker.limits().headerBytes());
+        ch.pipeline().addLast(new HttpServerCodec(config), new FlowControlHandler(), this);
+    }
+
     private static double now() {
         return System.nanoTime() / NANOS;
     }
@@ -131,7 +143,7 @@
                 return;
             }
             if (message instanceof HttpRequest r) {
-                begin(ctx, r);
+                begin(r);
             }
             if (message instanceof HttpContent c && head != null && !ending) {
                 more(c);
@@ -141,7 +153,7 @@
         }
     }
 
-    private void begin(ChannelHandlerContext ctx, HttpRequest r) {
+    private void begin(HttpRequest r) {
         since = now();
         boolean lengths = r.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1;
         boolean both = r.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
@@ -157,12 +169,19 @@
             refuse(TOO_LARGE);
             return;
         }
-        if (HttpUtil.is100ContinueExpected(r)) {
-            ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-        }
         head = r;
         body = Unpooled.buffer(0);
         held = 0;
+        awaitsContinue = HttpUtil.is100ContinueExpected(r);
+        goOn();
+    }
+
+    // The go-ahead is a message of its own and would be taken for a part of an earlier request's answer.
+    private void goOn() {
+        if (head != null && awaitsContinue && turns.isEmpty()) {
+            awaitsContinue = false;
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
     }
 
     private void more(HttpContent c) {
@@ -231,6 +250,7 @@
         since = now();
         if (wrote) {
             channel.flush();
+            goOn();
             reading();
         }
     }
@@ -257,9 +277,12 @@
         held = 0;
         for (Turn turn : turns) {
             if (turn.answer == null) {
+                taker.letGo(turn.held);
                 turn.gone.run();
             }
         }
+        turns.clear();
+        gone = true;
     }
 
     @Override
