Share a tenant's limit by where its requests are: small tenants were refused half

Cause: a carrier's part of a limit was its own demand and 1/63 of what was left, in a bucket of one request at most. Poisson arrivals against a bucket of one that is refilled as fast as they come: a tenant of 3 to 20 a second that keeps to its limit was refused 25 to 55% (429) at 63 carriers, 0.2 to 0.4 with 11 and a limit of 3. Change: of the limit nine tenths go as demand goes, rate and depth alike. A part under one request is drawn by chance and paid whole. While fresh sums say that the tenant is under its limit a bucket may be overdrawn by two requests. Old sums still tell where demand is for 15 s. An office tells the totals of all tenants (up to 256), so that one nobody here has asked for is known to be hot elsewhere, and keeps them as they change.

--- a/src/main/java/cobaltrack/post/allowance/Allowance.java
+++ b/src/main/java/cobaltrack/post/allowance/Allowance.java
@@ -5,13 +5,20 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 
 /**
- * One sidecar's part of each tenant's limit, as a token bucket whose rate follows where the requests are. Of
- * a limit R, with D asked for in all and d here, n sidecars: R d / D while D is over R, else d + (R - D) / n.
- * These add up to R wherever all have the same sums. Without a fresh sum the part is R / n. The bucket holds
- * an even share of the tenant's burst and of most of the rules' slack, and is empty at a sidecar's start, for
- * its life before may have spent it. Pure; one thread; times in milliseconds.
+ * One sidecar's part of each tenant's limit, as a token bucket whose rate and depth follow where the requests
+ * are: of a limit R, with D asked for in all and d here, n sidecars, a tenth is shared evenly and the rest as
+ * d / D. These add up to R wherever all have the same sums. All buckets together hold the tenant's burst and
+ * most of the rules' slack; one is empty at a sidecar's start, for its life before may have spent it.
+ *
+ * <p>Among many sidecars a small tenant's bucket holds less than one request. A request then goes by chance,
+ * in proportion to what is held, and is paid for whole. While fresh sums say that all sidecars together are
+ * asked for less than the limit, the bucket may be overdrawn by a little, which is paid back before more is
+ * taken: what two requests in a row at one sidecar need, and a tenant within its limit may not be refused.
+ *
+ * <p>Pure, but for draws from its seed; one thread; times in milliseconds.
  */
 public final class Allowance {
     /** Of the rules' slack and excess, what is given out; the rest is for sums that differ. */
@@ -23,6 +30,17 @@
     private static final double AVERAGE = 1500;
     /** Tenants that are counted at most; beyond, the longest unused goes. */
     private static final int MOST = 4096;
+    /** Of the limit, what goes to where the requests are; the rest is for those who have none yet. */
+    private static final double FOLLOWS = 0.9;
+    /** Old sums still tell where the requests are for so long. */
+    private static final double STALE = 15_000;
+    /** A tenant is calm until it asks for more than its limit and this part of the slack. */
+    private static final double CALM = 0.25;
+    /** What a calm tenant may overdraw its bucket by: so many seconds of the bucket's rate, and at least. */
+    private static final double OVERDRAFT_S = 0.2;
+    private static final double OVERDRAFT_LEAST = 2;
+    /** All debts of a tenant together: the requests of so many seconds at its limit, less the rules' slack. */
+    private static final double DEBT_S = 9;
     /** Less than this many requests a second is not worth telling. */
     private static final double TOLD_LEAST = 0.02;
 
@@ -57,6 +75,7 @@
     private final double excess;
     private final double windowS;
     private final double born;
+    private final SplittableRandom random;
     private final Buckets buckets = new Buckets();
     private Map<String, Double> told = Map.of();
     private Map<String, Part> parts = Map.of();
@@ -68,8 +87,10 @@
      *
      * @param slack requests a window
      * @param excess as a part of the limit
+     * @param seed of its draws
      */
-    public Allowance(double now, double slack, double excess, double windowS) {
+    public Allowance(double now, double slack, double excess, double windowS, long seed) {
+        this.random = new SplittableRandom(seed);
         this.born = now;
         this.slack = slack * SLACK_PART;
         this.excess = excess * EXCESS_PART;
@@ -114,33 +135,42 @@
             return 0;
         }
         int n = Math.max(listed, sidecars);
-        double rate = rate(now, tenant, ratePerS, n) / 1000;
-        double most = Math.max(1, (burst + slack + excess * (ratePerS * windowS + burst)) / n);
-        Bucket b = buckets.get(tenant);
-        if (b == null) {
-            b = new Bucket();
-            b.tokens = Math.min(most, rate * (now - born));
-            b.at = now;
-            b.askedAt = now;
-            buckets.put(tenant, b);
-        }
+        double age = now - sumAt;
+        Part p = age > STALE ? null : parts.get(tenant);
+        double total = p == null ? 0 : Math.max(p.total(), p.own());
+        double share = total > 0 ? FOLLOWS * p.own() / total + (1 - FOLLOWS) / n : 1.0 / n;
+        double rate = ratePerS * share / 1000;
+        double most = (burst + slack + excess * (ratePerS * windowS + burst)) * share;
+        Bucket b = bucket(now, tenant, rate, most);
         b.asked = b.asked(now) + 1000 / AVERAGE;
         b.askedAt = now;
-        b.tokens = Math.min(most, b.tokens + (now - b.at) * rate);
+        // With no word of where the requests are, each sidecar that has some gets one at least.
+        b.tokens = Math.min(age > STALE ? Math.max(1, most) : most, b.tokens + (now - b.at) * rate);
         b.at = now;
-        if (b.tokens < 1) {
+        boolean calm = age < FRESH && total < ratePerS + slack / windowS * CALM;
+        double overdraft = calm ? Math.max(OVERDRAFT_LEAST, OVERDRAFT_S * (ratePerS + slack) * share) : 0;
+        if (b.tokens - 1 >= -overdraft) {
+            // A small tenant's debts need not be kept whole: the rules' slack covers them.
+            double debt = calm ? share * Math.max(0, ratePerS * DEBT_S - slack) : 0;
+            b.tokens = Math.max(b.tokens - 1, Math.min(b.tokens, -debt));
+            return 0;
+        }
+        if (random.nextDouble() >= b.tokens) {
             return (1 - b.tokens) / rate;
         }
         b.tokens--;
         return 0;
     }
 
-    private double rate(double now, String tenant, double limit, int n) {
-        Part p = parts.get(tenant);
-        if (p == null || now - sumAt > FRESH) {
-            return limit / n;
+    private Bucket bucket(double now, String tenant, double rate, double most) {
+        Bucket b = buckets.get(tenant);
+        if (b == null) {
+            b = new Bucket();
+            b.tokens = Math.min(most, rate * (now - born));
+            b.at = now;
+            b.askedAt = now;
+            buckets.put(tenant, b);
         }
-        double total = Math.max(p.total(), p.own());
-        return total >= limit ? limit * p.own() / total : p.own() + (limit - total) / n;
+        return b;
     }
 }
--- a/src/main/java/cobaltrack/post/allowance/Sum.java
+++ b/src/main/java/cobaltrack/post/allowance/Sum.java
@@ -2,13 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * What all sidecars are asked for, as an office adds it up from what each said last. Pure; one thread; times
- * in milliseconds.
+ * What all sidecars are asked for, as an office adds it up from what each said last. Kept as it changes: with
+ * many sidecars, adding it up anew for each that asks would be most of an office's work. Pure; one thread;
+ * times in milliseconds.
  */
 public final class Sum {
     /** What a sidecar said counts for so long. */
@@ -16,16 +20,47 @@
     /** Sidecars and, of each, tenants that are kept at most. */
     private static final int NODES_MOST = 4096;
     private static final int TENANTS_MOST = 1024;
+    /** Up to so many tenants, all are told, so that no sidecar takes one that is asked for elsewhere for idle. */
+    private static final int ALL_MOST = 256;
 
     private record Said(double at, List<Use> uses) { }
 
+    private static final class Total {
+        private double perSecond;
+        private int tellers;
+    }
+
     private final Map<String, Said> said = new LinkedHashMap<>();
+    private final Map<String, Total> totals = new HashMap<>();
 
     /** A sidecar says what it is asked for, in place of what it said before. */
     public void say(double now, String node, List<Use> uses) {
-        said.values().removeIf(s -> now - s.at() > STANDS);
+        for (Iterator<Said> i = said.values().iterator(); i.hasNext();) {
+            Said s = i.next();
+            if (now - s.at() > STANDS) {
+                i.remove();
+                count(s, -1);
+            }
+        }
         if (said.size() < NODES_MOST || said.containsKey(node)) {
-            said.put(node, new Said(now, List.copyOf(uses.subList(0, Math.min(uses.size(), TENANTS_MOST)))));
+            Said s = new Said(now, List.copyOf(uses.subList(0, Math.min(uses.size(), TENANTS_MOST))));
+            Said before = said.put(node, s);
+            if (before != null) {
+                count(before, -1);
+            }
+            count(s, 1);
+        }
+    }
+
+    // A total goes with its last teller, so that what rounding leaves does not pile up.
+    private void count(Said s, int sign) {
+        for (Use u : s.uses()) {
+            Total t = totals.computeIfAbsent(u.tenant(), name -> new Total());
+            t.perSecond += sign * u.perSecond();
+            t.tellers += sign;
+            if (t.tellers == 0) {
+                totals.remove(u.tenant());
+            }
         }
     }
 
@@ -34,21 +69,20 @@
         return said.size();
     }
 
-    /** The totals of the tenants that this sidecar named. */
+    /** The totals of all tenants; where these are many, of those that this sidecar named. */
     public List<Use> of(String node) {
         Said own = said.get(node);
         if (own == null) {
             return List.of();
         }
-        Map<String, Double> totals = new HashMap<>();
-        own.uses().forEach(u -> totals.put(u.tenant(), 0.0));
-        for (Said s : said.values()) {
-            for (Use u : s.uses()) {
-                totals.computeIfPresent(u.tenant(), (t, sum) -> sum + u.perSecond());
-            }
-        }
+        Set<String> named = new HashSet<>();
+        own.uses().forEach(u -> named.add(u.tenant()));
         List<Use> list = new ArrayList<>();
-        totals.forEach((tenant, sum) -> list.add(new Use(tenant, sum)));
+        totals.forEach((tenant, t) -> {
+            if (totals.size() <= ALL_MOST || named.contains(tenant)) {
+                list.add(new Use(tenant, Math.max(0, t.perSecond)));
+            }
+        });
         return list;
     }
 }
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -86,7 +86,7 @@
         this.round = new Round(loop, node, this::deliver, hello, EndpointList::address, this::stale);
         Card.Bounds bounds = card.clauses().bounds();
         this.allowance = new Allowance(timers.now(), bounds.quotaSlack(), bounds.quotaExcess(),
-                bounds.quotaWindowS());
+                bounds.quotaWindowS(), new SecureRandom().nextLong());
         this.desk = new Desk(loop, card, hello, new Desk.Owner() {
             @Override
             public void posted(List<Listing> listings) {
--- a/src/test/java/cobaltrack/post/DataPlaneTest.java
+++ b/src/test/java/cobaltrack/post/DataPlaneTest.java
@@ -138,7 +138,7 @@
         Sum sum = new Sum();
         List<Allowance> nodes = new ArrayList<>();
         for (int i = 0; i < n; i++) {
-            nodes.add(new Allowance(0, 20, 0.1, windowS));
+            nodes.add(new Allowance(0, 20, 0.1, windowS, i));
         }
         double total = 0;
         for (double d : split) {
