--- /dev/null
+++ b/src/main/java/cobaltrack/post/carrier/Beat.java
@@ -0,0 +1,36 @@
+package cobaltrack.post.carrier;
+
+import cobaltrack.engine.Timers;
+
+/**
+ * Timers of which those of about one period fall together: each service has modules of its own, and a sidecar
+ * would wake for each of them apart. Spans of a period, a tenth more or less, end on its multiples; all others
+ * end when they were to. On the thread of its timers.
+ */
+final class Beat implements Timers {
+    private static final double ABOUT = 0.11;
+
+    private final Timers timers;
+    private final double period;
+
+    /** A beat of so many milliseconds. */
+    Beat(Timers timers, double period) {
+        this.timers = timers;
+        this.period = period;
+    }
+
+    @Override
+    public double now() {
+        return timers.now();
+    }
+
+    @Override
+    public Timer after(double millis, Runnable task) {
+        if (Math.abs(millis - period) > period * ABOUT) {
+            return timers.after(millis, task);
+        }
+        double now = timers.now();
+        // The nearest, but never sooner than half a period, by which the next one is nearer.
+        return timers.after(Math.rint((now + millis) / period) * period - now, task);
+    }
+}
--- a/src/main/java/cobaltrack/post/carrier/Classes.java
+++ b/src/main/java/cobaltrack/post/carrier/Classes.java
@@ -13,11 +13,14 @@
     static final int RANKS = 4;
     /**
      * Targets, in milliseconds: from the first, each half as much again as the one before. The module acts ten
-     * times in the first; with 100 its wakes were a third of what a carrier does on a quiet day.
+     * times in the first, and sheds once the loop is later than that: with 250, a carrier that has 0.3 of a core
+     * would shed for 25 ms.
      */
-    private static final double FIRST_TARGET = 250;
+    private static final double FIRST_TARGET = 400;
     private static final double STEP = 1.5;
     private static final int TARGETS = 10;
+    /** How often a module acts in the first target. */
+    private static final double ACTS = 10;
     /** What a late answer is worth of a timely one. */
     private static final double LATE_WORTH = 0.3;
 
@@ -38,6 +41,11 @@
         }
     }
 
+    /** How often a module with these classes acts, in milliseconds. */
+    static double period() {
+        return FIRST_TARGET / ACTS;
+    }
+
     /** All, in their order. */
     public List<Contract.RequestClass> all() {
         return List.copyOf(classes);
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -37,7 +37,7 @@
 public final class Sidecar implements Link.Ear {
     private static final long TICK_MS = 100;
     /** How often an unchanged listing is said again, in milliseconds. */
-    private static final double SAY_MS = 1000;
+    private static final double SAY_MS = 3000;
     /** How often the offices are told what is asked for here, in milliseconds. */
     private static final double USES_MS = 350;
     /** Services that modules are kept for. */
@@ -52,6 +52,8 @@
     private final EventLoop loop;
     private final ObjectMapper mapper;
     private final Timers timers;
+    /** On which the services' modules act together. */
+    private final Timers beat;
     private final String node;
     private final Hatch hatch;
     private final EndpointLine line;
@@ -78,6 +80,7 @@
         this.loop = loop;
         this.mapper = mapper;
         this.timers = new LoopTimers(loop, new Clock());
+        this.beat = new Beat(timers, Classes.period());
         this.node = Card.present(card.network().bind().ingress(), "Network.Bind.Ingress");
         this.hatch = new Hatch(card.substrate().heartbeatS() * 1000);
         this.line = new EndpointLine(loop, EndpointList.address(Card.present(card.self().appAddr(),
@@ -182,7 +185,7 @@
             Card.Bounds bounds = card.clauses().bounds();
             Postage paid = postage.computeIfAbsent(target,
                     t -> new Postage(bounds.retryRatio(), bounds.retrySlack()));
-            known = new Depot(timers, classes, card, directory.present(), new SecureRandom().nextLong(),
+            known = new Depot(beat, classes, card, directory.present(), new SecureRandom().nextLong(),
                     round, large ? card.self().zone() : null, paid);
             kind.put(target, known);
             known.update(listed(target));
