--- a/src/main/java/cobaltrack/post/carrier/Desk.java
+++ b/src/main/java/cobaltrack/post/carrier/Desk.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.UnaryOperator;
 
 /**
  * A sidecar's ties to the offices: says what it lists, asks with the configuration that it has, and takes a
@@ -43,6 +44,7 @@
     private final EventLoop loop;
     private final Card card;
     private final Letter.Hello hello;
+    private final UnaryOperator<InetSocketAddress> dials;
     private final Owner owner;
     private final TariffReader reader = new TariffReader();
     private final ExecutorService reading = Executors.newSingleThreadExecutor(r -> {
@@ -77,10 +79,12 @@
         void sums(int nodes, List<Use> totals);
     }
 
-    Desk(EventLoop loop, Card card, Letter.Hello hello, Owner owner) {
+    /** A desk that dials what {@code dials} makes of an address. */
+    Desk(EventLoop loop, Card card, Letter.Hello hello, UnaryOperator<InetSocketAddress> dials, Owner owner) {
         this.loop = loop;
         this.card = card;
         this.hello = hello;
+        this.dials = dials;
         this.owner = owner;
     }
 
@@ -140,8 +144,8 @@
         if (offices.size() >= OFFICES_MOST) {
             return;
         }
-        Tie tie = new Tie(loop, new InetSocketAddress(ip, card.network().talkPort()), hello, PACE,
-                new Tie.Owner() {
+        Tie tie = new Tie(loop, dials.apply(new InetSocketAddress(ip, card.network().talkPort())), hello,
+                PACE, new Tie.Owner() {
                     @Override
                     public void changed(Tie t, Tie.State before) {
                         if (t.state() == Tie.State.UP && before == Tie.State.DIALLING) {
@@ -221,7 +225,7 @@
         if (seeking != null) {
             seeking.close();
         }
-        seeking = new Tie(loop, EndpointList.address(node), hello, PACE, new Tie.Owner() {
+        seeking = new Tie(loop, dials.apply(EndpointList.address(node)), hello, PACE, new Tie.Owner() {
             @Override
             public void changed(Tie t, Tie.State before) {
                 if (t.state() == Tie.State.UP) {
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 /**
  * A carrier: the sidecar of one auxiliary machine. It takes the requests that begin there, carries them to
@@ -74,6 +75,11 @@
 
     /** A sidecar that has not begun. */
     public Sidecar(Card card, EventLoop loop, ObjectMapper mapper) {
+        this(card, loop, mapper, UnaryOperator.identity());
+    }
+
+    /** One that dials what this makes of an office's or another sidecar's address. */
+    public Sidecar(Card card, EventLoop loop, ObjectMapper mapper, UnaryOperator<InetSocketAddress> dials) {
         this.card = card;
         this.loop = loop;
         this.mapper = mapper;
@@ -83,11 +89,12 @@
         this.line = new EndpointLine(loop, EndpointList.address(Card.present(card.self().appAddr(),
                 "Self.AppAddr")));
         Letter.Hello hello = new Letter.Hello(node, false);
-        this.round = new Round(loop, node, this::deliver, hello, EndpointList::address, this::stale);
+        this.round = new Round(loop, node, this::deliver, hello,
+                address -> dials.apply(EndpointList.address(address)), this::stale);
         Card.Bounds bounds = card.clauses().bounds();
         this.allowance = new Allowance(timers.now(), bounds.quotaSlack(), bounds.quotaExcess(),
                 bounds.quotaWindowS());
-        this.desk = new Desk(loop, card, hello, new Desk.Owner() {
+        this.desk = new Desk(loop, card, hello, dials, new Desk.Owner() {
             @Override
             public void posted(List<Listing> listings) {
                 Sidecar.this.posted(listings);
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -41,6 +41,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 /**
  * A sorting office: one core machine's process. It votes on configurations, passes on what sidecars say of
@@ -68,6 +69,7 @@
     private final Card card;
     private final EventLoop loop;
     private final ObjectMapper mapper;
+    private final UnaryOperator<InetSocketAddress> dials;
     private final ExecutorService clerks = Executors.newSingleThreadExecutor(r -> {
         Thread t = new Thread(r, "clerk");
         t.setDaemon(true);
@@ -93,9 +95,15 @@
 
     /** An office that has not begun. */
     public Office(Card card, EventLoop loop, ObjectMapper mapper) {
+        this(card, loop, mapper, UnaryOperator.identity());
+    }
+
+    /** One that dials what this makes of another office's address. */
+    public Office(Card card, EventLoop loop, ObjectMapper mapper, UnaryOperator<InetSocketAddress> dials) {
         this.card = card;
         this.loop = loop;
         this.mapper = mapper;
+        this.dials = dials;
     }
 
     /**
@@ -215,7 +223,7 @@
                 return;
             }
         }
-        Tie tie = new Tie(loop, new InetSocketAddress(ip, card.network().talkPort()),
+        Tie tie = new Tie(loop, dials.apply(new InetSocketAddress(ip, card.network().talkPort())),
                 new Letter.Hello(id, true), PACE, new Tie.Owner() {
                     @Override
                     public void changed(Tie t, Tie.State before) {
--- a/src/main/java/cobaltrack/post/run/Post.java
+++ b/src/main/java/cobaltrack/post/run/Post.java
@@ -13,7 +13,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.function.UnaryOperator;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -35,6 +37,11 @@
 
     /** Runs a role until the process ends; exits with 2 on bad usage and 1 on settings that can't be used. */
     public static void main(String... args) {
+        run(UnaryOperator.identity(), args);
+    }
+
+    /** The same for a role that dials what this makes of another process's address. */
+    public static void run(UnaryOperator<InetSocketAddress> dials, String... args) {
         Logs.start();
         Hangup hangup = guard();
         Options options = new Options()
@@ -62,7 +69,7 @@
             Card card = new CardReader(mapper).read(Path.of(path));
             if (!line.hasOption("check")) {
                 start(line.getArgList().get(0), card, new Settings(Path.of(path), card, new CardReader(mapper)),
-                        hangup, mapper);
+                        hangup, mapper, dials);
             }
         } catch (ParseException e) {
             quit(e.getMessage(), USAGE);
@@ -85,16 +92,16 @@
         }
     }
 
-    private static void start(String role, Card card, Settings settings, Hangup hangup, ObjectMapper mapper)
-            throws Exception {
+    private static void start(String role, Card card, Settings settings, Hangup hangup, ObjectMapper mapper,
+            UnaryOperator<InetSocketAddress> dials) throws Exception {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         if ("office".equals(role)) {
-            Office office = new Office(card, loop, mapper);
+            Office office = new Office(card, loop, mapper, dials);
             office.start();
             Runtime.getRuntime().addShutdownHook(new Thread(office::leave, "leave"));
             settings.watch(hangup, loop, office::seeds);
         } else {
-            Sidecar sidecar = new Sidecar(card, loop, mapper);
+            Sidecar sidecar = new Sidecar(card, loop, mapper, dials);
             Runtime.getRuntime().addShutdownHook(new Thread(sidecar::leave, "leave"));
             sidecar.start();
             settings.watch(hangup, loop, sidecar::seeds);
--- a/src/main/java/cobaltrack/standin/post/Cards.java
+++ b/src/main/java/cobaltrack/standin/post/Cards.java
@@ -78,6 +78,16 @@
         return carrierIp(carrier) + ":" + app;
     }
 
+    /** Where an office talks to other processes. */
+    public String talk(int office) {
+        return officeIp(office) + ":" + talk;
+    }
+
+    /** Where a carrier takes requests for the endpoint beside it. */
+    public String ingress(int carrier) {
+        return carrierIp(carrier) + ":" + ingress;
+    }
+
     /** An office's settings. */
     public List<String> office(int i, String dataDir, boolean bootstrap) {
         List<String> lines = common("core-" + i, officeIp(i), bootstrap);
@@ -91,7 +101,7 @@
         List<String> lines = common("auxiliary-" + i, carrierIp(i), true);
         lines.add("Self.AppAddr=" + app(i));
         lines.add("Self.Target=" + target);
-        lines.add("Network.Bind.Ingress=" + carrierIp(i) + ":" + ingress);
+        lines.add("Network.Bind.Ingress=" + ingress(i));
         lines.add("Network.Bind.Egress=" + egress(i));
         lines.add("Network.Bind.Readiness=" + readiness(i));
         lines.add("Network.Bind.Control=" + beats(i));
