Let a ledger write again after a full disk, and drop seats that nobody holds from more than three

Ruled out: opening the ledger anew after a refusal (the statement alone was gone); leaving from three, which would keep an acknowledged change on two disks.

Change: the statement is made for each write; event 205 tells that a disk writes again. One that ends goes out of any more than three electors; two silent ones of an odd number are dropped, one of an even one as before.

--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -56,6 +56,9 @@
     /** An elector that has said nothing for so many milliseconds may lose its seat to a newcomer. */
     private static final double SILENT = 2500;
 
+    /** So many electors are not made fewer. */
+    private static final int ELECTORS_LEAST = 3;
+
     private enum Stage { FRESH, ASKING, ASKED, BALLOT }
 
     /** One thing to be done. */
@@ -181,8 +184,9 @@
     }
 
     /**
-     * This office is to end. Where the number of electors is even it goes out of them first, by agreement: then
-     * those that remain bear as many losses as before. Where it is odd it stays one, for it may come back.
+     * This office is to end. Where there are more than three electors it goes out of them first, by agreement: a
+     * seat of one that is gone makes a majority of the others no smaller, and two such make it larger. Three stay
+     * three, for two would keep what is agreed on no third disk; and this one may come back.
      */
     public void leave(double now) {
         wake(now);
@@ -201,8 +205,7 @@
     }
 
     private boolean leavesByAgreement() {
-        int electors = decided().electors().size();
-        return electors % 2 == 0 && electors > 2;
+        return decided().electors().size() > ELECTORS_LEAST;
     }
 
     /** An operator sends a configuration built on another. */
@@ -396,18 +399,22 @@
     }
 
     // With an even number of seats one that is silent is given up: the count that it leaves has the same
-    // majority less one.
+    // majority less one. So are two of an odd number, one after the other.
     private void retire(double now) {
-        List<String> electors = decided().electors();
-        boolean one = silent(now) != null || leaving;
-        if (electors.size() % 2 == 0 && electors.size() > 2 && calls.isEmpty() && one) {
+        int electors = decided().electors().size();
+        long silent = decided().electors().stream().filter(e -> silent(now, e)).count();
+        boolean due = leaving || silent >= (electors % 2 == 0 ? 1 : 2);
+        if (electors > ELECTORS_LEAST && calls.isEmpty() && due) {
             add(now, new Call(-1, decided().slot(), 0, null, null, "", false));
         }
     }
 
+    private boolean silent(double now, String elector) {
+        return !elector.equals(me) && contact.silence(now, elector) > SILENT;
+    }
+
     private String silent(double now) {
-        return decided().electors().stream().filter(e -> !e.equals(me)
-                && contact.silence(now, e) > SILENT).findFirst().orElse(null);
+        return decided().electors().stream().filter(e -> silent(now, e)).findFirst().orElse(null);
     }
 
     // A seat beside one that may be dead would leave no room for the next loss.
@@ -435,7 +442,7 @@
             return null;
         }
         if (joiner.isEmpty()) {
-            return gone != null && electors.size() % 2 == 0 && electors.remove(gone)
+            return gone != null && electors.size() > ELECTORS_LEAST && electors.remove(gone)
                     ? decided().with(electors) : null;
         }
         if (electors.contains(joiner)) {
--- a/src/main/java/cobaltrack/post/ledger/Ledger.java
+++ b/src/main/java/cobaltrack/post/ledger/Ledger.java
@@ -34,12 +34,9 @@
     public record Entry(String id, byte[] memory) { }
 
     private final Connection connection;
-    private final PreparedStatement replace;
 
-    private Ledger(Connection connection) throws SQLException {
+    private Ledger(Connection connection) {
         this.connection = connection;
-        replace = connection.prepareStatement("INSERT INTO office VALUES (1, ?, ?, ?) ON CONFLICT (one)"
-                + " DO UPDATE SET id = excluded.id, memory = excluded.memory, crc = excluded.crc");
     }
 
     /**
@@ -209,7 +206,10 @@
      * @throws LedgerException if it may not be
      */
     public void write(String id, byte[] memory) throws LedgerException {
-        try {
+        // Made anew each time: the driver ends a statement that a full disk refused once, for good.
+        try (PreparedStatement replace = connection.prepareStatement("INSERT INTO office VALUES (1, ?, ?, ?)"
+                + " ON CONFLICT (one) DO UPDATE SET id = excluded.id, memory = excluded.memory,"
+                + " crc = excluded.crc")) {
             replace.setString(1, id);
             replace.setBytes(2, memory);
             replace.setLong(3, checksum(id, memory));
@@ -222,7 +222,6 @@
     @Override
     public void close() throws LedgerException {
         try {
-            replace.close();
             connection.close();
         } catch (SQLException e) {
             throw new LedgerException("the ledger can't be closed: " + e.getMessage(), e);
--- a/src/main/java/cobaltrack/post/log/Event.java
+++ b/src/main/java/cobaltrack/post/log/Event.java
@@ -18,6 +18,7 @@
     REFUSED_CALL(202, Level.INFO, "operator's call refused"),
     DISK_FAILED(203, Level.WARNING, "disk failed, not voting"),
     SEAT(204, Level.INFO, "seat"),
+    DISK_AGAIN(205, Level.INFO, "disk writes again"),
     /** 3xx: links and listings. */
     OFFICE_UP(301, Level.INFO, "office in reach"),
     OFFICE_DOWN(302, Level.INFO, "office out of reach"),
--- a/src/main/java/cobaltrack/post/office/Scribe.java
+++ b/src/main/java/cobaltrack/post/office/Scribe.java
@@ -144,8 +144,10 @@
         }
         String fault = attempt(memory);
         boolean first;
+        boolean again;
         synchronized (lock) {
             first = fault != null && !refused;
+            again = fault == null && refused;
             refused = fault != null;
             if (!refused) {
                 since = Double.NaN;
@@ -153,6 +155,9 @@
                 newest = memory;
             }
         }
+        if (again) {
+            Event.DISK_AGAIN.log("after a refusal");
+        }
         if (first) {
             // Not voting is all that a member may do then; the others carry on. Said once, not at each try.
             Event.DISK_FAILED.log(fault);
--- a/src/test/java/cobaltrack/post/CouncilSeatTest.java
+++ b/src/test/java/cobaltrack/post/CouncilSeatTest.java
@@ -90,7 +90,7 @@
     }
 
     @Test
-    public void whoLeavesAnEvenNumberGoesOutByAgreementBeforeItEnds() {
+    public void whoLeavesMoreThanThreeGoesOutByAgreementBeforeItEnds() {
         Councils c = new Councils();
         c.start("d#1", null);
         c.pass(1500);
@@ -124,7 +124,7 @@
     }
 
     @Test
-    public void oneOfAnOddNumberKeepsItsSeatWhenItEnds() {
+    public void oneOfThreeKeepsItsSeatWhenItEnds() {
         Councils c = new Councils();
         Council b = c.all.get("b#0");
         b.leave(c.now);
@@ -134,7 +134,7 @@
     }
 
     @Test
-    public void whoLeavesAnOddNumberGivesItsSeatToANewcomer() {
+    public void oneOfThreeThatLeavesGivesItsSeatToANewcomer() {
         Councils c = new Councils();
         c.start("d#1", null);
         c.all.get("b#0").leave(c.now);
@@ -143,6 +143,41 @@
         assertTrue(electors.contains("d#1") && !electors.contains("b#0") && electors.size() == 3, "" + electors);
     }
 
+    @Test
+    public void twoOfFiveReplacedAsPlannedLeaveRoomForTwoMoreLossesAtOnce() {
+        // Schedule 33 of the rig: seven seats, of which two that left were held by nobody.
+        Councils c = new Councils(List.of("a#0", "b#0", "c#0", "d#0", "e#0"));
+        c.start("n#1", null);
+        c.pass(1000);
+        c.start("m#2", null);
+        c.pass(1000);
+        assertEquals(c.electors().size(), 7);
+        for (String leaver : List.of("c#0", "a#0")) {
+            Council council = c.all.get(leaver);
+            council.leave(c.now);
+            c.pass(400);
+            assertTrue(council.left(c.now), leaver);
+            c.all.remove(leaver);
+        }
+        assertEquals(c.electors().size(), 5);
+        c.all.remove("d#0");
+        c.all.remove("e#0");
+        assertEquals(c.replace("b#0", 5, 0, "digest"), Council.Verdict.TAKEN);
+    }
+
+    @Test
+    public void twoThatAreSilentInAnOddNumberLoseTheirSeats() {
+        Councils c = new Councils(List.of("a#0", "b#0", "c#0", "d#0", "e#0"));
+        c.all.remove("d#0");
+        c.pass(4000);
+        assertEquals(c.electors().size(), 5, "one that is away may come back");
+        c.all.remove("e#0");
+        c.pass(4000);
+        assertEquals(c.electors(), List.of("a#0", "b#0", "c#0"));
+        c.all.remove("c#0");
+        assertEquals(c.replace("a#0", 5, 0, "digest"), Council.Verdict.TAKEN);
+    }
+
     @Test
     public void anOfficeThatSleptTakesNobodyForSilent() {
         Councils c = new Councils();
--- a/src/test/java/cobaltrack/post/Councils.java
+++ b/src/test/java/cobaltrack/post/Councils.java
@@ -31,7 +31,11 @@
     private final Map<String, Boolean> stalled = new HashMap<>();
 
     Councils() {
-        FOUNDERS.forEach(id -> start(id, Decision.founding(FOUNDERS)));
+        this(FOUNDERS);
+    }
+
+    Councils(List<String> founders) {
+        founders.forEach(id -> start(id, Decision.founding(founders)));
         pass(1000);
     }
 
@@ -113,7 +117,7 @@
     }
 
     List<String> electors() {
-        return all.get("a#0").decided().electors();
+        return all.values().iterator().next().decided().electors();
     }
 
     /** The verdict on a change that one office is sent. */
--- a/src/test/java/cobaltrack/post/ledger/LedgerTest.java
+++ b/src/test/java/cobaltrack/post/ledger/LedgerTest.java
@@ -90,6 +90,25 @@
         }
     }
 
+    @Test
+    public void writesAgainOnceAFullDiskHasRoom() throws Exception {
+        try (Ledger l = Ledger.open(folder)) {
+            l.write("a#0", memory(1));
+            java.lang.reflect.Field field = Ledger.class.getDeclaredField("connection");
+            field.setAccessible(true);
+            try (Statement s = ((Connection) field.get(l)).createStatement()) {
+                s.execute("PRAGMA max_page_count=2");
+                for (int i = 0; i < 3; i++) {
+                    assertThrows(LedgerException.class, () -> l.write("a#0", new byte[50_000]));
+                }
+                s.execute("PRAGMA max_page_count=1000000");
+            }
+            assertEquals(l.read().memory(), memory(1));
+            l.write("a#0", new byte[50_000]);
+            assertEquals(l.read().memory().length, 50_000);
+        }
+    }
+
     @Test
     public void anEmptyFileIsANewLedger() throws LedgerException, IOException {
         Files.createDirectories(folder);
