--- a/src/main/java/cobaltrack/post/allowance/Allowance.java
+++ b/src/main/java/cobaltrack/post/allowance/Allowance.java
@@ -39,7 +39,7 @@
     /** What a calm tenant may overdraw its bucket by: so many seconds of the bucket's rate, and at least. */
     private static final double OVERDRAFT_S = 0.2;
     private static final double OVERDRAFT_LEAST = 2;
-    /** All debts of a tenant together: the requests of so many seconds at its limit, less the rules' slack. */
+    /** All debts of a tenant together: what it may ask for in so many seconds, less the rules' slack. */
     private static final double DEBT_S = 9;
     /** Less than this many requests a second is not worth telling. */
     private static final double TOLD_LEAST = 0.02;
--- a/src/main/java/cobaltrack/post/allowance/Sum.java
+++ b/src/main/java/cobaltrack/post/allowance/Sum.java
@@ -20,7 +20,7 @@
     /** Sidecars and, of each, tenants that are kept at most. */
     private static final int NODES_MOST = 4096;
     private static final int TENANTS_MOST = 1024;
-    /** Up to so many tenants, all are told, so that no sidecar takes one that is asked for elsewhere for idle. */
+    /** Up to so many tenants, all are told: one that is asked for elsewhere must not be taken for idle. */
     private static final int ALL_MOST = 256;
 
     private record Said(double at, List<Use> uses) { }
