--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 
 /**
  * A carrier: the sidecar of one auxiliary machine. It takes the requests that begin there, carries them to
@@ -37,7 +38,7 @@
 public final class Sidecar implements Link.Ear {
     private static final long TICK_MS = 100;
     /** How often an unchanged listing is said again, in milliseconds. */
-    private static final double SAY_MS = 1000;
+    private static final double SAY_MS = 3000;
     /** How often the offices are told what is asked for here, in milliseconds. */
     private static final double USES_MS = 350;
     /** Services that modules are kept for. */
@@ -52,6 +53,8 @@
     private final EventLoop loop;
     private final ObjectMapper mapper;
     private final Timers timers;
+    /** On which the services' modules act together. */
+    private final Timers beat;
     private final String node;
     private final Hatch hatch;
     private final EndpointLine line;
@@ -74,20 +77,27 @@
 
     /** A sidecar that has not begun. */
     public Sidecar(Card card, EventLoop loop, ObjectMapper mapper) {
+        this(card, loop, mapper, UnaryOperator.identity());
+    }
+
+    /** One that dials what this makes of an office's or another sidecar's address. */
+    public Sidecar(Card card, EventLoop loop, ObjectMapper mapper, UnaryOperator<InetSocketAddress> dials) {
         this.card = card;
         this.loop = loop;
         this.mapper = mapper;
         this.timers = new LoopTimers(loop, new Clock());
+        this.beat = new Beat(timers, Classes.period());
         this.node = Card.present(card.network().bind().ingress(), "Network.Bind.Ingress");
         this.hatch = new Hatch(card.substrate().heartbeatS() * 1000);
         this.line = new EndpointLine(loop, EndpointList.address(Card.present(card.self().appAddr(),
                 "Self.AppAddr")));
         Letter.Hello hello = new Letter.Hello(node, false);
-        this.round = new Round(loop, node, this::deliver, hello, EndpointList::address, this::stale);
+        this.round = new Round(loop, node, this::deliver, hello,
+                address -> dials.apply(EndpointList.address(address)), this::stale);
         Card.Bounds bounds = card.clauses().bounds();
         this.allowance = new Allowance(timers.now(), bounds.quotaSlack(), bounds.quotaExcess(),
-                bounds.quotaWindowS());
-        this.desk = new Desk(loop, card, hello, new Desk.Owner() {
+                bounds.quotaWindowS(), new SecureRandom().nextLong());
+        this.desk = new Desk(loop, card, hello, dials, new Desk.Owner() {
             @Override
             public void posted(List<Listing> listings) {
                 Sidecar.this.posted(listings);
@@ -188,7 +198,7 @@
             Card.Bounds bounds = card.clauses().bounds();
             Postage paid = postage.computeIfAbsent(target,
                     t -> new Postage(bounds.retryRatio(), bounds.retrySlack()));
-            known = new Depot(timers, classes, card, directory.present(), new SecureRandom().nextLong(),
+            known = new Depot(beat, classes, card, directory.present(), new SecureRandom().nextLong(),
                     round, large ? card.self().zone() : null, paid);
             kind.put(target, known);
             known.update(listed(target));
