--- a/src/main/java/cobaltrack/post/carrier/Depot.java
+++ b/src/main/java/cobaltrack/post/carrier/Depot.java
@@ -21,7 +21,7 @@
  * One service as this sidecar sees it: an engine with a module of its own, fed with the endpoints that are
  * listed and in reach. On its loop's thread.
  */
-final class Depot {
+public final class Depot {
     /** The module may try so many endpoints; what truly arrives is bounded by the route and the budget. */
     private static final int ATTEMPTS = 4;
     private static final double RETRY_AFTER_MOST = 2000;
@@ -60,7 +60,7 @@
     }
 
     /** What the module of a service starts from, at one of so many sidecars. */
-    static Contract.Settings settings(Classes classes, double drainS, int sidecars) {
+    public static Contract.Settings settings(Classes classes, double drainS, int sidecars) {
         return new Contract.Settings(classes.all(), List.of(), 1,
                 new Contract.Limits(ATTEMPTS, false, false, false, false, true, RETRY_AFTER_MOST, 1),
                 new Contract.Obligations(drainS * 1000, FALL_MULTIPLE, COLD_MS, COLD_SHARE, COLD_MS, COLD_MS),
@@ -75,7 +75,8 @@
         for (Listing l : listings) {
             boolean up = l.open() && round.reaches(l.node());
             double now = timers.now();
-            double start = started.getOrDefault(l.endpoint(), l.warmMs() > 0 ? now - (COLD_MS - l.warmMs()) : 0);
+            double start = started.getOrDefault(l.endpoint(),
+                    l.warmMs() > 0 ? now - (COLD_MS - l.warmMs()) : 0);
             times.put(l.endpoint(), start);
             nodes.put(l.endpoint(), l.node());
             entries.add(new EndpointList.Entry(new Contract.Server(l.endpoint(), up ? Contract.Standing.UP
@@ -143,8 +144,8 @@
 
         private Contract.Report report(double util, double perSecond) {
             // Where one zone comes first, sizes are by zone and not by what endpoints can do.
-            return perSecond > 0 && near == null ? new Contract.Report(Double.NaN, Double.NaN, util, Double.NaN, perSecond, 0)
-                    : null;
+            return perSecond > 0 && near == null
+                    ? new Contract.Report(Double.NaN, Double.NaN, util, Double.NaN, perSecond, 0) : null;
         }
 
         @Override
--- a/src/main/java/cobaltrack/post/carrier/EndpointLine.java
+++ b/src/main/java/cobaltrack/post/carrier/EndpointLine.java
@@ -309,7 +309,8 @@
             int at = value == null ? -1 : value.indexOf("timeout=");
             if (at >= 0) {
                 try {
-                    idleMs = Math.max(1, Integer.parseInt(value.substring(at + 8).split("[^0-9]")[0])) * 1000.0;
+                    String seconds = value.substring(at + 8).split("[^0-9]")[0];
+                    idleMs = Math.max(1, Integer.parseInt(seconds)) * 1000.0;
                 } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
                     idleMs = IDLE_MS;
                 }
--- a/src/main/java/cobaltrack/post/carrier/Round.java
+++ b/src/main/java/cobaltrack/post/carrier/Round.java
@@ -23,9 +23,9 @@
 import java.util.function.Function;
 
 /**
- * The ways to the sidecars beside the endpoints: a tie to each that was used, and the requests out on it. Each
- * request is written once at most, on one connection, under a number that this process gives once; what comes
- * back counts for the request of that number and no other. On its loop's thread.
+ * The ways to the sidecars beside the endpoints: a tie to each that was used, and the requests out on it.
+ * Each request is written once at most, on one connection, under a number that this process gives once; what
+ * comes back counts for the request of that number and no other. On its loop's thread.
  */
 public final class Round {
     private static final Tie.Pace PACE = new Tie.Pace(250, 700, 5000, 250);
@@ -80,7 +80,7 @@
     Round(EventLoop loop, String self, Local local, Letter hello,
             Function<String, SocketAddress> addresses, Runnable changed) {
         this(new LoopTimers(loop, new Clock()), loop, self, local,
-                (node, ear) -> new Tied(loop, addresses.apply(node), hello, ear), changed);
+                (node, ear) -> new Tied(loop, node, addresses.apply(node), hello, ear), changed);
     }
 
     /**
@@ -100,10 +100,12 @@
 
     /** A path that is a tie. */
     private static final class Tied implements Path, Tie.Owner {
+        private final String node;
         private final Ear ear;
         private final Tie tie;
 
-        private Tied(EventLoop loop, SocketAddress address, Letter hello, Ear ear) {
+        private Tied(EventLoop loop, String node, SocketAddress address, Letter hello, Ear ear) {
+            this.node = node;
             this.ear = ear;
             this.tie = new Tie(loop, address, hello, PACE, this);
         }
@@ -130,6 +132,9 @@
 
         @Override
         public void changed(Tie t, Tie.State before) {
+            if (before == Tie.State.UP && t.state() != Tie.State.CLOSED) {
+                Event.PEER_DOWN.log(node + " " + t.state());
+            }
             ear.changed(t.state(), before);
         }
 
@@ -178,14 +183,12 @@
     private record Waiting(Letter.Parcel parcel, double until) { }
 
     private final class Way implements Ear {
-        private final String node;
         private final Path path;
         private final Map<Long, Out> out = new LinkedHashMap<>();
         /** What waits for the tie's first moments. */
         private final Map<Long, Waiting> waiting = new LinkedHashMap<>();
 
         private Way(String node) {
-            this.node = node;
             this.path = paths.apply(node, this);
         }
 
@@ -201,9 +204,6 @@
             } else if (now == Tie.State.DOWN || now == Tie.State.CLOSED) {
                 fail(Letter.Why.BROKEN, false);
             }
-            if (before == Tie.State.UP && now != Tie.State.CLOSED) {
-                Event.PEER_DOWN.log(node + " " + now);
-            }
             if (now != Tie.State.DIALLING && now != Tie.State.CLOSED) {
                 changed.run();
             }
@@ -323,7 +323,7 @@
     }
 
     /** What the module is told of a letter. */
-    static Contract.Outcome outcome(Letter letter) {
+    public static Contract.Outcome outcome(Letter letter) {
         if (letter instanceof Letter.Delivered d) {
             return d.status() >= 500 ? Contract.Outcome.ERROR : Contract.Outcome.SERVED;
         }
--- a/src/main/java/cobaltrack/post/carrier/Window.java
+++ b/src/main/java/cobaltrack/post/carrier/Window.java
@@ -115,10 +115,11 @@
         this.taker = taker;
     }
 
-    /** Puts it on a connection. What was read at once is handed in piece by piece, so that the bound holds. */
+    /** Puts it on a connection. What was read at once is handed in piece by piece: so the bound holds. */
     void on(Channel ch) {
-        HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(taker.limits().headerBytes())
-                .setMaxHeaderSize(taker.limits().headerBytes());
+        int most = taker.limits().headerBytes();
+        HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(most)
+                .setMaxHeaderSize(most);
         ch.pipeline().addLast(new HttpServerCodec(config), new FlowControlHandler(), this);
     }
 
@@ -180,7 +181,8 @@
     private void goOn() {
         if (head != null && awaitsContinue && turns.isEmpty()) {
             awaitsContinue = false;
-            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE));
         }
     }
 
@@ -289,7 +291,8 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         // A connection that breaks is its client's affair; a fault of this program is told.
         if (cause instanceof RuntimeException) {
-            Event.FAULT.log(cause + " at " + (cause.getStackTrace().length > 0 ? cause.getStackTrace()[0] : "?"));
+            StackTraceElement[] trace = cause.getStackTrace();
+            Event.FAULT.log(cause + " at " + (trace.length > 0 ? trace[0] : "?"));
         }
         ctx.close();
     }
--- a/src/main/java/cobaltrack/post/rpc/RpcConnection.java
+++ b/src/main/java/cobaltrack/post/rpc/RpcConnection.java
@@ -119,7 +119,8 @@
     private void goOn() {
         if (head != null && awaitsContinue && turns.isEmpty()) {
             awaitsContinue = false;
-            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE));
         }
     }
 
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPath.java
@@ -0,0 +1,226 @@
+package cobaltrack.standin.post.hardening;
+
+import cobaltrack.plan.Calendar;
+import cobaltrack.post.carrier.Round;
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Letters;
+import cobaltrack.post.wire.Tie;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * A modelled tie between two processes: connections in order, which break, are held back, and outlive at the
+ * far end what the near one has closed. One thread; driven time.
+ */
+final class RelayPath implements Round.Path {
+    private static final double SUSPECT = 700;
+    private static final double DEAD = 5000;
+    private static final double REDIAL = 250;
+
+    private final Calendar calendar;
+    private final SplittableRandom random;
+    private final RelayProcess near;
+    private final RelayProcess far;
+    private final Round.Ear ear;
+    /** The far end takes a letter and answers it by the consumer. */
+    private final BiConsumer<Letter, Consumer<Letter>> taker;
+    /** Hears of what was written. */
+    private final Consumer<Letter> wrote;
+    /** Whether what was sent is sent once more on the next connection: a planted fault. */
+    private final boolean again;
+    private final List<Letter> sent = new ArrayList<>();
+    private Tie.State state = Tie.State.DOWN;
+    private Connection connection;
+
+    RelayPath(Calendar calendar, SplittableRandom random, RelayProcess near, RelayProcess far, Round.Ear ear,
+            BiConsumer<Letter, Consumer<Letter>> taker, Consumer<Letter> wrote, boolean again) {
+        this.calendar = calendar;
+        this.random = random;
+        this.near = near;
+        this.far = far;
+        this.ear = ear;
+        this.taker = taker;
+        this.wrote = wrote;
+        this.again = again;
+    }
+
+    private final class Connection {
+        private double farAt;
+        private double nearAt;
+        private double heldUntil;
+        private boolean nearOpen = true;
+        private boolean farOpen = true;
+
+        private void toFar(Runnable task) {
+            farAt = Math.max(Math.max(farAt, heldUntil), calendar.now() + 0.2 + random.nextInt(3));
+            calendar.at(farAt, () -> far.execute(task));
+        }
+
+        private void toNear(Runnable task) {
+            nearAt = Math.max(Math.max(nearAt, heldUntil), calendar.now() + 0.2 + random.nextInt(3));
+            calendar.at(nearAt, () -> near.execute(task));
+        }
+
+        private void send(byte[] written) {
+            toFar(() -> {
+                if (farOpen) {
+                    taker.accept(read(written), this::answer);
+                }
+            });
+        }
+
+        private void answer(Letter letter) {
+            if (farOpen) {
+                byte[] written = Letters.write(letter);
+                toNear(() -> {
+                    if (nearOpen) {
+                        ear.letter(read(written));
+                    }
+                });
+            }
+        }
+
+        // What was written before still arrives.
+        private void close() {
+            nearOpen = false;
+            toFar(() -> farOpen = false);
+        }
+    }
+
+    private static Letter read(byte[] written) {
+        try {
+            return Letters.read(written);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void dial() {
+        if (state != Tie.State.DOWN) {
+            return;
+        }
+        to(Tie.State.DIALLING);
+        boolean fails = random.nextInt(8) == 0;
+        double wait = random.nextInt(5) == 0 ? 100 + random.nextInt(700) : 1 + random.nextInt(4);
+        calendar.after(wait, () -> near.execute(() -> {
+            if (fails) {
+                lost();
+            } else if (state == Tie.State.DIALLING) {
+                connection = new Connection();
+                if (again) {
+                    sent.forEach(l -> connection.send(Letters.write(l)));
+                }
+                to(Tie.State.UP);
+            }
+        }));
+    }
+
+    @Override
+    public Tie.State state() {
+        return state;
+    }
+
+    @Override
+    public boolean send(Letter letter) {
+        boolean can = connection != null && connection.nearOpen;
+        if (can) {
+            if (again) {
+                sent.add(letter);
+            }
+            connection.send(Letters.write(letter));
+            wrote.accept(letter);
+        }
+        return can;
+    }
+
+    @Override
+    public void close() {
+        to(Tie.State.CLOSED);
+        drop();
+    }
+
+    private void drop() {
+        if (connection != null) {
+            connection.close();
+            connection = null;
+        }
+    }
+
+    private void to(Tie.State next) {
+        if (state != next && state != Tie.State.CLOSED) {
+            Tie.State before = state;
+            state = next;
+            ear.changed(next, before);
+        }
+    }
+
+    private void lost() {
+        drop();
+        to(Tie.State.DOWN);
+        near.after(REDIAL + random.nextInt((int) REDIAL), this::dial);
+    }
+
+    /** The connection is reset; what is on its way is lost at either end, or arrives. */
+    void reset() {
+        Connection broken = connection;
+        if (broken != null) {
+            broken.farOpen &= random.nextBoolean();
+            near.execute(() -> {
+                if (connection == broken) {
+                    lost();
+                }
+            });
+        }
+    }
+
+    /** The far end has ended: nothing of what is on its way arrives. */
+    void farEnded() {
+        Connection broken = connection;
+        if (broken != null) {
+            broken.farOpen = false;
+            near.execute(() -> {
+                if (connection == broken) {
+                    lost();
+                }
+            });
+        }
+    }
+
+    /** Nothing arrives for so long. */
+    void hold(double millis) {
+        Connection held = connection;
+        if (held == null) {
+            return;
+        }
+        held.heldUntil = Math.max(held.heldUntil, calendar.now() + millis);
+        silence(millis);
+    }
+
+    /** The near end hears nothing for so long, whatever the reason. */
+    void silence(double millis) {
+        Connection silent = connection;
+        if (silent == null || millis < SUSPECT) {
+            return;
+        }
+        near.after(SUSPECT, () -> {
+            if (connection == silent && state == Tie.State.UP) {
+                to(Tie.State.SUSPECT);
+            }
+        });
+        near.after(Math.min(millis, DEAD), () -> {
+            if (connection == silent && state == Tie.State.SUSPECT) {
+                if (millis > DEAD) {
+                    lost();
+                } else {
+                    to(Tie.State.UP);
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPlay.java
@@ -0,0 +1,322 @@
+package cobaltrack.standin.post.hardening;
+
+import cobaltrack.Contract;
+import cobaltrack.decide.Decide;
+import cobaltrack.engine.Ask;
+import cobaltrack.engine.Caller;
+import cobaltrack.engine.Carrier;
+import cobaltrack.engine.Engine;
+import cobaltrack.membership.EndpointList;
+import cobaltrack.plan.Calendar;
+import cobaltrack.post.carrier.Classes;
+import cobaltrack.post.carrier.Depot;
+import cobaltrack.post.carrier.EndpointLine;
+import cobaltrack.post.carrier.Round;
+import cobaltrack.post.wire.Letter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Requests from one sidecar through the real engine, module, ways and lines to three endpoints in trouble,
+ * under a driven clock: connections are reset and held back, ties are lost and made anew, either sidecar is
+ * frozen or restarted, endpoints reset, cut off, spoil, and answer late or twice. Beside it, pipelined calls
+ * through the real server of calls. Checks that each answer is its own, that what may not be repeated runs
+ * once at most, that "has not run" is not said of what has run and that nothing runs after it, that a time
+ * left is never overstated, and that nothing is written after the caller was answered. The same seed plays
+ * the same. One thread.
+ */
+public final class RelayPlay {
+    /** A fault that is planted, to see that it is found. */
+    public enum Bug {
+        /** None. */
+        NONE,
+        /** Answers to pipelined calls go out when they come. */
+        ANSWERS_AS_THEY_COME,
+        /** What waited when its caller was answered still goes out. */
+        WRITES_AFTER_ANSWER,
+        /** A tie that is made anew sends again what was sent on the last. */
+        WRITES_AGAIN_AFTER_REDIAL,
+        /** A connection that broke after the request was written is told as one that was never made. */
+        RESET_NEVER_RAN,
+        /** Whatever an endpoint says next is taken for the answer to the request that it was sent last. */
+        IGNORES_IDS
+    }
+
+    /** What a schedule broke, and what it counted. */
+    public record Outcome(List<String> broken, Map<String, Long> figures) { }
+
+    private static final double LENGTH = 6000;
+    private static final double CALM = 10_000;
+    /** From so long after the last request on, time goes in larger steps. */
+    private static final double QUIET = 3000;
+    private static final int REQUESTS = 40;
+    private static final int CALLS = 30;
+    private static final int FAULTS = 10;
+    private static final int FARS = 3;
+    private static final String BODY = "of ";
+    private static final Classes CLASSES = new Classes();
+
+    private final Calendar calendar = new Calendar();
+    private final SplittableRandom random;
+    private final Bug bug;
+    private final RelayProcess near;
+    private final List<Far> fars = new ArrayList<>();
+    private final Map<String, Request> requests = new HashMap<>();
+    private final Map<String, RelayPath> paths = new HashMap<>();
+    private final List<String> broken = new ArrayList<>();
+    private final Map<String, Long> figures = new TreeMap<>();
+    private Engine engine;
+    private Round round;
+    private int life;
+
+    private RelayPlay(long seed, Bug bug) {
+        this.random = new SplittableRandom(seed);
+        this.bug = bug;
+        this.near = new RelayProcess(calendar, random.split());
+    }
+
+    /** Plays the schedule of this seed. */
+    public static Outcome play(long seed, Bug bug) {
+        return new RelayPlay(seed, bug).play();
+    }
+
+    private Outcome play() {
+        for (int i = 0; i < FARS; i++) {
+            fars.add(new Far());
+        }
+        begin();
+        RelayCalls calls = new RelayCalls(calendar, random.split(), this::broke);
+        calls.start(bug == Bug.ANSWERS_AS_THEY_COME);
+        for (int i = 0; i < REQUESTS; i++) {
+            String id = "a-" + i;
+            calendar.at(random.nextDouble() * LENGTH, () -> near.execute(() -> new Request(id).go()));
+        }
+        for (int i = 0; i < CALLS; i++) {
+            calendar.at(random.nextDouble() * LENGTH / 4, calls::call);
+        }
+        for (int i = 0; i < FAULTS; i++) {
+            calendar.at(random.nextDouble() * LENGTH, this::fault);
+        }
+        for (double at = 0; at < LENGTH + CALM; at += at < LENGTH + QUIET ? 1 : 20) {
+            calendar.runTo(at);
+            fars.forEach(f -> f.endpoint.hear());
+        }
+        requests.values().forEach(Request::end);
+        calls.end();
+        figures.merge("calls answered", (long) calls.heard(), Long::sum);
+        return new Outcome(List.copyOf(broken), Map.copyOf(figures));
+    }
+
+    private void broke(String what) {
+        broken.add("at " + calendar.now() + ": " + what);
+    }
+
+    private void count(String what) {
+        figures.merge(what, 1L, Long::sum);
+    }
+
+    private void begin() {
+        life++;
+        paths.clear();
+        Contract.Settings settings = Depot.settings(CLASSES, 2.5, 1);
+        engine = new Engine(near, settings, out -> new Decide(settings, random.nextLong(), out), list -> { },
+                line -> {
+                    if (line.startsWith("decision failed")) {
+                        broke(line);
+                    }
+                });
+        engine.start(() -> { }, null);
+        round = new Round(near, task -> calendar.after(0, () -> near.execute(task)), "near",
+                (parcel, done) -> { }, (node, ear) -> {
+                    Far far = fars.get(Integer.parseInt(node));
+                    RelayPath path = new RelayPath(calendar, random.split(), near, far.process, ear,
+                            far::take, this::wrote, bug == Bug.WRITES_AGAIN_AFTER_REDIAL);
+                    paths.put(node, path);
+                    return path;
+                }, () -> { });
+        List<EndpointList.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < FARS; i++) {
+            entries.add(new EndpointList.Entry(new Contract.Server(Integer.toString(i),
+                    Contract.Standing.UP, 1, "z", -1, 0), null));
+        }
+        engine.list(Contract.ListKind.FULL, new EndpointList(life, true, entries));
+    }
+
+    private void fault() {
+        Far far = fars.get(random.nextInt(FARS));
+        RelayPath path = paths.get(Integer.toString(fars.indexOf(far)));
+        int how = random.nextInt(8);
+        double length = Math.exp(random.nextDouble() * Math.log(8000));
+        if (how == 0) {
+            count("sidecars restarted at the near end");
+            near.restart();
+            List.copyOf(paths.values()).forEach(RelayPath::close);
+            begin();
+        } else if (how == 1) {
+            count("sidecars restarted at the far end");
+            far.restart();
+            if (path != null) {
+                path.farEnded();
+            }
+        } else if (how == 2) {
+            count("freezes of the near end");
+            near.freeze(Math.min(length, 2500));
+        } else if (how == 3) {
+            count("freezes of the far end");
+            far.process.freeze(length);
+            if (path != null) {
+                path.silence(length);
+            }
+        } else if (path != null && how < 6) {
+            count("ties reset");
+            path.reset();
+        } else if (path != null) {
+            count("ties held back");
+            path.hold(length);
+        }
+    }
+
+    // --- the near sidecar
+
+    private void wrote(Letter letter) {
+        Letter.Parcel parcel = (Letter.Parcel) letter;
+        Request r = requests.get(parcel.headers().get(1));
+        if (r.answered && r.life == life) {
+            broke(r.id + " was written after its caller had been answered");
+        }
+        if (parcel.leftMs() > r.endAt - calendar.now() + 1) {
+            broke(r.id + " was written with " + parcel.leftMs() + " ms, of which it had "
+                    + (r.endAt - calendar.now()));
+        }
+    }
+
+    private void ran(String id) {
+        Request r = requests.get(id);
+        r.runs++;
+        count("runs");
+        if (r.mutating && r.runs > 1) {
+            broke(id + " ran " + r.runs + " times");
+        }
+        if (r.promised) {
+            broke(id + " ran after it was said that it had not and never would");
+        }
+        if (r.answered) {
+            count("runs after a 502 or 504 or for a client that was cut off");
+        }
+    }
+
+    private final class Request implements Caller<Letter.Delivered>, Carrier<Letter.Delivered> {
+        private final String id;
+        private final int life = RelayPlay.this.life;
+        private final boolean mutating = random.nextInt(3) > 0;
+        private final double timeout = 300 + random.nextInt(2500);
+        private final double endAt = calendar.now() + timeout;
+        private int arrivals;
+        private int runs;
+        private boolean answered;
+        private boolean promised;
+
+        private Request(String id) {
+            this.id = id;
+            requests.put(id, this);
+        }
+
+        private void go() {
+            engine.take(new Ask(CLASSES.of(!mutating, 1, 500), -1, timeout, false, 1, 0), this, this);
+        }
+
+        @Override
+        public Sending send(String endpoint, int attempt, double within, Outcomes<Letter.Delivered> told) {
+            if (arrivals > 1) {
+                told.ended(Contract.Outcome.NEVER_SENT, null, null);
+                return () -> false;
+            }
+            Letter.Parcel draft = new Letter.Parcel(0, "POST", "/x", List.of("Attempt-Id", id), new byte[0],
+                    (int) Math.max(1, endAt - calendar.now()), "svc", endpoint, 1);
+            Sending sending = round.send(endpoint, draft, !mutating, letter -> came(letter, told));
+            return () -> {
+                boolean written = sending.giveUp();
+                if (!written && bug == Bug.WRITES_AFTER_ANSWER) {
+                    near.after(1, () -> round.send(endpoint, draft, false, letter -> { }));
+                }
+                return written;
+            };
+        }
+
+        private void came(Letter letter, Outcomes<Letter.Delivered> told) {
+            arrivals += letter instanceof Letter.Returned r && r.why().neverRan
+                    && r.why() != Letter.Why.TURNED_AWAY ? 0 : 1;
+            told.ended(Round.outcome(letter), letter instanceof Letter.Delivered d ? d : null, null);
+        }
+
+        private void answered(String how) {
+            count(how);
+            if (answered) {
+                broke(id + " was answered twice");
+            }
+            answered = true;
+        }
+
+        @Override
+        public void served(Letter.Delivered answer) {
+            answered("served");
+            String body = new String(answer.body(), StandardCharsets.US_ASCII);
+            int at = answer.headers().indexOf("Attempt-Id");
+            if (!body.equals(BODY + id) || at < 0 || !answer.headers().get(at + 1).equals(id)) {
+                broke(id + " was answered " + body + " " + answer.headers());
+            }
+        }
+
+        @Override
+        public void refused(double retryAfter) {
+            answered("refused");
+            promised = mutating;
+            if (mutating && runs > 0) {
+                broke(id + " has run and was refused");
+            }
+        }
+
+        @Override
+        public void failed() {
+            answered("failed");
+        }
+
+        private void end() {
+            if (!answered && life == RelayPlay.this.life) {
+                broke(id + " was never answered");
+            }
+        }
+    }
+
+    // --- a far sidecar and its endpoint
+
+    private final class Far {
+        private final RelayProcess process = new RelayProcess(calendar, random.split());
+        private final RelayEndpoint endpoint = new RelayEndpoint(calendar, process, random.split(),
+                RelayPlay.this::ran, RelayPlay.this::count, bug == Bug.IGNORES_IDS);
+        private EndpointLine line = new EndpointLine(process, endpoint::connect);
+
+        private void take(Letter letter, Consumer<Letter> answer) {
+            Letter.Parcel parcel = (Letter.Parcel) letter;
+            if (random.nextInt(15) == 0) {
+                answer.accept(new Letter.Returned(parcel.stream(), Letter.Why.FULL, 0, 0));
+                return;
+            }
+            line.send(parcel, parcel.endpoint(), l -> answer.accept(bug == Bug.RESET_NEVER_RAN
+                    && l instanceof Letter.Returned r && r.why() == Letter.Why.BROKEN
+                    ? new Letter.Returned(r.stream(), Letter.Why.UNREACHED, 0, 0) : l));
+        }
+
+        private void restart() {
+            process.restart();
+            endpoint.reset();
+            line = new EndpointLine(process, endpoint::connect);
+        }
+    }
+}
--- a/src/test/java/cobaltrack/post/carrier/EndpointLineTest.java
+++ b/src/test/java/cobaltrack/post/carrier/EndpointLineTest.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,7 +19,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** The way to the endpoint, byte by byte: whose answer it is, how often it was asked, and what is said of it. */
+/** The way to the endpoint, byte by byte: whose answer it is, how often it was asked, what is said of it. */
 public class EndpointLineTest {
     private static final int LEFT_MS = 1000;
 
@@ -177,8 +178,8 @@
             {"421", answer("421 Misdirected", "a", "", ""), "a MOVED"},
             {"500", answer("500 Error", "a", "no", ""), "a 500 no"},
             {"504", answer("504 Late", "a", "no", ""), "a 504 no"},
-            {"interim ones first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nAttempt-Id: a\r\n\r\n" + cut,
-                "a 200 of a"},
+            {"interim ones first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nAttempt-Id: a\r\n\r\n"
+                + cut, "a 200 of a"},
             {"no HTTP", "ice cream\r\n\r\n", "a BROKEN"},
             {"no HTTP before it", "ice\r\n" + cut, "a BROKEN"},
             {"no framing", "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\n\r\nof a", "a BROKEN"},
@@ -233,7 +234,7 @@
     public void whereNoneConnectsItNeverRan() {
         dialsAnswered = false;
         ask("a");
-        dials.get(0).setFailure(new java.net.ConnectException("refused"));
+        dials.get(0).setFailure(new ConnectException("refused"));
         assertEquals(told, List.of("a UNREACHED"));
         assertEquals(asked(), 0);
     }
--- /dev/null
+++ b/src/test/java/cobaltrack/post/carrier/RoundSocketTest.java
@@ -0,0 +1,143 @@
+package cobaltrack.post.carrier;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Letters;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Requests over real ties to a peer that plays the far sidecar. */
+public class RoundSocketTest {
+    private static final int WAIT_MS = 10_000;
+
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private EventLoopGroup loops;
+    private EventLoop loop;
+    private ServerSocket server;
+    private Round round;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        told.clear();
+        loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = loops.next();
+        server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(WAIT_MS);
+        round = new Round(loop, "here", (parcel, done) -> { }, new Letter.Hello("here", false),
+                node -> server.getLocalSocketAddress(), () -> { });
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void end() throws Exception {
+        loops.shutdownGracefully(0, WAIT_MS, TimeUnit.MILLISECONDS).sync();
+        server.close();
+    }
+
+    /** One connection at the peer. */
+    private static final class Peer implements AutoCloseable {
+        private final Socket socket;
+
+        private Peer(ServerSocket server) throws IOException {
+            socket = server.accept();
+            socket.setSoTimeout(WAIT_MS);
+        }
+
+        private Letter.Parcel parcel() throws IOException {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            while (true) {
+                Letter letter = Letters.read(in.readNBytes(in.readInt()));
+                if (letter instanceof Letter.Parcel parcel) {
+                    return parcel;
+                } else if (letter instanceof Letter.Ping ping) {
+                    say(new Letter.Pong(ping.number(), true));
+                }
+            }
+        }
+
+        private void say(Letter letter) throws IOException {
+            byte[] written = Letters.write(letter);
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            out.writeInt(written.length);
+            out.write(written);
+            out.flush();
+        }
+
+        private void answer(long stream, int status) throws IOException {
+            say(new Letter.Delivered(stream, status, List.of(), new byte[0], 0, 0));
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private void send(String id) {
+        loop.execute(() -> round.send("there", new Letter.Parcel(0, "POST", "/x", List.of("Attempt-Id", id),
+                new byte[0], WAIT_MS, "svc", "i-1", 0), false, letter -> told.add(id + " " + what(letter))));
+    }
+
+    private static String what(Letter letter) {
+        return letter instanceof Letter.Delivered d ? Integer.toString(d.status())
+                : ((Letter.Returned) letter).why().toString();
+    }
+
+    private String next() throws InterruptedException {
+        String what = told.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+        assertNotNull(what, "told in time");
+        return what;
+    }
+
+    @Test
+    public void whatWasOutOnALostTieIsNotSentAgainAndItsAnswerIsNobodys() throws Exception {
+        send("a");
+        long lost;
+        try (Peer first = new Peer(server)) {
+            lost = first.parcel().stream();
+        }
+        assertEquals(next(), "a BROKEN");
+        send("b");
+        try (Peer second = new Peer(server)) {
+            Letter.Parcel b = second.parcel();
+            assertEquals(b.headers().get(1), "b", "nothing of the lost tie comes before it");
+            second.answer(lost, 201);
+            second.answer(b.stream(), 200);
+            second.answer(b.stream(), 202);
+            assertEquals(next(), "b 200");
+            send("c");
+            second.answer(second.parcel().stream(), 203);
+            assertEquals(next(), "c 203");
+        }
+    }
+
+    @Test
+    public void answersInAnyOrderFindTheirCallers() throws Exception {
+        send("a");
+        send("b");
+        try (Peer peer = new Peer(server)) {
+            Letter.Parcel a = peer.parcel();
+            Letter.Parcel b = peer.parcel();
+            peer.answer(b.stream(), 202);
+            peer.answer(a.stream(), 201);
+            assertEquals(next(), "b 202");
+            assertEquals(next(), "a 201");
+        }
+    }
+}
--- a/src/test/java/cobaltrack/post/carrier/RoundTest.java
+++ b/src/test/java/cobaltrack/post/carrier/RoundTest.java
@@ -89,8 +89,8 @@
     }
 
     private Carrier.Sending send(String id, boolean repeatable) {
-        Letter.Parcel draft = new Letter.Parcel(0, "POST", "/x", List.of("Attempt-Id", id), new byte[0], LEFT_MS,
-                "svc", "i-1", 0);
+        Letter.Parcel draft = new Letter.Parcel(0, "POST", "/x", List.of("Attempt-Id", id), new byte[0],
+                LEFT_MS, "svc", "i-1", 0);
         Carrier.Sending sending = round.send("there", draft, repeatable, letter -> told.add(id + " "
                 + (letter instanceof Letter.Delivered d ? d.status() : ((Letter.Returned) letter).why())));
         soon();
--- a/src/test/java/cobaltrack/post/carrier/WindowTest.java
+++ b/src/test/java/cobaltrack/post/carrier/WindowTest.java
@@ -88,7 +88,8 @@
     }
 
     private static String post(String path, String more, int length, String body) {
-        return "POST " + path + " HTTP/1.1\r\n" + HOST + more + "Content-Length: " + length + "\r\n\r\n" + body;
+        return "POST " + path + " HTTP/1.1\r\n" + HOST + more + "Content-Length: " + length + "\r\n\r\n"
+                + body;
     }
 
     private void answer(int turn, String body) {
@@ -156,7 +157,8 @@
 
     @Test
     public void whatCannotBeReadMidwayIsNotTaken() {
-        say("POST /a HTTP/1.1\r\n" + HOST + "Transfer-Encoding: chunked\r\n\r\n2\r\nxx\r\nzz\r\n" + get("/b"));
+        say("POST /a HTTP/1.1\r\n" + HOST + "Transfer-Encoding: chunked\r\n\r\n2\r\nxx\r\nzz\r\n"
+                + get("/b"));
         assertTrue(heard().startsWith("HTTP/1.1 400"));
         assertEquals(taken, List.of());
         assertEquals(held, 0);
--- a/src/test/java/cobaltrack/post/rpc/RpcServerTest.java
+++ b/src/test/java/cobaltrack/post/rpc/RpcServerTest.java
@@ -26,7 +26,8 @@
 
 /** Calls over sockets: each is answered once, in the order of the calls of its connection. */
 public class RpcServerTest {
-    private static final String READ = "POST /whinlead/rpc?call=config.read HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    private static final String READ =
+            "POST /whinlead/rpc?call=config.read HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
     private static final String NO_CALL = READ.replace("config.read", "config.none");
     private static final long WAIT_S = 10;
 
