Ledger: prepare the statement each time, so that a full disk is got over

Cause: the statement that keeps is closed by the driver after any error but a broken constraint; each later write failed with "statement is not executing", also once the disk took writes again. Found by a trial in which a file size limit stands for a full disk.

Ruled out: preparing again only after a failure, a second way for little: a commit waits a millisecond for the disk anyway.

--- a/src/main/java/cobaltrack/post/ledger/Ledger.java
+++ b/src/main/java/cobaltrack/post/ledger/Ledger.java
@@ -34,12 +34,9 @@
     public record Entry(String id, byte[] memory) { }
 
     private final Connection connection;
-    private final PreparedStatement replace;
 
-    private Ledger(Connection connection) throws SQLException {
+    private Ledger(Connection connection) {
         this.connection = connection;
-        replace = connection.prepareStatement("INSERT INTO office VALUES (1, ?, ?, ?) ON CONFLICT (one)"
-                + " DO UPDATE SET id = excluded.id, memory = excluded.memory, crc = excluded.crc");
     }
 
     /**
@@ -209,11 +206,14 @@
      * @throws LedgerException if it may not be
      */
     public void write(String id, byte[] memory) throws LedgerException {
-        try {
-            replace.setString(1, id);
-            replace.setBytes(2, memory);
-            replace.setLong(3, checksum(id, memory));
-            replace.executeUpdate();
+        // Prepared each time: one that has failed once fails ever after.
+        try (PreparedStatement s = connection.prepareStatement("INSERT INTO office VALUES (1, ?, ?, ?)"
+                + " ON CONFLICT (one) DO UPDATE SET id = excluded.id, memory = excluded.memory,"
+                + " crc = excluded.crc")) {
+            s.setString(1, id);
+            s.setBytes(2, memory);
+            s.setLong(3, checksum(id, memory));
+            s.executeUpdate();
         } catch (SQLException e) {
             throw new LedgerException("the ledger can't be written: " + e.getMessage(), e);
         }
@@ -222,7 +222,6 @@
     @Override
     public void close() throws LedgerException {
         try {
-            replace.close();
             connection.close();
         } catch (SQLException e) {
             throw new LedgerException("the ledger can't be closed: " + e.getMessage(), e);
--- a/src/test/java/cobaltrack/post/ledger/LedgerTest.java
+++ b/src/test/java/cobaltrack/post/ledger/LedgerTest.java
@@ -168,6 +168,23 @@
         assertTrue(refused().contains("later version"));
     }
 
+    @Test
+    public void writesAgainAfterARefusedWrite() throws Exception {
+        written("a#0", memory(1));
+        // Stands for a disk that is full for a while: an error that is no broken constraint.
+        try (Connection c = DriverManager.getConnection("jdbc:sqlite:" + file);
+                Statement s = c.createStatement()) {
+            s.execute("CREATE TRIGGER refuse BEFORE INSERT ON office WHEN new.id = 'full'"
+                    + " BEGIN SELECT abs(-9223372036854775807 - 1); END");
+        }
+        try (Ledger l = Ledger.open(folder)) {
+            assertThrows(LedgerException.class, () -> l.write("full", memory(2)));
+            assertEquals(l.read().memory(), memory(1));
+            l.write("a#0", memory(3));
+            assertEquals(l.read().memory(), memory(3));
+        }
+    }
+
     @Test
     public void theNamesOfANewLedgerAreSynced() throws LedgerException {
         Recorder r = new Recorder();
