--- a/src/main/java/cobaltrack/post/carrier/EndpointLine.java
+++ b/src/main/java/cobaltrack/post/carrier/EndpointLine.java
@@ -196,6 +196,20 @@
                 return;
             }
             remember(id);
+            FullHttpRequest request;
+            try {
+                request = written(sent, left, instance);
+            } catch (IllegalArgumentException e) {
+                // Nothing goes out of what is no request; it must not end the tie that it came by, either.
+                end(Letter.Why.UNREACHED);
+                channel.close();
+                return;
+            }
+            timer = timers.after(left + SLACK_MS, () -> spoilt(Letter.Why.LATE));
+            channel.writeAndFlush(request, channel.voidPromise());
+        }
+
+        private FullHttpRequest written(Letter.Parcel sent, double left, String instance) {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                     HttpMethod.valueOf(sent.method()), sent.uri(), Unpooled.wrappedBuffer(sent.body()));
             List<String> headers = sent.headers();
@@ -211,8 +225,7 @@
             if (bodied) {
                 request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, sent.body().length);
             }
-            timer = timers.after(left + SLACK_MS, () -> spoilt(Letter.Why.LATE));
-            channel.writeAndFlush(request, channel.voidPromise());
+            return request;
         }
 
         private void remember(String id) {
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -328,20 +328,13 @@
             return;
         }
         hatch.began(timers.now());
-        Consumer<Letter> told = letter -> {
+        line.send(parcel, hatch.endpoint(), letter -> {
             hatch.ended(timers.now(), letter instanceof Letter.Delivered);
             done.accept(letter instanceof Letter.Delivered d ? new Letter.Delivered(d.stream(), d.status(),
                     d.headers(), d.body(), hatch.util(), hatch.perSecond())
                     : new Letter.Returned(parcel.stream(), ((Letter.Returned) letter).why(), hatch.util(),
                             hatch.perSecond()));
-        };
-        try {
-            line.send(parcel, hatch.endpoint(), told);
-        } catch (IllegalArgumentException e) {
-            // What can't be written as a request must not end the tie, and every other request on it.
-            Event.FAULT.log("a request that can't be written: " + e.getMessage());
-            loop.execute(() -> told.accept(new Letter.Returned(parcel.stream(), Letter.Why.BROKEN, 0, 0)));
-        }
+        });
     }
 
     // --- other sidecars' links to this one
--- a/src/test/java/cobaltrack/post/carrier/EndpointLineTest.java
+++ b/src/test/java/cobaltrack/post/carrier/EndpointLineTest.java
@@ -142,6 +142,19 @@
         assertEquals(connections.size(), 2, "both are used again for others");
     }
 
+    @Test
+    public void whatIsNoRequestIsToldAndNotWritten() {
+        ask("a");
+        say(0, served("a"));
+        told.clear();
+        line.send(new Letter.Parcel(2, "NO METHOD", "/x", List.of("Attempt-Id", "b"), new byte[0], LEFT_MS, "svc", "i-1",
+                0), "i-1", letter -> told.add("b " + ((Letter.Returned) letter).why()));
+        assertEquals(told, List.of("b UNREACHED"));
+        ask("c");
+        say(1, served("c"));
+        assertEquals(told, List.of("b UNREACHED", "c 200 of c"), "the others go on");
+    }
+
     @Test
     public void anAnswerWithoutAnIdIsNotTakenForOnes() {
         ask("a");
