--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -44,8 +44,6 @@
     private static final double CONTACT = 1000;
     /** Without contact with a majority for so long, calls end unclear at once, in milliseconds. */
     private static final double LONELY = 500;
-    /** One that is behind so long after it was told the newest decision is told again, in milliseconds. */
-    private static final double TELL_AGAIN = 400;
     /** For a newcomer heard of so lately, one that leaves waits: it may take the seat. */
     private static final double NEWCOMER = 1000;
     /** A backoff after a lost ballot lies between these, in milliseconds, doubled up to the most. */
@@ -57,9 +55,9 @@
     private static final double JOIN_EVERY = 250;
     /** An elector that has said nothing for so many milliseconds may lose its seat to a newcomer. */
     private static final double SILENT = 2500;
-    /** One that has said nothing for so long may be about to: a newcomer waits, for a seat beside a dead one
-     *  would leave no room for the next loss. */
-    private static final double QUIET = 1000;
+
+    /** So many electors are not made fewer. */
+    private static final int ELECTORS_LEAST = 3;
 
     private enum Stage { FRESH, ASKING, ASKED, BALLOT }
 
@@ -88,6 +86,8 @@
     }
 
     private final String me;
+    /** Names its ballots: this life's own, for what an earlier life called it may not remember. */
+    private final String caller;
     private final Elector elector;
     private final SplittableRandom random;
     private final Actions out;
@@ -103,7 +103,6 @@
     private double backoff = BACKOFF;
     private double votedAt = Double.NaN;
     private double joinAt;
-    private double toldAt = Double.NEGATIVE_INFINITY;
     private double askedForSeatAt = Double.NEGATIVE_INFINITY;
     private boolean begun;
     /** Since when no majority is in contact; NaN while one is. */
@@ -115,11 +114,13 @@
      * An office's council.
      *
      * @param me its id, drawn anew with each new disk
+     * @param seed of all that it draws; another in each life, or it would call an old ballot anew
      */
     public Council(String me, Elector.Memory memory, long seed, Actions out) {
         this.me = me;
         this.elector = new Elector(memory);
         this.random = new SplittableRandom(seed);
+        this.caller = me + "/" + Long.toHexString(random.nextLong());
         this.out = out;
         this.votedAt = memory.vote() == null ? Double.NaN : Double.NEGATIVE_INFINITY;
         this.storedSlot = memory.decided() == null ? -1 : memory.decided().slot();
@@ -176,14 +177,16 @@
         if (decided() != null && decided().electors().contains(from)) {
             contact.echoed(sentAt, from, slot);
         }
+        // Whoever told it first may have gone, or the slip was lost: who is behind asks until it has it.
         if (slot > (decided() == null ? -1 : decided().slot())) {
             out.send(from, new Slip.Query(0, decided() == null ? -1 : decided().slot()));
         }
     }
 
     /**
-     * This office is to end. Where the number of electors is even it goes out of them first, by agreement: then
-     * those that remain bear as many losses as before. Where it is odd it stays one, for it may come back.
+     * This office is to end. Where there are more than three electors it goes out of them first, by agreement: a
+     * seat of one that is gone makes a majority of the others no smaller, and two such make it larger. Three stay
+     * three, for two would keep what is agreed on no third disk; and this one may come back.
      */
     public void leave(double now) {
         wake(now);
@@ -202,8 +205,7 @@
     }
 
     private boolean leavesByAgreement() {
-        int electors = decided().electors().size();
-        return electors % 2 == 0 && electors > 2;
+        return decided().electors().size() > ELECTORS_LEAST;
     }
 
     /** An operator sends a configuration built on another. */
@@ -337,7 +339,6 @@
             candidacy = null;
             out.decided(decision);
             contact.keep(now, decision.electors());
-            toldAt = now;
             if (!calls.isEmpty()) {
                 calls.peek().stage = Stage.FRESH;
             }
@@ -372,7 +373,6 @@
         if (calls.peek() != first) {
             candidacy = null;
         }
-        tellAgain(now);
         if (decided() == null || !seated()) {
             if (now >= joinAt) {
                 joinAt = now + JOIN_EVERY * (0.75 + 0.5 * random.nextDouble());
@@ -398,37 +398,28 @@
         out.send(null, new Slip.Query(0, have));
     }
 
-    // A decision is told again until each elector has it on disk: whoever told it first may have gone.
-    private void tellAgain(double now) {
-        if (decided() == null || now - toldAt < TELL_AGAIN) {
-            return;
-        }
-        List<String> behind = decided().electors().stream().filter(e -> !e.equals(me)
-                && contact.echoedAt(e) > toldAt + TELL_AGAIN / 2 && contact.stored(e) < decided().slot()).toList();
-        if (!behind.isEmpty()) {
-            toldAt = now;
-            behind.forEach(e -> out.send(e, new Slip.Decided(decided())));
-        }
-    }
-
     // With an even number of seats one that is silent is given up: the count that it leaves has the same
-    // majority less one.
+    // majority less one. So are two of an odd number, one after the other.
     private void retire(double now) {
-        List<String> electors = decided().electors();
-        boolean one = silent(now) != null || leaving;
-        if (electors.size() % 2 == 0 && electors.size() > 2 && calls.isEmpty() && one) {
+        int electors = decided().electors().size();
+        long silent = decided().electors().stream().filter(e -> silent(now, e)).count();
+        boolean due = leaving || silent >= (electors % 2 == 0 ? 1 : 2);
+        if (electors > ELECTORS_LEAST && calls.isEmpty() && due) {
             add(now, new Call(-1, decided().slot(), 0, null, null, "", false));
         }
     }
 
+    private boolean silent(double now, String elector) {
+        return !elector.equals(me) && contact.silence(now, elector) > SILENT;
+    }
+
     private String silent(double now) {
-        return decided().electors().stream().filter(e -> !e.equals(me)
-                && contact.silence(now, e) > SILENT).findFirst().orElse(null);
+        return decided().electors().stream().filter(e -> silent(now, e)).findFirst().orElse(null);
     }
 
-    private double quietest(double now) {
-        return decided().electors().stream().filter(e -> !e.equals(me))
-                .mapToDouble(e -> contact.silence(now, e)).max().orElse(0);
+    // A seat beside one that may be dead would leave no room for the next loss.
+    private boolean allReached(double now) {
+        return decided().electors().stream().allMatch(e -> e.equals(me) || contact.reached(now, CONTACT, e));
     }
 
     /** Where an id's office can be found: the address in it. */
@@ -447,11 +438,11 @@
         String old = electors.stream().filter(e -> address(e).equals(address(joiner))).findFirst()
                 .orElse(null);
         String gone = old != null ? old : leaving && electors.contains(me) ? me : silent(now);
-        if (gone == null && quietest(now) > QUIET) {
+        if (gone == null && !allReached(now)) {
             return null;
         }
         if (joiner.isEmpty()) {
-            return gone != null && electors.size() % 2 == 0 && electors.remove(gone)
+            return gone != null && electors.size() > ELECTORS_LEAST && electors.remove(gone)
                     ? decided().with(electors) : null;
         }
         if (electors.contains(joiner)) {
@@ -546,7 +537,7 @@
 
     private void run(double now, Decision wanted) {
         round = Math.max(round, elector.memory().promised().round()) + 1;
-        candidacy = new Candidacy(decided(), new Ballot(round, me), wanted);
+        candidacy = new Candidacy(decided(), new Ballot(round, caller), wanted);
         againAt = now;
     }
 
