Count as silent who answers nothing, and let one that leaves give its seat to a newcomer

A member that nothing reaches went on sending, so it was not silent, and answered nothing, so it was not in contact: a newcomer got no seat beside it and none in its place for as long as the cut lasted. Another member, told to leave meanwhile, went out though that newcomer was asking, and left four electors with one lost; the next loss stood still.

Ruled out: a newcomer's seat beside one that may be dead.

Change: silence counts from questions answered, as contact does, less what this office slept; what merely arrives proves nothing (Council.heard is gone). One that leaves puts a newcomer that has asked in the last second in its own place.

--- a/src/main/java/cobaltrack/post/ballot/Contact.java
+++ b/src/main/java/cobaltrack/post/ballot/Contact.java
@@ -7,15 +7,16 @@
 import java.util.Set;
 
 /**
- * Whom an office hears and reaches. Two things are kept apart. Silence counts from when something of an
- * elector last arrived, less the time in which this office itself stood still. Contact counts from when a
- * question left that the elector has answered: a packet that was held back for long proves nothing of now.
- * Pure; one thread; times in milliseconds on this office's own steady clock.
+ * Whom an office reaches: an elector counts as of when a question left that it has answered, for a packet that
+ * was held back for long proves nothing of now, and what one says that hears nobody is worth nothing. Silence
+ * leaves out the time in which this office itself stood still; contact does not. Pure; one thread; times in
+ * milliseconds on this office's own steady clock.
  */
 final class Contact {
     /** A pause between two signs of this office's own life from which on it slept, in milliseconds. */
     private static final double SLEPT = 400;
 
+    /** As of when each elector is not silent. */
     private final Map<String, Double> heard = new HashMap<>();
     private final Map<String, Double> echoed = new HashMap<>();
     private final Map<String, Long> stored = new HashMap<>();
@@ -31,14 +32,10 @@
         awake = now;
     }
 
-    /** A sign of life arrived. */
-    void heard(double now, String from) {
-        heard.put(from, now);
-    }
-
     /** An elector answered what left at {@code sentAt}, and has this slot on disk. */
     void echoed(double sentAt, String from, long slot) {
         echoed.merge(from, sentAt, Math::max);
+        heard.merge(from, sentAt, Math::max);
         stored.merge(from, slot, Math::max);
     }
 
@@ -51,7 +48,7 @@
         electors.forEach(e -> heard.putIfAbsent(e, now));
     }
 
-    /** For how long nothing of it has arrived while this office was awake; 0 for one never listened for. */
+    /** For how long it has answered nothing while this office was awake; 0 for one never asked. */
     double silence(double now, String elector) {
         return now - heard.getOrDefault(elector, now);
     }
--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -104,6 +104,8 @@
     private double votedAt = Double.NaN;
     private double joinAt;
     private double askedForSeatAt = Double.NEGATIVE_INFINITY;
+    private String newcomer = "";
+    private long newcomerHas;
     private boolean begun;
     /** Since when no majority is in contact; NaN while one is. */
     private double lonelySince = Double.NEGATIVE_INFINITY;
@@ -199,8 +201,8 @@
         if (decided() == null) {
             return true;
         }
-        boolean newcomer = seated() && now - askedForSeatAt < NEWCOMER;
-        return !(seated() && leavesByAgreement()) && !newcomer && decided().electors().stream().allMatch(e -> e.equals(me)
+        boolean stays = seated() && (leavesByAgreement() || asked(now));
+        return !stays && decided().electors().stream().allMatch(e -> e.equals(me)
                 || !contact.reached(now, CONTACT, e) || contact.stored(e) >= decided().slot());
     }
 
@@ -248,17 +250,9 @@
         return now - lonelySince > LONELY;
     }
 
-    /** Another office was heard of. */
-    public void heard(double now, String from) {
-        wake(now);
-        if (decided() == null || decided().electors().contains(from)) {
-            contact.heard(now, from);
-        }
-    }
-
     /** A slip came, from this office itself too. */
     public void received(double now, String from, Slip slip) {
-        heard(now, from);
+        wake(now);
         if (slip instanceof Slip.Prepare p) {
             reply(now, from, elector.prepare(p));
         } else if (slip instanceof Slip.Propose p) {
@@ -352,6 +346,8 @@
             return;
         }
         askedForSeatAt = now;
+        newcomer = from;
+        newcomerHas = has;
         if (has < decided().slot()) {
             out.send(from, new Slip.Decided(decided()));
         } else if (has == decided().slot()) {
@@ -399,16 +395,24 @@
     }
 
     // With an even number of seats one that is silent is given up: the count that it leaves has the same
-    // majority less one. So are two of an odd number, one after the other.
+    // majority less one. So are two of an odd number, one after the other. One that leaves goes out whatever the
+    // number, and gives its seat to a newcomer that asks.
     private void retire(double now) {
         int electors = decided().electors().size();
         long silent = decided().electors().stream().filter(e -> silent(now, e)).count();
-        boolean due = leaving || silent >= (electors % 2 == 0 ? 1 : 2);
-        if (electors > ELECTORS_LEAST && calls.isEmpty() && due) {
+        if (calls.isEmpty() && leaving && asked(now)) {
+            add(now, new Call(-1, newcomerHas, 0, null, null, newcomer, false));
+        } else if (calls.isEmpty() && electors > ELECTORS_LEAST
+                && (leaving || silent >= (electors % 2 == 0 ? 1 : 2))) {
             add(now, new Call(-1, decided().slot(), 0, null, null, "", false));
         }
     }
 
+    // Whether a newcomer has asked for a seat lately, and has none.
+    private boolean asked(double now) {
+        return now - askedForSeatAt < NEWCOMER && !decided().electors().contains(newcomer);
+    }
+
     private boolean silent(double now, String elector) {
         return !elector.equals(me) && contact.silence(now, elector) > SILENT;
     }
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -247,10 +247,7 @@
 
                     @Override
                     public void echoed(double sentAt, Letter.Pong pong) {
-                        guard(() -> {
-                            council.heard(now(), pong.id());
-                            council.echoed(sentAt, pong.id(), pong.slot());
-                        });
+                        guard(() -> council.echoed(sentAt, pong.id(), pong.slot()));
                     }
 
                     @Override
@@ -294,7 +291,6 @@
         } else if (link.peer() == null) {
             link.close();
         } else if (letter instanceof Letter.Ping ping) {
-            council.heard(now(), link.peer());
             link.send(new Letter.Pong(ping.number(), id, council.storedSlot()));
         } else if (letter instanceof Letter.Ask ask) {
             guests.put(link, ask.slot());
--- a/src/main/java/cobaltrack/standin/post/CouncilPlay.java
+++ b/src/main/java/cobaltrack/standin/post/CouncilPlay.java
@@ -85,13 +85,11 @@
             int mine = life;
             machines.values().forEach(m -> {
                 if (m != this && m.up && !cut.containsKey(address + m.address)) {
-                    m.council.heard(now, id);
                     if (!cut.containsKey(m.address + address)) {
                         String answers = m.id;
                         long slot = m.council.storedSlot();
                         at(1 + random.nextDouble() * 4, () -> {
                             if (up && life == mine) {
-                                council.heard(now, answers);
                                 council.echoed(sentAt, answers, slot);
                             }
                         });
--- a/src/test/java/cobaltrack/post/CouncilContactTest.java
+++ b/src/test/java/cobaltrack/post/CouncilContactTest.java
@@ -25,9 +25,9 @@
         double cutAt = c.now;
         c.cutOff.add("a#0");
         c.now += 20_000;
-        // Held back for twenty seconds: pings of the others, and answers to questions of before the cut.
-        a.heard(c.now, "b#0");
-        a.heard(c.now, "c#0");
+        // Held back for twenty seconds: what the others asked, and answers to questions of before the cut.
+        a.received(c.now, "b#0", new Slip.Query(1, 0));
+        a.received(c.now, "c#0", new Slip.Query(1, 0));
         a.echoed(cutAt, "b#0", 0);
         a.echoed(cutAt, "c#0", 0);
         assertFalse(a.inTouch(c.now, WITHIN));
--- a/src/test/java/cobaltrack/post/CouncilSeatTest.java
+++ b/src/test/java/cobaltrack/post/CouncilSeatTest.java
@@ -178,6 +178,31 @@
         assertEquals(c.replace("a#0", 5, 0, "digest"), Council.Verdict.TAKEN);
     }
 
+    @Test
+    public void oneThatNothingReachesIsSilentWhateverItSays() {
+        // Schedule 5355 of the rig: no newcomer got a seat for as long as a one-way cut lasted.
+        Councils c = new Councils();
+        c.deaf.add("c#0");
+        c.pass(1000);
+        c.start("d#1", null);
+        c.pass(3500);
+        assertEquals(c.electors(), List.of("a#0", "b#0", "d#1"));
+    }
+
+    @Test
+    public void oneThatLeavesGivesItsSeatToANewcomerThatHasAsked() {
+        // Of the same schedule: it went out, and left four with one lost and a newcomer that got no seat.
+        Councils c = new Councils(List.of("a#0", "b#0", "c#0", "d#0", "e#0"));
+        c.deaf.add("e#0");
+        c.pass(1200);
+        c.start("n#1", null);
+        c.pass(700);
+        assertEquals(c.electors().size(), 5, "it waits, for one may be dead");
+        c.all.get("d#0").leave(c.now);
+        c.pass(100);
+        assertEquals(c.electors(), List.of("a#0", "b#0", "c#0", "n#1", "e#0"));
+    }
+
     @Test
     public void anOfficeThatSleptTakesNobodyForSilent() {
         Councils c = new Councils();
--- a/src/test/java/cobaltrack/post/Councils.java
+++ b/src/test/java/cobaltrack/post/Councils.java
@@ -26,6 +26,8 @@
     Predicate<Slip> lost = slip -> false;
     /** Offices that no packet reaches or leaves. */
     final Set<String> cutOff = new HashSet<>();
+    /** Offices whose packets arrive, and that nothing reaches. */
+    final Set<String> deaf = new HashSet<>();
     double now;
     private final ArrayDeque<Runnable> mail = new ArrayDeque<>();
     private final Map<String, Boolean> stalled = new HashMap<>();
@@ -61,7 +63,8 @@
         @Override
         public void send(String to, Slip slip) {
             all.forEach((name, c) -> {
-                boolean open = name.equals(id) || !cutOff.contains(id) && !cutOff.contains(name);
+                boolean open = name.equals(id) || !cutOff.contains(id) && !cutOff.contains(name)
+                        && !deaf.contains(name);
                 if ((to == null && !name.equals(id) || name.equals(to)) && open && !lost.test(slip)) {
                     mail.add(() -> c.received(now, id, slip));
                 }
@@ -102,12 +105,12 @@
         }
     }
 
-    /** Time passes; all that are not cut off hear each other, and answer each other's questions. */
+    /** Time passes; all that are not cut off answer each other's questions. */
     void pass(double millis) {
         for (double end = now + millis; now < end; now += TICK) {
             all.forEach((id, c) -> all.forEach((other, o) -> {
-                if (!cutOff.contains(id) && !cutOff.contains(other)) {
-                    c.heard(now, other);
+                boolean way = !cutOff.contains(id) && !cutOff.contains(other);
+                if (way && !deaf.contains(id) && !deaf.contains(other)) {
                     c.echoed(now, other, o.storedSlot());
                 }
             }));
