--- a/src/test/java/cobaltrack/post/carrier/RoundSocketTest.java
+++ b/src/test/java/cobaltrack/post/carrier/RoundSocketTest.java
@@ -70,7 +70,7 @@
                 if (letter instanceof Letter.Parcel parcel) {
                     return parcel;
                 } else if (letter instanceof Letter.Ping ping) {
-                    say(new Letter.Pong(ping.number(), true));
+                    say(new Letter.Pong(ping.number(), "far", -1));
                 }
             }
         }
