--- /dev/null
+++ b/src/main/java/cobaltrack/standin/HardeningRehearsal.java
@@ -0,0 +1,156 @@
+package cobaltrack.standin;
+
+import cobaltrack.standin.post.hardening.Bug;
+import cobaltrack.standin.post.hardening.Hunt;
+import cobaltrack.standin.post.hardening.Outcome;
+import cobaltrack.standin.post.hardening.Point;
+import cobaltrack.standin.post.hardening.Trace;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/**
+ * {@code rehearse hardening}: the offices' councils under seeded schedules of the users' worst days, by a
+ * driven clock. The same seed plays the same schedule, whatever the number of threads.
+ */
+@Command(name = "hardening", description = "The offices' councils under seeded schedules: cuts, racing "
+        + "operators, losses one after the other, hundreds of changes past a member.")
+final class HardeningRehearsal implements Callable<Integer> {
+    private static final double[] DISTANCES = {500, 1000, 1500, 2000, 2500, 3000, 4000};
+    /** Margins are drawn from one in so many schedules, at each distance. */
+    private static final int MARGIN = 10;
+    private static final int SEEDS_TOLD = 10;
+    /** What a planted fault may take to be found, in schedules. */
+    private static final int FOUND_WITHIN = 1000;
+    private static final double TELLS_SOON = 2000;
+    private static final double ENDS_SOON = 2500;
+    private static final double CONVERGE = 2500;
+    private static final double ACK = 5000;
+    private static final double SYNC = 4000;
+
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--point", description = "Only this: 1 a machine cut off, 2 operators' histories, "
+            + "3 losses one after the other, 4 hundreds of changes past a member.")
+    private int point;
+    @Option(names = "--all", description = "All points.")
+    private boolean all;
+    @Option(names = "--schedules", description = "Schedules of each.")
+    private long schedules = 1000;
+    @Option(names = "--seed", description = "Seed of the first; the next ones follow it.")
+    private long seed = 1;
+    @Option(names = "--threads", description = "Schedules played at a time.")
+    private int threads = 3;
+    @Option(names = "--bug",
+            description = "A fault to plant, which is to be found: ${COMPLETION-CANDIDATES}.")
+    private Bug bug = Bug.NONE;
+    @Option(names = "--planted", description = "Plants each fault of these points, and tells after how many "
+            + "schedules it is found.")
+    private boolean planted;
+    @Option(names = "--trace", description = "Tells what the schedule of the seed does, line by line.")
+    private boolean trace;
+    @Option(names = "--distance", description = "With point 3 and --trace: between a machine's return and "
+            + "the next loss, in milliseconds.")
+    private double distance = SYNC;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        if (all == point > 0) {
+            throw new ParameterException(spec.commandLine(), "one of --all and --point is needed");
+        }
+        List<Point> points = all ? List.of(Point.values()) : List.of(Point.of(point));
+        if (trace) {
+            Outcome o = points.get(0) == Point.SEATS
+                    ? Point.playSeats(seed, bug, new Trace(System.out), distance)
+                    : points.get(0).play(seed, bug, new Trace(System.out));
+            System.out.println(o.broken());
+            return o.broken().isEmpty() ? 0 : 1;
+        }
+        Promises promises = new Promises(System.out);
+        for (Point p : points) {
+            if (planted) {
+                Arrays.stream(Bug.values()).filter(b -> b.point() == p.number()).forEach(b ->
+                        find(promises, p, b));
+            } else if (bug != Bug.NONE) {
+                find(promises, p, bug);
+            } else {
+                play(promises, p);
+            }
+        }
+        return promises.kept() ? 0 : 1;
+    }
+
+    private void find(Promises promises, Point p, Bug planted) {
+        int took = 0;
+        Outcome o;
+        do {
+            o = p.play(seed + took, planted, Trace.NONE);
+            took++;
+        } while (o.broken().isEmpty() && took <= FOUND_WITHIN);
+        promises.under("planted in point " + p.number() + ": " + planted + ", found after schedules", took,
+                FOUND_WITHIN + 1);
+        if (!o.broken().isEmpty()) {
+            System.out.println("seed " + (seed + took - 1) + ": " + o.broken().get(0));
+        }
+    }
+
+    private void play(Promises promises, Point p) throws InterruptedException {
+        String of = "point " + p.number() + ", ";
+        Hunt hunt = Hunt.of(seed, schedules, threads, s -> p.play(s, Bug.NONE, Trace.NONE));
+        promises.figure(of + "schedules", schedules);
+        hunt.counts().forEach((name, value) -> promises.figure(of + name, value));
+        hunt.samples().forEach((name, s) -> {
+            promises.figure(of + name + ", median of " + s.size(), s.part(0.5));
+            Double most = most(name);
+            if (most == null) {
+                promises.figure(of + name + ", worst", s.part(1));
+            } else {
+                promises.under(of + name + ", worst", s.part(1), most);
+            }
+        });
+        tell(hunt);
+        promises.under(of + "schedules with a broken promise", hunt.broken().size(), 1);
+        if (p == Point.SEATS) {
+            margins(promises);
+        }
+    }
+
+    private static Double most(String name) {
+        Map<String, Double> bounds = Map.of(
+                "a call where there was no majority for 3 s, ms to unclear", TELLS_SOON,
+                "a call, ms to UNCLEAR", ENDS_SOON,
+                "from the cut's end, ms until the newest is at every office", CONVERGE,
+                "an order in a settled core, ms to its acknowledgement", ACK);
+        return name.startsWith("a member that is back, ms") || name.startsWith("a planned replacement, ms from "
+                + "the new") ? Double.valueOf(SYNC) : bounds.get(name);
+    }
+
+    private static void tell(Hunt hunt) {
+        Map<String, Integer> kinds = new TreeMap<>();
+        hunt.broken().values().forEach(b -> kinds.merge(b.get(0).replaceAll("\\d+", "#"), 1, Integer::sum));
+        kinds.forEach((what, times) -> System.out.printf(Locale.ROOT, "broken %d times: %s%n", times, what));
+        hunt.broken().entrySet().stream().limit(SEEDS_TOLD).forEach(e -> System.out.println("seed " + e.getKey()
+                + ": " + e.getValue()));
+    }
+
+    private void margins(Promises promises) throws InterruptedException {
+        long each = Math.max(1, schedules / MARGIN);
+        for (double d : DISTANCES) {
+            Hunt hunt = Hunt.of(seed, each, threads, s -> Point.playSeats(s, Bug.NONE, Trace.NONE, d));
+            long still = hunt.broken().values().stream().filter(b -> b.get(0).startsWith("stands still"))
+                    .count();
+            String at = String.format(Locale.ROOT, "point 3, next loss %.1f s after the return, of %d schedules ",
+                    d / 1000, each);
+            promises.figure(at + "stood still", still);
+            promises.figure(at + "broke otherwise", hunt.broken().size() - still);
+        }
+    }
+}
--- a/src/main/java/cobaltrack/standin/Rehearse.java
+++ b/src/main/java/cobaltrack/standin/Rehearse.java
@@ -19,7 +19,8 @@
 @Command(name = "rehearse", description = "Causes a failure on loopback and prints what came of it.",
         subcommands = {Rehearse.Room.class, Rehearse.Overload.class, Rehearse.Processor.class,
             Rehearse.Alike.class, ConsultSpeed.class, Speed.class, PlanRehearsal.class,
-            SignalRehearsal.class, CopiesRehearsal.class, CopiesCostRehearsal.class})
+            SignalRehearsal.class, CopiesRehearsal.class, CopiesCostRehearsal.class,
+            HardeningRehearsal.class})
 public final class Rehearse implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/hardening/Checker.java
@@ -0,0 +1,136 @@
+package cobaltrack.standin.post.hardening;
+
+import cobaltrack.post.ballot.Decision;
+import cobaltrack.standin.post.hardening.Operation.Change;
+import cobaltrack.standin.post.hardening.Operation.Value;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What is held against the promises: the value of each slot, the operators' history, what was acknowledged
+ * and when. Collects figures as well. One thread.
+ */
+final class Checker {
+    private record Acknowledged(long version, double at) { }
+
+    private final Agenda agenda;
+    private final Trace trace;
+    /** Where the fault that is planted touches what was taken, it is left to the history to find it. */
+    private final boolean looksAtTaken;
+    private final Map<Long, Decision> chosen = new HashMap<>();
+    private final List<Operation> history = new ArrayList<>();
+    private final List<Acknowledged> acknowledged = new ArrayList<>();
+    private final List<String> broken = new ArrayList<>();
+    private final Map<String, Integer> counts = new TreeMap<>();
+    private final Map<String, List<Double>> samples = new TreeMap<>();
+    private Decision newest;
+
+    Checker(Agenda agenda, Bug bug, Trace trace) {
+        this.agenda = agenda;
+        this.trace = trace;
+        this.looksAtTaken = bug != Bug.FORGETS_TAKEN;
+    }
+
+    /** A promise was broken. */
+    void broke(String what) {
+        trace.tell(agenda.now(), "BROKEN " + what);
+        broken.add(what);
+    }
+
+    /** Whether one was. */
+    boolean anyBroken() {
+        return !broken.isEmpty();
+    }
+
+    /** Something came up. */
+    void count(String what) {
+        counts.merge(what, 1, Integer::sum);
+    }
+
+    /** Something was measured. */
+    void sample(String what, double value) {
+        samples.computeIfAbsent(what, k -> new ArrayList<>()).add(value);
+    }
+
+    /** An office learned this. */
+    void decided(Decision decision) {
+        Decision other = chosen.putIfAbsent(decision.slot(), decision);
+        if (other != null && !same(other, decision)) {
+            broke("slot " + decision.slot() + " has two values");
+        }
+        if (newest == null || decision.slot() > newest.slot()) {
+            newest = decision;
+        }
+    }
+
+    private boolean same(Decision a, Decision b) {
+        return a.version() == b.version() && a.electors().equals(b.electors())
+                && Arrays.equals(a.body(), b.body()) && (!looksAtTaken || a.taken().equals(b.taken()));
+    }
+
+    /** The newest decision that any office ever learned; null before the first. */
+    Decision newest() {
+        return newest;
+    }
+
+    /** An office got a call; null for a read. The call's number. */
+    int invoked(Change change) {
+        history.add(new Operation(change, agenda.now(), Double.POSITIVE_INFINITY, Operation.End.UNCLEAR, null));
+        return history.size() - 1;
+    }
+
+    /** The office ended it. */
+    void ended(int call, Operation.End end, Decision seen) {
+        Operation o = history.get(call);
+        Value value = seen == null ? null : value(seen);
+        history.set(call, new Operation(o.change(), o.from(), agenda.now(), end, value));
+        if (end == Operation.End.TAKEN) {
+            acknowledged.add(new Acknowledged(o.change().version(), agenda.now()));
+        }
+    }
+
+    /** When a call came. */
+    double invokedAt(int call) {
+        return history.get(call).from();
+    }
+
+    private Value value(Decision d) {
+        if (d.version() == 0) {
+            return Value.NONE;
+        }
+        String digest = d.taken().get(d.taken().size() - 1).digest();
+        byte[] begin = digest.getBytes(StandardCharsets.UTF_8);
+        if (d.body().length < begin.length
+                || !Arrays.equals(begin, Arrays.copyOf(d.body(), begin.length))) {
+            broke("the body of version " + d.version() + " is not what was sent under it");
+        }
+        return new Value(d.version(), digest);
+    }
+
+    /** The newest version acknowledged up to a time. */
+    long acknowledgedBy(double time) {
+        return acknowledged.stream().filter(a -> a.at() <= time).mapToLong(Acknowledged::version).max()
+                .orElse(0);
+    }
+
+    /** Holds the operators' calls against a register, at the end. */
+    void judgeHistory() {
+        if (anyBroken()) {
+            return;
+        }
+        Operation o = Linearizability.unexplained(history);
+        if (o != null) {
+            broke("not linearizable: " + o);
+        }
+    }
+
+    /** What it all came to. */
+    Outcome outcome() {
+        return new Outcome(List.copyOf(broken), counts, samples);
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/hardening/Disk.java
@@ -0,0 +1,146 @@
+package cobaltrack.standin.post.hardening;
+
+import cobaltrack.post.ballot.Elector;
+import cobaltrack.post.wire.Letters;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * A machine's disk and the one who writes to it, as {@code post.office.Scribe} does: one write at a time, and
+ * what waits meanwhile is written once, as it is last. It is slow, stalls, or refuses; what is under way as
+ * the power goes is there or not. What is read back has gone through the bytes of the ledger's entry. One thread.
+ */
+final class Disk {
+    /** What lies on it: an office's id, and its memory. */
+    record Entry(String id, Elector.Memory memory) { }
+
+    private static final double QUICK = 1;
+    private static final double SPREAD = 3;
+    /** One sync in so many takes this long, in milliseconds. */
+    private static final int RARE = 50;
+    private static final double LONG = 400;
+    /** A hanging write looks again whether the disk goes on, in milliseconds. */
+    private static final double LOOK = 10;
+
+    private final Agenda agenda;
+    private final SplittableRandom random;
+    private Entry image;
+    private Entry before;
+    private Entry underWay;
+    private Entry next;
+    private List<Runnable> waiting = new ArrayList<>();
+    private double times = 1;
+    private double stalledUntil;
+    private boolean refuses;
+    private int life;
+
+    Disk(Agenda agenda, SplittableRandom random) {
+        this.agenda = agenda;
+        this.random = random;
+    }
+
+    /** Puts an entry there at once: at a start, before anything is said. */
+    void found(Entry entry) {
+        image = entry;
+    }
+
+    /** What lies there, read from its bytes; null on an empty disk. */
+    Entry read() {
+        return image == null ? null : reread(image);
+    }
+
+    /** What lay there one write earlier, for a planted fault. */
+    Entry readBefore() {
+        return before == null ? read() : reread(before);
+    }
+
+    private static Entry reread(Entry entry) {
+        try {
+            return new Entry(entry.id(), Letters.memory(Letters.write(entry.memory())));
+        } catch (IOException e) {
+            throw new IllegalStateException("a memory that was written can't be read", e);
+        }
+    }
+
+    /** Writes this, or what is asked for later, and runs it then; never if the disk refuses. */
+    void write(Entry entry, Runnable then) {
+        next = entry;
+        waiting.add(then);
+        begin();
+    }
+
+    private void begin() {
+        if (underWay != null || next == null) {
+            return;
+        }
+        underWay = next;
+        List<Runnable> then = waiting;
+        next = null;
+        waiting = new ArrayList<>();
+        if (refuses) {
+            int mine = life;
+            agenda.in(QUICK, () -> {
+                if (mine == life) {
+                    underWay = null;
+                    begin();
+                }
+            });
+            return;
+        }
+        double took = QUICK + (random.nextInt(RARE) == 0 ? LONG : random.nextDouble() * SPREAD);
+        end(took * times, life, then);
+    }
+
+    private void end(double after, int mine, List<Runnable> then) {
+        agenda.in(after, () -> {
+            if (mine != life) {
+                return;
+            }
+            if (agenda.now() < stalledUntil) {
+                end(Math.min(LOOK, stalledUntil - agenda.now()), mine, then);
+                return;
+            }
+            before = image;
+            image = underWay;
+            underWay = null;
+            then.forEach(Runnable::run);
+            begin();
+        });
+    }
+
+    /** The process ends, or the power goes: what is under way may have been written. */
+    void cut() {
+        if (underWay != null && !refuses && random.nextBoolean()) {
+            before = image;
+            image = underWay;
+        }
+        underWay = null;
+        next = null;
+        waiting = new ArrayList<>();
+        life++;
+    }
+
+    /** All of it is gone. */
+    void wipe() {
+        cut();
+        image = null;
+        before = null;
+    }
+
+    /** From now on a write takes so many times as long. */
+    void slow(double factor) {
+        times = factor;
+    }
+
+    /** Nothing ends before then. */
+    void stall(double until) {
+        stalledUntil = until;
+    }
+
+    /** From now on it is full, or no longer. */
+    void refuse(boolean full) {
+        refuses = full;
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/hardening/Faults.java
@@ -0,0 +1,259 @@
+package cobaltrack.standin.post.hardening;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Losses within a budget. A machine counts as lost from the trouble's begin until a distance after its return;
+ * one that is replaced, until a distance after its successor's start. One thread.
+ */
+final class Faults {
+    /** What befalls a machine. */
+    enum Kind {
+        /** The process ends and is started again. */
+        KILLED,
+        /** The disk goes with it. */
+        WIPED,
+        /** It stands still and goes on. */
+        FROZEN,
+        /** Nothing reaches it or leaves it. */
+        CUT,
+        /** Nothing reaches it. */
+        DEAF,
+        /** Nothing that it says arrives. */
+        MUTE,
+        /** What reaches it and leaves it is held back and comes all at once. */
+        HELD,
+        /** Its disk takes 30 times as long. */
+        SLOW_DISK,
+        /** Its disk hangs. */
+        STALLED_DISK,
+        /** Its disk refuses writes. */
+        FULL_DISK,
+        /** It goes for good without a word; another comes later. */
+        REPLACED,
+        /** Another comes first, then it is told to leave. */
+        REPLACED_AS_PLANNED
+    }
+
+    private static final double LEAST = 300;
+    private static final double MOST = 6000;
+    private static final double RESTART_MOST = 2000;
+    private static final double SLOW = 30;
+    /** A machine that was told to leave is given so long, in milliseconds: {@code GraceS}. */
+    private static final double GRACE = 6000;
+    /** Between a new machine's start and the old one's SIGTERM, at most, in milliseconds. */
+    private static final double HANDOVER_MOST = 2000;
+    /** Between two looks, in milliseconds. */
+    private static final double LOOK = 25;
+    /** Every process of the core may end at once and is back within this, in milliseconds. */
+    private static final double POWER_BACK = 1000;
+
+    private final Core core;
+    private final int budget;
+    private final double distance;
+    private final Map<String, Double> lostUntil = new HashMap<>();
+    private int newcomers;
+    private int strikes;
+
+    /**
+     * Losses.
+     *
+     * @param budget machines that may be lost at once
+     * @param distance after a machine's return it counts as lost for so long, in milliseconds
+     */
+    Faults(Core core, int budget, double distance) {
+        this.core = core;
+        this.budget = budget;
+        this.distance = distance;
+    }
+
+    /** Whether one more may be lost now. */
+    boolean may() {
+        return lostUntil.values().stream().filter(t -> t > core.now()).count() < budget;
+    }
+
+    /** Whether nothing is lost. */
+    boolean whole() {
+        return lostUntil.values().stream().noneMatch(t -> t > core.now());
+    }
+
+    /** Whether this machine's trouble lasts. */
+    boolean out(String address) {
+        return lostUntil.getOrDefault(address, 0.0) == Double.POSITIVE_INFINITY;
+    }
+
+    /** Whether this machine counts as lost. */
+    boolean lost(String address) {
+        return lostUntil.getOrDefault(address, 0.0) > core.now();
+    }
+
+    /** Brings it upon a machine, for a drawn time. */
+    void strike(Machine m, Kind kind) {
+        strike(m, kind, core.between(LEAST, MOST));
+    }
+
+    /** Brings it upon a machine, for so long where it passes by itself. */
+    void strike(Machine m, Kind kind, double lasts) {
+        if (core.traced()) {
+            core.tell(m.address() + " strikes: " + kind);
+        }
+        core.checker().count("losses");
+        strikes++;
+        lose(m.address());
+        switch (kind) {
+            case KILLED, WIPED -> {
+                if (kind == Kind.WIPED) {
+                    m.wipe();
+                } else {
+                    m.down();
+                }
+                core.agenda().in(Math.min(lasts, RESTART_MOST), () -> {
+                    m.boot();
+                    back(m.address());
+                });
+            }
+            case FROZEN -> {
+                m.freeze();
+                passes(m, lasts, m::thaw);
+            }
+            case CUT -> ways(m, lasts, Network.Way.CUT, Network.Way.CUT);
+            case DEAF -> ways(m, lasts, Network.Way.CUT, Network.Way.OPEN);
+            case MUTE -> ways(m, lasts, Network.Way.OPEN, Network.Way.CUT);
+            case HELD -> ways(m, lasts, Network.Way.HELD, Network.Way.HELD);
+            case SLOW_DISK -> {
+                m.disk().slow(SLOW);
+                passes(m, lasts, () -> m.disk().slow(1));
+            }
+            case STALLED_DISK -> {
+                m.disk().stall(core.now() + lasts);
+                passes(m, lasts, () -> { });
+            }
+            case FULL_DISK -> {
+                m.disk().refuse(true);
+                passes(m, lasts, () -> m.disk().refuse(false));
+            }
+            case REPLACED -> {
+                core.remove(m);
+                core.agenda().in(Math.min(lasts, RESTART_MOST), () -> {
+                    newcomer();
+                    back(m.address());
+                });
+            }
+            case REPLACED_AS_PLANNED -> replaceAsPlanned(m);
+            default -> throw new IllegalArgumentException(kind.toString());
+        }
+    }
+
+    private void lose(String address) {
+        lostUntil.put(address, Double.POSITIVE_INFINITY);
+        core.troubled(address);
+    }
+
+    private void back(String address) {
+        lostUntil.put(address, core.now() + distance);
+        core.eased(address);
+        core.tell(address + " has its trouble behind it");
+    }
+
+    private void passes(Machine m, double lasts, Runnable over) {
+        core.agenda().in(lasts, () -> {
+            over.run();
+            back(m.address());
+        });
+    }
+
+    private void ways(Machine m, double lasts, Network.Way in, Network.Way out) {
+        List<String> others = core.machines().stream().map(Machine::address)
+                .filter(a -> !a.equals(m.address())).toList();
+        others.forEach(a -> {
+            core.network().set(a, m.address(), in);
+            core.network().set(m.address(), a, out);
+        });
+        passes(m, lasts, () -> others.forEach(a -> {
+            core.network().set(a, m.address(), Network.Way.OPEN);
+            core.network().set(m.address(), a, Network.Way.OPEN);
+        }));
+    }
+
+    private Machine newcomer() {
+        return core.add("n" + ++newcomers, null);
+    }
+
+    private void replaceAsPlanned(Machine old) {
+        double startedAt = core.now();
+        Machine young = newcomer();
+        core.agenda().in(core.between(0, HANDOVER_MOST), () -> {
+            lostUntil.put(old.address(), Math.max(startedAt + distance, core.now()));
+            core.eased(old.address());
+            core.tell(old.address() + " is told to leave");
+            double toldAt = core.now();
+            old.leave();
+            await(old, toldAt + GRACE);
+            measure(young, old, startedAt, toldAt, strikes);
+        });
+    }
+
+    private void await(Machine old, double until) {
+        if (core.at(old.address()) != old) {
+            return;
+        }
+        if (old.left() || core.now() >= until) {
+            core.checker().count(old.left() ? "members that left by agreement"
+                    : "members that left when their time was up");
+            core.remove(old);
+        } else {
+            core.agenda().in(LOOK, () -> await(old, until));
+        }
+    }
+
+    private void measure(Machine young, Machine old, double startedAt, double toldAt, int struck) {
+        if (strikes != struck) {
+            core.checker().count("planned replacements that the next loss overtook before the core bore it");
+            return;
+        }
+        if (core.at(old.address()) == null && bears()) {
+            core.checker().sample("a planned replacement, ms from the new one's start to a core that bears "
+                    + "the next loss", core.now() - startedAt);
+            core.checker().sample("a planned replacement, ms from SIGTERM to a core that bears the next loss",
+                    core.now() - toldAt);
+            return;
+        }
+        core.agenda().in(LOOK, () -> measure(young, old, startedAt, toldAt, struck));
+    }
+
+    // Any of the electors may go, as many as the budget says, and the rest decides and knows all.
+    private boolean bears() {
+        List<String> electors = core.checker().newest().electors();
+        long slot = core.checker().newest().slot();
+        long able = electors.stream().filter(e -> core.machines().stream().anyMatch(m -> m.up()
+                && m.id().equals(e) && m.onDisk() >= slot)).count();
+        return able - budget >= electors.size() / 2 + 1;
+    }
+
+    /** All power goes, and with it some disks; all are back within a second. */
+    void blackout(int disks) {
+        core.tell("all power goes");
+        core.checker().count("losses of all power");
+        strikes++;
+        List<Machine> all = core.machines();
+        int first = core.random().nextInt(all.size());
+        for (int i = 0; i < all.size(); i++) {
+            Machine m = all.get((first + i) % all.size());
+            lose(m.address());
+            if (i < disks) {
+                m.wipe();
+            } else {
+                m.down();
+            }
+            core.agenda().in(core.between(LEAST, POWER_BACK), () -> {
+                // One that was about to leave has gone.
+                if (core.at(m.address()) == m) {
+                    m.boot();
+                }
+                back(m.address());
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/hardening/Machine.java
@@ -0,0 +1,499 @@
+package cobaltrack.standin.post.hardening;
+
+import cobaltrack.post.ballot.Ballot;
+import cobaltrack.post.ballot.Council;
+import cobaltrack.post.ballot.Decision;
+import cobaltrack.post.ballot.Elector;
+import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Letters;
+import cobaltrack.standin.post.hardening.Operation.Change;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * One core machine: a real council, driven as {@code post.office.Office} drives it, with a disk and a clock
+ * of its own. It is up, down, or frozen: then what arrives waits, and comes all at once as it thaws. Keeps,
+ * beside the council, the truth of whom it has exchanged question and answer with. One thread.
+ */
+final class Machine implements Council.Actions {
+    /** An office that was in touch so lately says that it is, in milliseconds; as the office has it. */
+    static final double IN_TOUCH = 1300;
+    private static final double TICK = 25;
+    private static final double PING = 300;
+    /** Own clocks begin anywhere. */
+    private static final double OFFSET_MOST = 1e7;
+    /** Two clocks' rounding. */
+    private static final double ROUNDING = 0.01;
+
+    /** The newest letter of one life of another machine that was taken in here, by when it left there. */
+    private record Sight(String key, double sentAt) { }
+
+    private final Core core;
+    private final String address;
+    private final Disk disk;
+    private final ArrayDeque<Runnable> inbox = new ArrayDeque<>();
+    private final Set<String> known = new LinkedHashSet<>();
+    private final Map<String, Sight> seen = new HashMap<>();
+    private final Map<String, Double> contact = new HashMap<>();
+    private final Map<Long, Consumer<Council.Verdict>> replaces = new HashMap<>();
+    private final Map<Long, Consumer<Decision>> reads = new HashMap<>();
+    private String id;
+    private Council council;
+    private int life;
+    private boolean up;
+    private boolean frozen;
+    private boolean leaving;
+    private int lateTicks;
+    private double offset;
+    private long calls;
+    private long onDisk = -1;
+    private long diskVersion = -1;
+    private long metered = -1;
+
+    Machine(Core core, String address, Disk.Entry entry) {
+        this.core = core;
+        this.address = address;
+        this.disk = new Disk(core.agenda(), core.random());
+        disk.found(entry);
+    }
+
+    String address() {
+        return address;
+    }
+
+    String id() {
+        return id;
+    }
+
+    Disk disk() {
+        return disk;
+    }
+
+    /** Whether it runs. */
+    boolean up() {
+        return up && !frozen;
+    }
+
+    /** Whether it is frozen: what is sent there waits. */
+    boolean waits() {
+        return up && frozen;
+    }
+
+    /** The council of its present life. */
+    Council council() {
+        return council;
+    }
+
+    /** The version that it has learned, or -1. */
+    long version() {
+        return version(council.decided());
+    }
+
+    /** The slot that is on its disk, or -1. */
+    long onDisk() {
+        return onDisk;
+    }
+
+    /** The version that is on its disk, or -1. */
+    long onDiskVersion() {
+        return diskVersion;
+    }
+
+    /** Starts the process, from what is on the disk. */
+    void boot() {
+        if (up) {
+            return;
+        }
+        up = true;
+        frozen = false;
+        life++;
+        offset = core.random().nextDouble() * OFFSET_MOST;
+        Disk.Entry entry = core.bug() == Bug.RESTARTS_OLDER ? disk.readBefore() : disk.read();
+        if (entry == null) {
+            // A new disk is a new elector: what the old one may have promised, this one can't know.
+            entry = new Disk.Entry(address + "#" + Long.toHexString(core.random().nextLong() | 1),
+                    new Elector.Memory(null, Ballot.NONE, null));
+            disk.found(entry);
+        }
+        id = entry.id();
+        onDisk = slot(entry.memory().decided());
+        diskVersion = version(entry.memory().decided());
+        council = new Council(id, entry.memory(), core.random().nextLong(), this);
+        core.tell(address + " starts as " + id + ", slot " + onDisk);
+        core.founders().forEach(f -> know(Council.address(f)));
+        knowElectors();
+        int mine = life;
+        core.agenda().in(core.random().nextDouble() * TICK, () -> tick(mine));
+        core.agenda().in(core.random().nextDouble() * PING, () -> ping(mine));
+    }
+
+    /** SIGTERM: it is to leave. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** Whether it may end. */
+    boolean left() {
+        return leaving;
+    }
+
+    /** Whether it was told to. */
+    boolean leaving() {
+        return leaving;
+    }
+
+    private static long slot(Decision decision) {
+        return decision == null ? -1 : decision.slot();
+    }
+
+    private static long version(Decision decision) {
+        return decision == null ? -1 : decision.version();
+    }
+
+    /** The process ends without a word; what was being written may be on the disk. */
+    void down() {
+        core.tell(address + " ends");
+        up = false;
+        frozen = false;
+        life++;
+        disk.cut();
+        inbox.clear();
+        known.clear();
+        seen.clear();
+        contact.clear();
+        replaces.clear();
+        reads.clear();
+        lateTicks = 0;
+    }
+
+    /** The process ends and its disk is lost. */
+    void wipe() {
+        down();
+        disk.wipe();
+        core.tell(address + " has lost its disk");
+        if (core.bug() == Bug.VOTES_AFTER_WIPE) {
+            disk.found(new Disk.Entry(id, new Elector.Memory(Decision.founding(core.founders()), Ballot.NONE,
+                    null)));
+        }
+    }
+
+    /** From now on it does nothing, and what arrives waits. */
+    void freeze() {
+        core.tell(address + " freezes");
+        frozen = true;
+    }
+
+    /** It goes on: ticks that were missed and letters that wait come at once, in either order. */
+    void thaw() {
+        if (!up || !frozen) {
+            return;
+        }
+        core.tell(address + " thaws");
+        frozen = false;
+        boolean ticksFirst = core.random().nextBoolean();
+        int mine = life;
+        if (ticksFirst) {
+            late(mine);
+        }
+        while (!inbox.isEmpty() && life == mine) {
+            loop(mine, inbox.poll());
+        }
+        if (!ticksFirst) {
+            late(mine);
+        }
+    }
+
+    private void late(int mine) {
+        for (; lateTicks > 0; lateTicks--) {
+            loop(mine, () -> council.tick(local()));
+        }
+    }
+
+    /** Its own clock. */
+    double local() {
+        return core.now() + offset;
+    }
+
+    private void tick(int mine) {
+        if (life != mine) {
+            return;
+        }
+        if (frozen) {
+            lateTicks++;
+        } else {
+            if (core.bug() == Bug.SEATS_BESIDE_DEAD && council.decided() != null) {
+                council.decided().electors().forEach(e -> council.heard(local(), e));
+            }
+            loop(mine, () -> council.tick(local()));
+        }
+        core.agenda().in(TICK, () -> tick(mine));
+    }
+
+    private void ping(int mine) {
+        if (life != mine) {
+            return;
+        }
+        if (!frozen) {
+            double sentAt = local();
+            String asker = id;
+            for (String to : known) {
+                post(to, m -> m.pinged(address, asker, mine, sentAt));
+            }
+        }
+        core.agenda().in(PING, () -> ping(mine));
+    }
+
+    private void pinged(String from, String asker, int askersLife, double sentAt) {
+        council.heard(local(), asker);
+        String answerer = id;
+        long has = onDisk;
+        post(from, m -> m.ponged(askersLife, answerer, sentAt, has));
+    }
+
+    private void ponged(int askersLife, String from, double sentAt, long slot) {
+        // An answer to an earlier life's question came on a connection that is gone.
+        if (askersLife == life) {
+            council.heard(local(), from);
+        }
+    }
+
+    /** Runs something on the office's loop: now, as it thaws, or never. */
+    void loop(Runnable task) {
+        loop(life, task);
+    }
+
+    private void loop(int mine, Runnable task) {
+        if (life != mine || !up) {
+            return;
+        }
+        if (frozen) {
+            inbox.add(task);
+            return;
+        }
+        task.run();
+        if (core.judgesContact() && life == mine && claimsContact() && !hasContact()) {
+            core.checker().broke(address + " says that it is in touch with a majority, and is not");
+        }
+    }
+
+    /** What it says of its contact with a majority. */
+    boolean claimsContact() {
+        return council.inTouch(local(), IN_TOUCH);
+    }
+
+    /** Whether a majority of the electors that it knows has answered what left here so lately. */
+    boolean hasContact() {
+        return contactWithin(IN_TOUCH + ROUNDING);
+    }
+
+    /** The same for another time. */
+    boolean contactWithin(double millis) {
+        Decision d = council.decided();
+        return d != null && d.electors().stream().filter(e -> e.equals(id)
+                || core.now() - contact.getOrDefault(e, Double.NEGATIVE_INFINITY) < millis).count()
+                >= d.majority();
+    }
+
+    private String key() {
+        return id + "/" + life;
+    }
+
+    private void know(String other) {
+        if (!other.equals(address)) {
+            known.add(other);
+        }
+    }
+
+    private void knowElectors() {
+        if (council.decided() != null) {
+            council.decided().electors().forEach(e -> know(Council.address(e)));
+        }
+    }
+
+    private void post(String to, Consumer<Machine> what) {
+        String key = key();
+        String sender = id;
+        double sentAt = core.now();
+        Sight sight = seen.get(to);
+        core.network().send(address, to, () -> {
+            Machine m = core.at(to);
+            if (m != null) {
+                m.loop(() -> m.arrived(address, sender, key, sentAt, sight, what));
+            }
+        });
+    }
+
+    private void arrived(String from, String sender, String key, double sentAt, Sight sight,
+            Consumer<Machine> what) {
+        know(from);
+        Sight last = seen.get(from);
+        if (last == null || !last.key().equals(key) || last.sentAt() < sentAt) {
+            seen.put(from, new Sight(key, sentAt));
+        }
+        if (sight != null && sight.key().equals(key())) {
+            contact.merge(sender, sight.sentAt(), Math::max);
+        }
+        what.accept(this);
+    }
+
+    /** Begins to count the bytes of the slips that come. */
+    void meter() {
+        metered = 0;
+    }
+
+    /** The bytes counted since. */
+    long metered() {
+        return metered;
+    }
+
+    // --- what the council has done
+
+    @Override
+    public void send(String to, Slip slip) {
+        if (to == null) {
+            known.forEach(a -> slip(a, slip));
+        } else if (to.equals(id)) {
+            int mine = life;
+            core.agenda().in(0, () -> loop(mine, () -> council.received(local(), id, slip)));
+        } else {
+            know(Council.address(to));
+            slip(Council.address(to), slip);
+        }
+        if (core.bug() == Bug.ACKNOWLEDGES_ON_PROMISE && slip instanceof Slip.Propose p) {
+            int mine = life;
+            core.agenda().in(0, () -> loop(mine, () -> council.received(local(), to,
+                    new Slip.Voted(p.value().slot(), p.ballot()))));
+        }
+    }
+
+    private void slip(String to, Slip slip) {
+        String sender = id;
+        post(to, m -> m.received(sender, slip));
+    }
+
+    private void received(String from, Slip slip) {
+        if (metered >= 0) {
+            metered += Letters.write(new Letter.Paper(slip)).length;
+        }
+        if (slip instanceof Slip.Decided d && core.bug() == Bug.LEARNS_OLDER && council.decided() != null
+                && d.decision().slot() < council.decided().slot()) {
+            council = new Council(id, new Elector.Memory(d.decision(), Ballot.NONE, null),
+                    core.random().nextLong(), this);
+        }
+        if (slip instanceof Slip.Decided d && core.bug() == Bug.FORGETS_TAKEN) {
+            council.received(local(), from, new Slip.Decided(forgetful(d.decision())));
+        } else {
+            council.received(local(), from, slip);
+        }
+    }
+
+    private static Decision forgetful(Decision d) {
+        List<Decision.Taken> taken = d.taken();
+        return new Decision(d.slot(), d.version(), d.body(),
+                taken.subList(Math.max(0, taken.size() - 1), taken.size()), d.electors());
+    }
+
+    @Override
+    public void sync(Elector.Memory memory, String to, Slip slip) {
+        boolean early = core.bug() == Bug.UNSYNCED;
+        if (early) {
+            send(to, slip);
+        }
+        write(memory, () -> {
+            if (!early) {
+                send(to, slip);
+            }
+        });
+    }
+
+    @Override
+    public void decided(Decision decision) {
+        if (core.traced()) {
+            core.tell(address + " learns slot " + decision.slot() + " version " + decision.version()
+                    + " electors " + decision.electors());
+        }
+        core.checker().decided(decision);
+        write(new Elector.Memory(decision, Ballot.NONE, null), () -> { });
+        decision.electors().forEach(e -> know(Council.address(e)));
+    }
+
+    private void write(Elector.Memory memory, Runnable then) {
+        int mine = life;
+        disk.write(new Disk.Entry(id, memory), () -> loop(mine, () -> {
+            onDisk = Math.max(onDisk, slot(memory.decided()));
+            diskVersion = Math.max(diskVersion, version(memory.decided()));
+            then.run();
+        }));
+    }
+
+    // --- what operators order
+
+    /** Puts a change to the council; its end is told once, or never if the process ends. */
+    void replace(Change change, byte[] body, Consumer<Council.Verdict> then) {
+        int call = core.checker().invoked(change);
+        boolean alone = !contactWithin(Core.CONTACT);
+        BiConsumer<Integer, Council.Verdict> end = (c, verdict) -> {
+            ended(c, verdict, alone);
+            then.accept(verdict);
+        };
+        Decision d = council.decided();
+        if (core.bug() == Bug.REFUSES_BY_LOCAL && d != null && d.version() != change.builtOn()
+                && !d.has(change.version(), change.digest())) {
+            end.accept(call, Council.Verdict.MISMATCH);
+            return;
+        }
+        long mine = ++calls;
+        replaces.put(mine, verdict -> end.accept(call, verdict));
+        council.replace(local(), mine, change.version(), change.builtOn(), change.digest(), body);
+    }
+
+    private void ended(int call, Council.Verdict verdict, boolean alone) {
+        core.checker().ended(call, switch (verdict) {
+            case TAKEN -> Operation.End.TAKEN;
+            case MISMATCH -> Operation.End.MISMATCH;
+            case OLD_VERSION -> Operation.End.OLD;
+            case UNCLEAR -> Operation.End.UNCLEAR;
+        }, null);
+        double took = core.now() - core.checker().invokedAt(call);
+        if (alone && verdict == Council.Verdict.UNCLEAR) {
+            core.checker().sample("a call where there was no majority for 3 s, ms to unclear", took);
+        } else {
+            core.checker().sample("a call, ms to " + verdict, took);
+        }
+    }
+
+    /** Asks the council for the newest configuration. */
+    void read(Consumer<Decision> then) {
+        int call = core.checker().invoked(null);
+        long mine = ++calls;
+        reads.put(mine, newest -> {
+            core.checker().ended(call, newest == null ? Operation.End.UNCLEAR : Operation.End.READ, newest);
+            then.accept(newest);
+        });
+        council.read(local(), mine);
+    }
+
+    @Override
+    public void replaced(long call, Council.Verdict verdict) {
+        Consumer<Council.Verdict> then = replaces.remove(call);
+        if (then != null) {
+            then.accept(verdict);
+        }
+    }
+
+    @Override
+    public void read(long call, Decision newest) {
+        Consumer<Decision> then = reads.remove(call);
+        if (then != null) {
+            then.accept(newest);
+        }
+    }
+
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/hardening/Operators.java
@@ -0,0 +1,180 @@
+package cobaltrack.standin.post.hardening;
+
+import cobaltrack.post.ballot.Council;
+import cobaltrack.post.ballot.Decision;
+import cobaltrack.standin.post.hardening.Operation.Change;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.function.Consumer;
+
+/**
+ * Operators, as the pages describe them: an order goes to any office, to the next one after a second of
+ * silence or an unclear end, with a pause that grows, and its answer may be lost on the way. One thread.
+ */
+final class Operators {
+    private static final double SILENCE = 1000;
+    private static final double PAUSE = 50;
+    private static final double PAUSE_MOST = 800;
+    private static final double WAY_MOST = 4;
+    /** One order in so many goes anywhere all the same. */
+    private static final int STAYS = 12;
+
+    /** An order on its way. */
+    static final class Order {
+        private final Change change;
+        private final byte[] body;
+        private final double begunAt;
+        private final double until;
+        private final Consumer<Order> then;
+        private Council.Verdict end;
+        private int tries;
+        private double pause = PAUSE;
+
+        private Order(Change change, byte[] body, double begunAt, double until, Consumer<Order> then) {
+            this.change = change;
+            this.body = body;
+            this.begunAt = begunAt;
+            this.until = until;
+            this.then = then;
+        }
+
+        Change change() {
+            return change;
+        }
+
+        byte[] body() {
+            return body;
+        }
+
+        double begunAt() {
+            return begunAt;
+        }
+
+        /** How it ended; null if no clear answer came in all its time. */
+        Council.Verdict end() {
+            return end;
+        }
+
+        boolean taken() {
+            return end == Council.Verdict.TAKEN;
+        }
+    }
+
+    private final Core core;
+    private final double lost;
+    private final byte[] filler;
+    private long digests;
+    private boolean stays;
+    private String last;
+
+    /**
+     * Operators.
+     *
+     * @param lost share of answers that don't come
+     * @param filler follows the digest in each body
+     */
+    Operators(Core core, double lost, byte[] filler) {
+        this.core = core;
+        this.lost = lost;
+        this.filler = filler;
+    }
+
+    /** A change of its own on top of a version. */
+    Change change(long builtOn) {
+        return new Change(builtOn + 1 + core.random().nextInt(3), builtOn,
+                String.format("%016x", ++digests));
+    }
+
+    /** Sends an order until it has a clear end or its time is up, and tells it then. */
+    void order(Change change, double patience, Consumer<Order> then) {
+        attempt(new Order(change, body(change), core.now(), core.now() + patience, then), first());
+    }
+
+    /** A configuration of this digest. */
+    byte[] body(Change change) {
+        byte[] digest = change.digest().getBytes(StandardCharsets.UTF_8);
+        byte[] body = Arrays.copyOf(digest, digest.length + filler.length);
+        System.arraycopy(filler, 0, body, digest.length, filler.length);
+        return body;
+    }
+
+    /** From now on most orders go first to the office that answered last. */
+    void stay() {
+        stays = true;
+    }
+
+    private String first() {
+        return stays && last != null && core.at(last) != null && core.random().nextInt(STAYS) > 0 ? last
+                : core.any().address();
+    }
+
+    /** Sends it once more, to one office, and tells how that ended; never, if no answer comes. */
+    void repeat(Order order, String at, Consumer<Council.Verdict> then) {
+        ask(at, order, then, () -> { });
+    }
+
+    private void attempt(Order o, String at) {
+        if (core.now() >= o.until) {
+            o.then.accept(o);
+            return;
+        }
+        int mine = ++o.tries;
+        Runnable next = () -> {
+            if (o.tries == mine && o.end == null) {
+                o.tries++;
+                core.agenda().in(o.pause, () -> attempt(o, another(at)));
+                o.pause = Math.min(PAUSE_MOST, o.pause * 2);
+            }
+        };
+        core.agenda().in(SILENCE, next);
+        ask(at, o, verdict -> {
+            if (verdict == Council.Verdict.UNCLEAR) {
+                next.run();
+            } else if (o.end == null && o.tries == mine) {
+                o.end = verdict;
+                last = at;
+                if (core.traced()) {
+                    core.tell(o.change + " ends " + verdict + " from " + at);
+                }
+                o.then.accept(o);
+            }
+        }, next);
+    }
+
+    private String another(String than) {
+        String at = than;
+        for (int i = 0; i < 4 && at.equals(than); i++) {
+            at = core.any().address();
+        }
+        return at;
+    }
+
+    private void ask(String at, Order o, Consumer<Council.Verdict> then, Runnable closed) {
+        core.agenda().in(way(), () -> {
+            Machine m = core.at(at);
+            if (m == null || !m.up() && !m.waits()) {
+                core.agenda().in(way(), closed);
+                return;
+            }
+            m.loop(() -> m.replace(o.change, o.body, verdict -> {
+                if (core.random().nextDouble() >= lost) {
+                    core.agenda().in(way(), () -> then.accept(verdict));
+                }
+            }));
+        });
+    }
+
+    /** Reads at one office; null where it could not say, and nothing where it is down. */
+    void read(String at, Consumer<Decision> then) {
+        core.agenda().in(way(), () -> {
+            Machine m = core.at(at);
+            if (m != null) {
+                m.loop(() -> m.read(d -> core.agenda().in(way(), () -> then.accept(d))));
+            }
+        });
+    }
+
+    private double way() {
+        return core.between(PAUSE / 100, WAY_MOST);
+    }
+}
