Drive the councils by question and answer, and find the faults planted in the rig

Need: the councils now count contact from question and answer, and take members in and out by agreement. Ruled out: one replay of a history at its end by brute force; it is followed just in time, call by call. Measured: HardeningTest, LinearizabilityTest (18 cases), PackagesTest and CouncilTest pass.

--- a/src/main/java/cobaltrack/standin/post/hardening/Checker.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Checker.java
@@ -114,8 +114,11 @@
 
     /** The newest version acknowledged up to a time. */
     long acknowledgedBy(double time) {
-        return acknowledged.stream().filter(a -> a.at() <= time).mapToLong(Acknowledged::version).max()
-                .orElse(0);
+        long newest = 0;
+        for (Acknowledged a : acknowledged) {
+            newest = a.at() <= time ? Math.max(newest, a.version()) : newest;
+        }
+        return newest;
     }
 
     /** Holds the operators' calls against a register, at the end. */
--- a/src/main/java/cobaltrack/standin/post/hardening/Network.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Network.java
@@ -57,6 +57,15 @@
         return ways.getOrDefault(from + ">" + to, Way.OPEN) == Way.OPEN;
     }
 
+    /** Sends as over a connection that is open: only cuts and what is held back stand against it. */
+    void sendSurely(String from, String to, Runnable arrive) {
+        double share = loss;
+        double doubled = twice;
+        spoil(0, 0);
+        send(from, to, arrive);
+        spoil(share, doubled);
+    }
+
     /** Sends, now or never. */
     void send(String from, String to, Runnable arrive) {
         switch (ways.getOrDefault(from + ">" + to, Way.OPEN)) {
--- /dev/null
+++ b/src/test/java/cobaltrack/standin/post/hardening/HardeningTest.java
@@ -0,0 +1,73 @@
+package cobaltrack.standin.post.hardening;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Arrays;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Some hundred schedules of each of the worst days on the real councils, and faults that they are to find. */
+public class HardeningTest {
+    private static final int FOUND_WITHIN = 1000;
+    private static final int THREADS = 3;
+
+    private static Hunt hunt(Point point, int schedules) throws InterruptedException {
+        Hunt hunt = Hunt.of(1, schedules, THREADS, seed -> point.play(seed, Bug.NONE, Trace.NONE));
+        assertEquals(hunt.broken(), Map.of(), "by seed");
+        return hunt;
+    }
+
+    @Test
+    public void aMachineThatIsCutOffClaimsAndRefusesNothing() throws InterruptedException {
+        Hunt hunt = hunt(Point.CUT, 150);
+        // Schedules in which hardly anything is taken, or nobody starts, would show nothing.
+        assertTrue(hunt.counts().get("orders acknowledged") > 150 * 15, hunt.counts().toString());
+        assertTrue(hunt.samples().get("a sidecar, ms to its beginning with a confirmed version").size() > 150);
+    }
+
+    @Test
+    public void operatorsHistoriesAreThoseOfOneRegister() throws InterruptedException {
+        Hunt hunt = hunt(Point.HISTORY, 150);
+        assertTrue(hunt.counts().get("orders acknowledged") > 150 * 10, hunt.counts().toString());
+        assertTrue(hunt.counts().get("calls of a change that was taken, again: TAKEN") > 150 * 10);
+    }
+
+    @Test
+    public void theNextLossFindsAMajority() throws InterruptedException {
+        Hunt hunt = hunt(Point.SEATS, 150);
+        assertTrue(hunt.counts().get("losses") > 150 * 3, hunt.counts().toString());
+        assertTrue(hunt.counts().get("members that left by agreement") > 10);
+    }
+
+    @Test
+    public void aMemberThatMissedHundredsOfChangesCatchesUp() throws InterruptedException {
+        Hunt hunt = hunt(Point.CATCH_UP, 60);
+        assertTrue(hunt.counts().get("orders acknowledged") > 60 * 300, hunt.counts().toString());
+    }
+
+    @Test
+    public void theSameSeedPlaysTheSame() {
+        for (Point p : Point.values()) {
+            assertEquals(p.play(7, Bug.NONE, Trace.NONE), p.play(7, Bug.NONE, Trace.NONE));
+        }
+    }
+
+    @DataProvider
+    public Object[][] bugs() {
+        return Arrays.stream(Bug.values()).filter(b -> b != Bug.NONE).map(b -> new Object[] {b})
+                .toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "bugs")
+    public void aPlantedFaultIsFound(Bug bug) {
+        Point point = Point.of(bug.point());
+        for (long seed = 1; seed <= FOUND_WITHIN; seed++) {
+            if (!point.play(seed, bug, Trace.NONE).broken().isEmpty()) {
+                return;
+            }
+        }
+        throw new AssertionError(bug + " is not found in " + FOUND_WITHIN + " schedules");
+    }
+}
--- /dev/null
+++ b/src/test/java/cobaltrack/standin/post/hardening/LinearizabilityTest.java
@@ -0,0 +1,178 @@
+package cobaltrack.standin.post.hardening;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+import cobaltrack.standin.post.hardening.Operation.Change;
+import cobaltrack.standin.post.hardening.Operation.End;
+import cobaltrack.standin.post.hardening.Operation.Value;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Which histories one register with compare-and-set could have given, and which it could not. */
+public class LinearizabilityTest {
+    private List<Operation> history;
+
+    @BeforeMethod
+    public void begin() {
+        history = new ArrayList<>();
+    }
+
+    private Operation call(double from, double to, long version, long builtOn, String digest, End end) {
+        Operation o = new Operation(new Change(version, builtOn, digest), from, to, end, null);
+        history.add(o);
+        return o;
+    }
+
+    private Operation read(double from, double to, long version, String digest) {
+        Operation o = new Operation(null, from, to, End.READ, new Value(version, digest));
+        history.add(o);
+        return o;
+    }
+
+    private void good() {
+        assertNull(Linearizability.unexplained(history));
+    }
+
+    private void bad(Operation o) {
+        assertEquals(Linearizability.unexplained(history), o);
+    }
+
+    @Test
+    public void oneAfterTheOther() {
+        read(0, 1, 0, "");
+        call(1, 2, 1, 0, "x", End.TAKEN);
+        call(3, 4, 2, 1, "y", End.TAKEN);
+        read(5, 6, 2, "y");
+        good();
+    }
+
+    @Test
+    public void twoOnOneBaseAreNeverBothTaken() {
+        call(1, 5, 1, 0, "x", End.TAKEN);
+        bad(call(2, 6, 2, 0, "y", End.TAKEN));
+    }
+
+    @Test
+    public void twoUnderOneNumberAreNeverBothTaken() {
+        call(1, 5, 3, 0, "x", End.TAKEN);
+        bad(call(2, 6, 3, 0, "y", End.TAKEN));
+    }
+
+    @Test
+    public void ofTwoAtOnceOneIsRefused() {
+        call(1, 5, 1, 0, "x", End.TAKEN);
+        call(2, 3, 1, 0, "y", End.MISMATCH);
+        good();
+    }
+
+    @Test
+    public void aRefusalBeforeTheOtherBeganIsWrong() {
+        Operation o = call(1, 2, 1, 0, "y", End.MISMATCH);
+        call(3, 5, 1, 0, "x", End.TAKEN);
+        bad(o);
+    }
+
+    @Test
+    public void aReadMayNotGoBack() {
+        call(1, 2, 1, 0, "x", End.TAKEN);
+        bad(read(3, 4, 0, ""));
+    }
+
+    @Test
+    public void aReadAtTheSameTimeMayFindEither() {
+        call(1, 10, 1, 0, "x", End.TAKEN);
+        read(2, 3, 0, "");
+        read(4, 5, 1, "x");
+        good();
+    }
+
+    @Test
+    public void twoReadsAtTheSameTimeMayNotGoBack() {
+        call(1, 10, 1, 0, "x", End.TAKEN);
+        read(2, 3, 1, "x");
+        bad(read(4, 5, 0, ""));
+    }
+
+    @Test
+    public void anUnclearCallMayTakeEffectMuchLater() {
+        call(1, Double.POSITIVE_INFINITY, 1, 0, "x", End.UNCLEAR);
+        read(5, 6, 0, "");
+        read(100, 101, 1, "x");
+        read(102, 103, 1, "x");
+        good();
+    }
+
+    @Test
+    public void anUnclearCallMayNotTakeEffectBeforeItBegan() {
+        Operation o = read(1, 2, 1, "x");
+        call(3, Double.POSITIVE_INFINITY, 1, 0, "x", End.UNCLEAR);
+        bad(o);
+    }
+
+    @Test
+    public void anUnclearCallTakesNoEffectOnceAnotherStandsOnItsBase() {
+        call(1, Double.POSITIVE_INFINITY, 1, 0, "x", End.UNCLEAR);
+        call(2, 3, 2, 0, "y", End.TAKEN);
+        bad(read(4, 5, 1, "x"));
+    }
+
+    @Test
+    public void aChainOfUnclearCallsIsFollowed() {
+        call(1, Double.POSITIVE_INFINITY, 1, 0, "x", End.UNCLEAR);
+        call(2, Double.POSITIVE_INFINITY, 2, 1, "y", End.UNCLEAR);
+        call(3, Double.POSITIVE_INFINITY, 2, 1, "z", End.UNCLEAR);
+        call(4, 5, 3, 2, "w", End.TAKEN);
+        read(6, 7, 3, "w");
+        good();
+    }
+
+    @Test
+    public void theSameCallAgainIsTakenAgain() {
+        call(1, 2, 1, 0, "x", End.TAKEN);
+        call(3, 4, 2, 1, "y", End.TAKEN);
+        call(5, 6, 1, 0, "x", End.TAKEN);
+        call(7, 8, 1, 0, "x", End.UNCLEAR);
+        read(9, 10, 2, "y");
+        good();
+    }
+
+    @Test
+    public void theSameCallAgainIsNeverRefused() {
+        call(1, 2, 1, 0, "x", End.TAKEN);
+        call(3, 4, 2, 1, "y", End.TAKEN);
+        bad(call(5, 6, 1, 0, "x", End.MISMATCH));
+    }
+
+    @Test
+    public void theSameCallAgainAfterAnUnclearOneMayBeRefusedIfItHadNoEffect() {
+        call(1, Double.POSITIVE_INFINITY, 1, 0, "x", End.UNCLEAR);
+        call(3, 4, 2, 0, "y", End.TAKEN);
+        call(5, 6, 1, 0, "x", End.MISMATCH);
+        good();
+    }
+
+    @Test
+    public void aNumberThatDoesNotRiseIsOldOnlyOnTheBaseInPlace() {
+        call(1, 2, 4, 0, "x", End.TAKEN);
+        call(3, 4, 4, 4, "y", End.OLD);
+        good();
+        bad(call(5, 6, 3, 2, "y", End.OLD));
+    }
+
+    @Test
+    public void anAcknowledgementMayNotBeForgotten() {
+        call(1, 2, 1, 0, "x", End.TAKEN);
+        bad(call(3, 4, 2, 0, "y", End.TAKEN));
+    }
+
+    @Test
+    public void answersThatNeedDifferentPastsDoNotGoTogether() {
+        call(1, Double.POSITIVE_INFINITY, 1, 0, "x", End.UNCLEAR);
+        call(1, Double.POSITIVE_INFINITY, 1, 0, "y", End.UNCLEAR);
+        read(2, 3, 1, "x");
+        bad(read(4, 5, 1, "y"));
+    }
+}
