--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -44,8 +44,6 @@
     private static final double CONTACT = 1000;
     /** Without contact with a majority for so long, calls end unclear at once, in milliseconds. */
     private static final double LONELY = 500;
-    /** One that is behind so long after it was told the newest decision is told again, in milliseconds. */
-    private static final double TELL_AGAIN = 400;
     /** For a newcomer heard of so lately, one that leaves waits: it may take the seat. */
     private static final double NEWCOMER = 1000;
     /** A backoff after a lost ballot lies between these, in milliseconds, doubled up to the most. */
@@ -88,6 +86,8 @@
     }
 
     private final String me;
+    /** Names its ballots: this life's own, for what an earlier life called it may not remember. */
+    private final String caller;
     private final Elector elector;
     private final SplittableRandom random;
     private final Actions out;
@@ -103,7 +103,6 @@
     private double backoff = BACKOFF;
     private double votedAt = Double.NaN;
     private double joinAt;
-    private double toldAt = Double.NEGATIVE_INFINITY;
     private double askedForSeatAt = Double.NEGATIVE_INFINITY;
     private boolean begun;
     /** Since when no majority is in contact; NaN while one is. */
@@ -115,11 +114,13 @@
      * An office's council.
      *
      * @param me its id, drawn anew with each new disk
+     * @param seed of all that it draws; another in each life, or it would call an old ballot anew
      */
     public Council(String me, Elector.Memory memory, long seed, Actions out) {
         this.me = me;
         this.elector = new Elector(memory);
         this.random = new SplittableRandom(seed);
+        this.caller = me + "/" + Long.toHexString(random.nextLong());
         this.out = out;
         this.votedAt = memory.vote() == null ? Double.NaN : Double.NEGATIVE_INFINITY;
         this.storedSlot = memory.decided() == null ? -1 : memory.decided().slot();
@@ -176,6 +177,7 @@
         if (decided() != null && decided().electors().contains(from)) {
             contact.echoed(sentAt, from, slot);
         }
+        // Whoever told it first may have gone, or the slip was lost: who is behind asks until it has it.
         if (slot > (decided() == null ? -1 : decided().slot())) {
             out.send(from, new Slip.Query(0, decided() == null ? -1 : decided().slot()));
         }
@@ -337,7 +339,6 @@
             candidacy = null;
             out.decided(decision);
             contact.keep(now, decision.electors());
-            toldAt = now;
             if (!calls.isEmpty()) {
                 calls.peek().stage = Stage.FRESH;
             }
@@ -372,7 +373,6 @@
         if (calls.peek() != first) {
             candidacy = null;
         }
-        tellAgain(now);
         if (decided() == null || !seated()) {
             if (now >= joinAt) {
                 joinAt = now + JOIN_EVERY * (0.75 + 0.5 * random.nextDouble());
@@ -398,19 +398,6 @@
         out.send(null, new Slip.Query(0, have));
     }
 
-    // A decision is told again until each elector has it on disk: whoever told it first may have gone.
-    private void tellAgain(double now) {
-        if (decided() == null || now - toldAt < TELL_AGAIN) {
-            return;
-        }
-        List<String> behind = decided().electors().stream().filter(e -> !e.equals(me)
-                && contact.echoedAt(e) > toldAt + TELL_AGAIN / 2 && contact.stored(e) < decided().slot()).toList();
-        if (!behind.isEmpty()) {
-            toldAt = now;
-            behind.forEach(e -> out.send(e, new Slip.Decided(decided())));
-        }
-    }
-
     // With an even number of seats one that is silent is given up: the count that it leaves has the same
     // majority less one.
     private void retire(double now) {
@@ -546,7 +533,7 @@
 
     private void run(double now, Decision wanted) {
         round = Math.max(round, elector.memory().promised().round()) + 1;
-        candidacy = new Candidacy(decided(), new Ballot(round, me), wanted);
+        candidacy = new Candidacy(decided(), new Ballot(round, caller), wanted);
         againAt = now;
     }
 
