--- a/src/main/java/cobaltrack/standin/post/hardening/Core.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Core.java
@@ -22,6 +22,9 @@
     static final double SYNC = 4000;
     static final double CONVERGE = 2500;
     private static final double LOSS = 0.02;
+    /** {@code SeedLagS}, in milliseconds, and how many seeds there are. */
+    private static final double SEED_LAG = 3000;
+    private static final int SEEDS = 3;
     private static final double TWICE = 0.02;
 
     private final Agenda agenda = new Agenda();
@@ -32,6 +35,7 @@
     private final Trace trace;
     private final List<String> founders = new ArrayList<>();
     private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final List<String> listed = new ArrayList<>();
     /** By address: troubles that last, and when the last one began or ended. */
     private final Map<String, Integer> troubles = new HashMap<>();
     private final Map<String, Double> troubledAt = new HashMap<>();
@@ -101,6 +105,7 @@
     Machine add(String address, Disk.Entry entry) {
         Machine m = new Machine(this, address, entry);
         machines.put(address, m);
+        agenda.in(now() == 0 ? 0 : SEED_LAG, () -> listed.add(address));
         m.boot();
         return m;
     }
@@ -109,6 +114,20 @@
     void remove(Machine m) {
         m.down();
         machines.remove(m.address());
+        agenda.in(SEED_LAG, () -> listed.remove(m.address()));
+    }
+
+    /** The machines that a process is told of as it starts: three, from a list that lags. */
+    List<String> seeds() {
+        if (now() == 0) {
+            return founders.stream().map(Council::address).limit(SEEDS).toList();
+        }
+        List<String> left = new ArrayList<>(listed);
+        List<String> seeds = new ArrayList<>();
+        while (seeds.size() < SEEDS && !left.isEmpty()) {
+            seeds.add(left.remove(random.nextInt(left.size())));
+        }
+        return seeds;
     }
 
     /** The machine at an address, or null. */
--- a/src/main/java/cobaltrack/standin/post/hardening/Machine.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Machine.java
@@ -128,7 +128,7 @@
         diskVersion = version(entry.memory().decided());
         council = new Council(id, entry.memory(), core.random().nextLong(), this);
         core.tell(address + " starts as " + id + ", slot " + onDisk);
-        core.founders().forEach(f -> know(Council.address(f)));
+        core.seeds().forEach(this::know);
         knowElectors();
         int mine = life;
         core.agenda().in(core.random().nextDouble() * TICK, () -> tick(mine));
@@ -393,6 +393,9 @@
     }
 
     private void received(String from, Slip slip) {
+        if (core.traced()) {
+            core.tell(address + " gets from " + from + " " + shortly(slip));
+        }
         if (metered >= 0) {
             metered += Letters.write(new Letter.Paper(slip)).length;
         }
@@ -408,6 +411,14 @@
         }
     }
 
+    private static String shortly(Slip slip) {
+        return slip instanceof Slip.Decided d ? "Decided " + d.decision().slot()
+                : slip instanceof Slip.Propose p ? "Propose " + p.ballot() + " slot " + p.value().slot()
+                : slip instanceof Slip.Promise p ? "Promise slot " + p.slot() + " " + p.ballot()
+                        + (p.vote() == null ? "" : " voted in " + p.vote().ballot())
+                : slip.toString();
+    }
+
     private static Decision forgetful(Decision d) {
         List<Decision.Taken> taken = d.taken();
         return new Decision(d.slot(), d.version(), d.body(),
