--- a/src/main/java/cobaltrack/post/carrier/Desk.java
+++ b/src/main/java/cobaltrack/post/carrier/Desk.java
@@ -24,13 +24,17 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.UnaryOperator;
 
 /**
  * A sidecar's ties to the offices: says what it lists, asks with the configuration that it has, and takes a
  * newer one. It never goes back. On its loop's thread; configurations are read on another.
  */
 final class Desk {
-    private static final Tie.Pace PACE = new Tie.Pace(300, 900, 1500, 150);
+    /** Longer until it is given up than an idle tie goes without a ping. */
+    private static final Tie.Pace PACE = new Tie.Pace(300, 900, 3000, 150);
+    /** Offices that are not asked for the sums hear of what is asked for here each so many times. */
+    private static final int USES_TIMES = 3;
     /** Until another office is asked for what one has not sent, in milliseconds. */
     private static final double FETCH_MS = 500;
     private static final int OFFICES_MOST = 16;
@@ -43,6 +47,7 @@
     private final EventLoop loop;
     private final Card card;
     private final Letter.Hello hello;
+    private final UnaryOperator<InetSocketAddress> dials;
     private final Owner owner;
     private final TariffReader reader = new TariffReader();
     private final ExecutorService reading = Executors.newSingleThreadExecutor(r -> {
@@ -57,6 +62,7 @@
     private Beginning beginning = new Beginning();
     private double fetchAt = Double.NEGATIVE_INFINITY;
     private double seekAt;
+    private int usesTold;
     private Tie seeking;
 
     /** Hears what the offices say. */
@@ -77,10 +83,12 @@
         void sums(int nodes, List<Use> totals);
     }
 
-    Desk(EventLoop loop, Card card, Letter.Hello hello, Owner owner) {
+    /** A desk that dials what {@code dials} makes of an address. */
+    Desk(EventLoop loop, Card card, Letter.Hello hello, UnaryOperator<InetSocketAddress> dials, Owner owner) {
         this.loop = loop;
         this.card = card;
         this.hello = hello;
+        this.dials = dials;
         this.owner = owner;
     }
 
@@ -105,11 +113,12 @@
         offices.values().forEach(t -> t.send(post));
     }
 
-    /** Tells all offices in reach what is asked for here, and asks the first of them for the sums. */
+    /** Tells offices in reach what is asked for here, and asks the first of them for the sums. */
     void uses(List<Use> uses) {
         boolean wanted = true;
+        boolean others = ++usesTold % USES_TIMES == 0;
         for (Tie tie : offices.values()) {
-            if (tie.up()) {
+            if (tie.up() && (wanted || others)) {
                 tie.send(new Letter.Uses(uses, wanted));
                 wanted = false;
             }
@@ -140,8 +149,8 @@
         if (offices.size() >= OFFICES_MOST) {
             return;
         }
-        Tie tie = new Tie(loop, new InetSocketAddress(ip, card.network().talkPort()), hello, PACE,
-                new Tie.Owner() {
+        Tie tie = new Tie(loop, dials.apply(new InetSocketAddress(ip, card.network().talkPort())), hello,
+                PACE, new Tie.Owner() {
                     @Override
                     public void changed(Tie t, Tie.State before) {
                         if (t.state() == Tie.State.UP && before == Tie.State.DIALLING) {
@@ -158,6 +167,11 @@
                     public void letter(Tie t, Letter letter) {
                         came(t, letter);
                     }
+
+                    @Override
+                    public boolean waits() {
+                        return newest == null || noticed.getOrDefault(offices.get(ip), -1L) > slot();
+                    }
                 });
         offices.put(ip, tie);
         tie.dial();
@@ -221,7 +235,7 @@
         if (seeking != null) {
             seeking.close();
         }
-        seeking = new Tie(loop, EndpointList.address(node), hello, PACE, new Tie.Owner() {
+        seeking = new Tie(loop, dials.apply(EndpointList.address(node)), hello, PACE, new Tie.Owner() {
             @Override
             public void changed(Tie t, Tie.State before) {
                 if (t.state() == Tie.State.UP) {
