--- a/src/main/java/cobaltrack/standin/post/hardening/Disk.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Disk.java
@@ -21,6 +21,8 @@
     /** One sync in so many takes this long, in milliseconds. */
     private static final int RARE = 50;
     private static final double LONG = 400;
+    /** A memory that was refused is tried again after so long where none follows, in milliseconds. */
+    private static final double PAUSE = 250;
     /** Of a write's work, what counts as none, in milliseconds. */
     private static final double LEAST = 1e-3;
     /** A hanging write looks again whether the disk goes on, in milliseconds. */
@@ -36,6 +38,7 @@
     private double times = 1;
     private double stalledUntil;
     private boolean refuses;
+    private boolean pausing;
     private int life;
 
     Disk(Agenda agenda, SplittableRandom random) {
@@ -66,6 +69,11 @@
         }
     }
 
+    /** Whether all that it was given is there. */
+    boolean settled() {
+        return underWay == null && next == null && !pausing;
+    }
+
     /** Writes this, or what is asked for later, and runs it then; never if the disk refuses. */
     void write(Entry entry, Runnable then) {
         next = entry;
@@ -82,22 +90,42 @@
         next = null;
         waiting = new ArrayList<>();
         if (refuses) {
-            int mine = life;
-            agenda.in(QUICK, () -> {
-                if (mine == life) {
-                    underWay = null;
-                    begin();
-                }
-            });
+            refused(life);
             return;
         }
         work(QUICK + (random.nextInt(RARE) == 0 ? LONG : random.nextDouble() * SPREAD), life, then);
     }
 
+    // What was to be told then never is; the memory is tried again.
+    private void refused(int mine) {
+        agenda.in(QUICK, () -> {
+            if (mine != life) {
+                return;
+            }
+            Entry again = underWay;
+            underWay = null;
+            if (next != null) {
+                begin();
+                return;
+            }
+            pausing = true;
+            agenda.in(PAUSE, () -> {
+                if (mine != life) {
+                    return;
+                }
+                pausing = false;
+                if (next == null && underWay == null) {
+                    next = again;
+                    begin();
+                }
+            });
+        });
+    }
+
     // In steps, for it may become slow, hang and be quick again in the midst of a write.
     private void work(double left, int mine, List<Runnable> then) {
         boolean hangs = agenda.now() < stalledUntil;
-        double step = hangs || times > 1 ? Math.min(LOOK, left * times) : left;
+        double step = hangs ? LOOK : times > 1 ? Math.min(LOOK, left * times) : left;
         double done = hangs ? 0 : step / times;
         agenda.in(step, () -> {
             if (mine != life) {
@@ -123,6 +151,7 @@
         }
         underWay = null;
         next = null;
+        pausing = false;
         waiting = new ArrayList<>();
         life++;
     }
--- a/src/main/java/cobaltrack/standin/post/hardening/Machine.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Machine.java
@@ -215,10 +215,17 @@
 
     private void late(int mine) {
         for (; lateTicks > 0; lateTicks--) {
-            loop(mine, () -> council.tick(local()));
+            loop(mine, this::tick);
         }
     }
 
+    private void tick() {
+        if (disk.settled()) {
+            council.stored(local(), slot(council.decided()));
+        }
+        council.tick(local());
+    }
+
     /** Its own clock. */
     double local() {
         return core.now() + offset;
@@ -232,9 +239,12 @@
             lateTicks++;
         } else {
             if (core.bug() == Bug.SEATS_BESIDE_DEAD && council.decided() != null) {
-                council.decided().electors().forEach(e -> council.heard(local(), e));
+                council.decided().electors().forEach(e -> {
+                    council.heard(local(), e);
+                    council.echoed(local(), e, council.storedSlot());
+                });
             }
-            loop(mine, () -> council.tick(local()));
+            loop(mine, this::tick);
         }
         core.agenda().in(TICK, () -> tick(mine));
     }
--- a/src/main/java/cobaltrack/standin/post/hardening/SeatsPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/SeatsPlay.java
@@ -13,16 +13,22 @@
     private static final double LOOK = 25;
     private static final double PATIENCE = 8000;
     private static final int LARGE = 5;
+    /** In one schedule of so many, orders come without a pause, so many at a time. */
+    private static final int STORMS = 10;
+    private static final int UNDER_WAY = 4;
+    private static final double NO_PAUSE = 20;
 
     private final Core core;
     private final Operators operators;
     private final Faults faults;
     private final boolean keeps;
+    private final boolean storms;
     private long base;
     private boolean closing;
     private boolean inTheDark;
 
     private SeatsPlay(long seed, Bug bug, Trace trace, double distance) {
+        storms = seed % STORMS == 0;
         int size = seed % 3 == 0 ? LARGE : 3;
         core = new Core(seed, bug, trace, size);
         operators = new Operators(core, 0.02, new byte[0]);
@@ -40,7 +46,9 @@
     }
 
     private Outcome play() {
-        core.agenda().in(core.between(0, 500), this::order);
+        for (int i = storms ? UNDER_WAY : 1; i > 0; i--) {
+            core.agenda().in(core.between(0, 500), this::order);
+        }
         core.agenda().in(FIRST, this::harm);
         core.agenda().in(FIRST, this::read);
         core.agenda().every(LOOK, this::look);
@@ -118,7 +126,7 @@
                 base = Math.max(base, o.change().version());
                 afterwards();
             }
-            core.agenda().in(core.between(100, 900), this::order);
+            core.agenda().in(storms ? core.between(0, NO_PAUSE) : core.between(100, 900), this::order);
         });
     }
 
