Rig: owe an order from when it came to an office in touch

Change: while a way is cut an order is owed AckS after it came to an office that really reaches a majority.

--- a/src/main/java/cobaltrack/standin/HardeningRehearsal.java
+++ b/src/main/java/cobaltrack/standin/HardeningRehearsal.java
@@ -128,7 +128,7 @@
                 "a call where there was no majority for 3 s, ms to unclear", TELLS_SOON,
                 "a call, ms to UNCLEAR", ENDS_SOON,
                 "from the cut's end, ms until the newest is at every office", CONVERGE,
-                "an order in a settled core, ms to its acknowledgement", ACK);
+                "an order, ms from an office in touch to an acknowledgement", ACK);
         return name.startsWith("a member that is back, ms") || name.startsWith("a planned replacement, ms from "
                 + "the new") ? Double.valueOf(SYNC) : bounds.get(name);
     }
--- a/src/main/java/cobaltrack/standin/post/hardening/Checker.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Checker.java
@@ -121,6 +121,12 @@
         return newest;
     }
 
+    /** When a version was first acknowledged; NaN if it never was. */
+    double acknowledgedAt(long version) {
+        return acknowledged.stream().filter(a -> a.version() == version).mapToDouble(Acknowledged::at).min()
+                .orElse(Double.NaN);
+    }
+
     /** Holds the operators' calls against a register, at the end. */
     void judgeHistory() {
         if (anyBroken()) {
