--- a/src/main/java/cobaltrack/standin/HardeningRehearsal.java
+++ b/src/main/java/cobaltrack/standin/HardeningRehearsal.java
@@ -129,16 +129,17 @@
                 "a call, ms to UNCLEAR", ENDS_SOON,
                 "from the cut's end, ms until the newest is at every office", CONVERGE,
                 "an order, ms from an office in touch to an acknowledgement", ACK);
-        return name.startsWith("a member that is back, ms") || name.startsWith("a planned replacement, ms from "
-                + "the new") ? Double.valueOf(SYNC) : bounds.get(name);
+        boolean synced = name.startsWith("a member that is back, ms")
+                || name.startsWith("a planned replacement, ms from the new");
+        return synced ? Double.valueOf(SYNC) : bounds.get(name);
     }
 
     private static void tell(Hunt hunt) {
         Map<String, Integer> kinds = new TreeMap<>();
         hunt.broken().values().forEach(b -> kinds.merge(b.get(0).replaceAll("\\d+", "#"), 1, Integer::sum));
         kinds.forEach((what, times) -> System.out.printf(Locale.ROOT, "broken %d times: %s%n", times, what));
-        hunt.broken().entrySet().stream().limit(SEEDS_TOLD).forEach(e -> System.out.println("seed " + e.getKey()
-                + ": " + e.getValue()));
+        hunt.broken().entrySet().stream().limit(SEEDS_TOLD).forEach(e ->
+                System.out.println("seed " + e.getKey() + ": " + e.getValue()));
     }
 
     private void margins(Promises promises) throws InterruptedException {
@@ -147,8 +148,8 @@
             Hunt hunt = Hunt.of(seed, each, threads, s -> Point.playSeats(s, Bug.NONE, Trace.NONE, d));
             long still = hunt.broken().values().stream().filter(b -> b.get(0).startsWith("stands still"))
                     .count();
-            String at = String.format(Locale.ROOT, "point 3, next loss %.1f s after the return, of %d schedules ",
-                    d / 1000, each);
+            String at = String.format(Locale.ROOT, "point 3, next loss %.1f s after the return, of %d "
+                    + "schedules ", d / 1000, each);
             promises.figure(at + "stood still", still);
             promises.figure(at + "broke otherwise", hunt.broken().size() - still);
         }
--- a/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
@@ -137,6 +137,7 @@
 
     private void trouble() {
         core.tell(member.address() + " has its trouble: " + kind);
+        core.checker().count("schedules past a member, " + kind);
         core.troubled(member.address());
         switch (kind) {
             case DOWN -> member.down();
--- a/src/main/java/cobaltrack/standin/post/hardening/Checker.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Checker.java
@@ -80,7 +80,8 @@
 
     /** An office got a call; null for a read. The call's number. */
     int invoked(Change change) {
-        history.add(new Operation(change, agenda.now(), Double.POSITIVE_INFINITY, Operation.End.UNCLEAR, null));
+        history.add(new Operation(change, agenda.now(), Double.POSITIVE_INFINITY, Operation.End.UNCLEAR,
+                null));
         return history.size() - 1;
     }
 
--- a/src/main/java/cobaltrack/standin/post/hardening/Core.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Core.java
@@ -16,7 +16,7 @@
  * seed plays the same. One thread.
  */
 final class Core {
-    /** Of the deployment, in milliseconds: {@code ContactS}, {@code AckS}, {@code SyncS}, {@code ConvergeS}. */
+    /** Bounds of a deployment, in milliseconds, as its settings name them with an S at the end. */
     static final double CONTACT = 3000;
     static final double ACK = 5000;
     static final double SYNC = 4000;
--- a/src/main/java/cobaltrack/standin/post/hardening/CutPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/CutPlay.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * Point 1: machines are cut off for some twenty seconds while an operator orders and reads at all offices, the
- * ones cut off too, and sidecars start. Nothing there may claim contact, confirm, read or refuse wrongly;
+ * Point 1: machines are cut off for some twenty seconds while an operator orders and reads at all offices,
+ * the ones cut off too, and sidecars start. Nothing there may claim contact, confirm, read or refuse wrongly;
  * orders are taken by the others; after the end the newest is soon everywhere. One schedule, one thread.
  */
 final class CutPlay {
@@ -82,6 +82,7 @@
         boolean together = core.random().nextBoolean();
         core.tell("cut " + kind + " of " + victims.stream().map(Machine::address).toList()
                 + (together ? " together" : ""));
+        core.checker().count("schedules with a cut, " + kind + " of " + many);
         victims.forEach(v -> core.troubled(v.address()));
         set(together, switch (kind) {
             case BOTH, IN -> Network.Way.CUT;
@@ -176,7 +177,8 @@
             return;
         }
         if (core.now() > joinedAt) {
-            core.checker().broke("an order on top of the newest version was not taken in 5 s of a settled core");
+            core.checker().broke("an order on top of the newest version was not taken in 5 s of a settled "
+                    + "core");
         } else if (Double.isNaN(order.reachedAt())) {
             core.checker().count("orders that came to no office in touch for 5 s");
         } else {
--- a/src/main/java/cobaltrack/standin/post/hardening/Disk.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Disk.java
@@ -10,7 +10,8 @@
 /**
  * A machine's disk and the one who writes to it, as {@code post.office.Scribe} does: one write at a time, and
  * what waits meanwhile is written once, as it is last. It is slow, stalls, or refuses; what is under way as
- * the power goes is there or not. What is read back has gone through the bytes of the ledger's entry. One thread.
+ * the power goes is there or not. What is read back has gone through the bytes of the ledger's entry. One
+ * thread.
  */
 final class Disk {
     /** What lies on it: an office's id, and its memory. */
--- a/src/main/java/cobaltrack/standin/post/hardening/Faults.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Faults.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * Losses within a budget. A machine counts as lost from the trouble's begin until a distance after its return;
- * one that is replaced, until a distance after its successor's start. One thread.
+ * Losses within a budget. A machine counts as lost from the trouble's begin until a distance after its
+ * return; one that is replaced, until a distance after its successor's start. One thread.
  */
 final class Faults {
     /** What befalls a machine. */
@@ -104,6 +104,7 @@
             core.tell(m.address() + " strikes: " + kind);
         }
         core.checker().count("losses");
+        core.checker().count("losses, " + kind);
         strikes++;
         lose(m.address());
         switch (kind) {
--- a/src/main/java/cobaltrack/standin/post/hardening/HistoryPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/HistoryPlay.java
@@ -3,7 +3,9 @@
 import cobaltrack.post.ballot.Council;
 import cobaltrack.standin.post.hardening.Operation.Change;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Point 2: operators race, up to eight orders under way, under one number at times; answers are lost, and
@@ -28,6 +30,7 @@
     private final Faults faults;
     private final boolean many;
     private final List<Operators.Order> taken = new ArrayList<>();
+    private final Set<String> numbers = new HashSet<>();
     private long base;
     private int underWay;
     private int burst;
@@ -98,6 +101,9 @@
     private void send(long builtOn) {
         underWay++;
         Change c = operators.change(builtOn);
+        if (!numbers.add(c.builtOn() + ">" + c.version())) {
+            core.checker().count("changes that carry the number of another on the same version");
+        }
         operators.order(c, PATIENCE, o -> {
             underWay--;
             if (o.taken()) {
--- a/src/main/java/cobaltrack/standin/post/hardening/Sidecar.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Sidecar.java
@@ -117,7 +117,8 @@
     private void beginUnconfirmed() {
         began = true;
         core.checker().count("sidecars that began unconfirmed");
-        if (blockedUntil < startedAt && core.machines().stream().anyMatch(m -> m.up() && core.calm(m.address()))) {
+        if (blockedUntil < startedAt && core.machines().stream().anyMatch(m -> m.up()
+                && core.calm(m.address()))) {
             core.checker().broke(name + " begins unconfirmed though it reaches a calm office");
         }
     }
--- a/src/test/java/cobaltrack/standin/post/hardening/HardeningTest.java
+++ b/src/test/java/cobaltrack/standin/post/hardening/HardeningTest.java
@@ -8,7 +8,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Some hundred schedules of each of the worst days on the real councils, and faults that they are to find. */
+/** Some hundred schedules of each of the worst days on the real councils, and the faults that they find. */
 public class HardeningTest {
     private static final int FOUND_WITHIN = 1000;
     private static final int THREADS = 3;
@@ -24,7 +24,8 @@
         Hunt hunt = hunt(Point.CUT, 150);
         // Schedules in which hardly anything is taken, or nobody starts, would show nothing.
         assertTrue(hunt.counts().get("orders acknowledged") > 150 * 15, hunt.counts().toString());
-        assertTrue(hunt.samples().get("a sidecar, ms to its beginning with a confirmed version").size() > 150);
+        assertTrue(hunt.samples().get("a sidecar, ms to its beginning with a confirmed version").size()
+                > 150);
     }
 
     @Test
