--- a/src/main/java/cobaltrack/standin/post/hardening/Machine.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Machine.java
@@ -239,10 +239,7 @@
             lateTicks++;
         } else {
             if (core.bug() == Bug.SEATS_BESIDE_DEAD && council.decided() != null) {
-                council.decided().electors().forEach(e -> {
-                    council.heard(local(), e);
-                    council.echoed(local(), e, council.storedSlot());
-                });
+                council.decided().electors().forEach(e -> council.echoed(local(), e, council.storedSlot()));
             }
             loop(mine, this::tick);
         }
@@ -264,7 +261,6 @@
     }
 
     private void pinged(String from, String asker, int askersLife, double sentAt) {
-        council.heard(local(), asker);
         if (core.bug() == Bug.CONTACT_FROM_ARRIVAL) {
             council.echoed(local(), asker, -1);
         }
@@ -276,7 +272,6 @@
     private void ponged(int askersLife, String from, double sentAt, long slot) {
         // An answer to an earlier life's question came on a connection that is gone.
         if (askersLife == life) {
-            council.heard(local(), from);
             council.echoed(core.bug() == Bug.CONTACT_FROM_ARRIVAL ? local() : sentAt, from, slot);
         }
     }
