--- a/src/main/java/cobaltrack/post/ballot/Elector.java
+++ b/src/main/java/cobaltrack/post/ballot/Acceptor.java
@@ -4,7 +4,7 @@
  * One office's vote, as Lamport's single-decree Paxos has it, slot after slot: it promises, votes, and keeps
  * its word. Pure; whoever drives it syncs {@link #memory} to disk before a reply that says so leaves.
  */
-public final class Elector {
+public final class Acceptor {
     /**
      * What must outlast a loss of power.
      *
@@ -12,15 +12,15 @@
      * @param promised in the slot after it
      * @param vote in the slot after it, or null
      */
-    public record Memory(Decision decided, Ballot promised, Slip.Vote vote) { }
+    public record Memory(Decision decided, Ballot promised, Message.Vote vote) { }
 
     /** A reply, and whether the memory must be on disk before it leaves. */
-    public record Reply(Slip slip, boolean synced) { }
+    public record Reply(Message message, boolean synced) { }
 
     private Memory memory;
 
     /** An elector that remembers this. */
-    public Elector(Memory memory) {
+    public Acceptor(Memory memory) {
         this.memory = memory;
     }
 
@@ -44,35 +44,35 @@
     }
 
     /** Answers to a call for a promise. */
-    public Reply prepare(Slip.Prepare call) {
+    public Reply prepare(Message.Prepare call) {
         Reply reply = place(call.slot(), call.ballot());
         if (reply != null) {
             return reply;
         }
         memory = new Memory(memory.decided(), call.ballot(), memory.vote());
-        return new Reply(new Slip.Promise(call.slot(), call.ballot(), memory.vote()), true);
+        return new Reply(new Message.Promise(call.slot(), call.ballot(), memory.vote()), true);
     }
 
     /** Answers to a call for a vote. */
-    public Reply propose(Slip.Propose call) {
+    public Reply accept(Message.Accept call) {
         Reply reply = place(call.value().slot(), call.ballot());
         if (reply != null) {
             return reply;
         }
-        memory = new Memory(memory.decided(), call.ballot(), new Slip.Vote(call.ballot(), call.value()));
-        return new Reply(new Slip.Voted(call.value().slot(), call.ballot()), true);
+        memory = new Memory(memory.decided(), call.ballot(), new Message.Vote(call.ballot(), call.value()));
+        return new Reply(new Message.Accepted(call.value().slot(), call.ballot()), true);
     }
 
     // The reply where the call is not about the slot to be voted on next, or a promise stands against it.
     private Reply place(long slot, Ballot ballot) {
         long have = memory.decided() == null ? -1 : memory.decided().slot();
         if (slot <= have) {
-            return new Reply(new Slip.Decided(memory.decided()), false);
+            return new Reply(new Message.Decided(memory.decided()), false);
         }
         if (slot > have + 1 || have < 0) {
-            return new Reply(new Slip.Lagging(slot, have), false);
+            return new Reply(new Message.Lagging(slot, have), false);
         }
         return ballot.compareTo(memory.promised()) < 0
-                ? new Reply(new Slip.Outbid(slot, ballot, memory.promised()), false) : null;
+                ? new Reply(new Message.Nack(slot, ballot, memory.promised()), false) : null;
     }
 }
--- a/src/main/java/cobaltrack/post/ballot/Ballot.java
+++ b/src/main/java/cobaltrack/post/ballot/Ballot.java
@@ -3,7 +3,8 @@
 import java.util.Comparator;
 
 /**
- * The number of a ballot, Paxos' term: no two lives of offices ever use the same one, and any two are in order.
+ * The number of a ballot, Paxos' term: no two lives of offices ever use the same one, and any two are in
+ * order.
  *
  * @param round counts up; 0 is before the first
  * @param by names the office that calls it, and which life of it
--- a/src/main/java/cobaltrack/post/ballot/Contact.java
+++ b/src/main/java/cobaltrack/post/ballot/Contact.java
@@ -7,10 +7,10 @@
 import java.util.Set;
 
 /**
- * Whom an office reaches: an elector counts as of when a question left that it has answered, for a packet that
- * was held back for long proves nothing of now, and what one says that hears nobody is worth nothing. Silence
- * leaves out the time in which this office itself stood still; contact does not. Pure; one thread; times in
- * milliseconds on this office's own steady clock.
+ * Whom an office reaches: an elector counts as of when a question left that it has answered, for a packet
+ * that was held back for long proves nothing of now, and what one says that hears nobody is worth nothing.
+ * Silence leaves out the time in which this office itself stood still; contact does not. Pure; one thread;
+ * times in milliseconds on this office's own steady clock.
  */
 final class Contact {
     /** A pause between two signs of this office's own life from which on it slept, in milliseconds. */
--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -18,11 +18,11 @@
 
     /** What the council has done for it. */
     public interface Actions {
-        /** Sends a slip to an office, this one included, now or never. */
-        void send(String to, Slip slip);
+        /** Sends a message to an office, this one included, now or never. */
+        void send(String to, Message message);
 
-        /** Syncs this memory, then sends the slip; if that fails, it sends nothing. */
-        void sync(Elector.Memory memory, String to, Slip slip);
+        /** Syncs this memory, then sends the message; if that fails, it sends nothing. */
+        void sync(Acceptor.Memory memory, String to, Message message);
 
         /** Tells an operator's call its end. */
         void replaced(long call, Verdict verdict);
@@ -40,10 +40,10 @@
     private static final double AGAIN = 150;
     /** A call that could not be decided in so many milliseconds ends unclear: whoever sent it has gone on. */
     private static final double CALL_MOST = 2000;
-    /** An answer to a question that left longer ago says nothing of whom this office reaches, in milliseconds. */
+    /** An answer to a question that left so many milliseconds ago tells nothing of whom it reaches now. */
     private static final double CONTACT = 1000;
-    /** Without contact with a majority for so long, calls end unclear at once, in milliseconds. */
-    private static final double LONELY = 500;
+    /** Without contact with a quorum for so long, calls end unclear at once, in milliseconds. */
+    private static final double WITHOUT_QUORUM = 500;
     /** For a newcomer heard of so lately, one that leaves waits: it may take the seat. */
     private static final double NEWCOMER = 1000;
     /** A backoff after a lost ballot lies between these, in milliseconds, doubled up to the most. */
@@ -88,13 +88,13 @@
     private final String me;
     /** Names its ballots: this life's own, for what an earlier life called it may not remember. */
     private final String caller;
-    private final Elector elector;
+    private final Acceptor acceptor;
     private final SplittableRandom random;
     private final Actions out;
     private final ArrayDeque<Call> calls = new ArrayDeque<>();
     private final Contact contact = new Contact();
     private final Set<String> answered = new HashSet<>();
-    private Candidacy candidacy;
+    private Proposer proposer;
     private long round;
     private long nonce;
     private boolean pending;
@@ -107,8 +107,8 @@
     private String newcomer = "";
     private long newcomerHas;
     private boolean begun;
-    /** Since when no majority is in contact; NaN while one is. */
-    private double lonelySince = Double.NEGATIVE_INFINITY;
+    /** Since when no quorum is in contact; NaN while one is. */
+    private double withoutQuorumSince = Double.NEGATIVE_INFINITY;
     private long storedSlot;
     private boolean leaving;
 
@@ -118,9 +118,9 @@
      * @param me its id, drawn anew with each new disk
      * @param seed of all that it draws; another in each life, or it would call an old ballot anew
      */
-    public Council(String me, Elector.Memory memory, long seed, Actions out) {
+    public Council(String me, Acceptor.Memory memory, long seed, Actions out) {
         this.me = me;
-        this.elector = new Elector(memory);
+        this.acceptor = new Acceptor(memory);
         this.random = new SplittableRandom(seed);
         this.caller = me + "/" + Long.toHexString(random.nextLong());
         this.out = out;
@@ -130,7 +130,7 @@
 
     /** The newest decision known, or null. */
     public Decision decided() {
-        return elector.decided();
+        return acceptor.decided();
     }
 
     /** Whether it has a vote. */
@@ -139,8 +139,9 @@
     }
 
     /**
-     * Whether it is in contact with a majority: more than half of the electors, itself with them if it is one,
-     * have answered a question that left within so many milliseconds, and none of those knows a newer decision.
+     * Whether it is in contact with a quorum: more than half of the electors, itself with them if it is one,
+     * have answered a question that left within so many milliseconds, and none of those knows a newer
+     * decision.
      */
     public boolean inTouch(double now, double within) {
         if (decided() == null) {
@@ -148,7 +149,7 @@
         }
         List<String> reached = decided().electors().stream()
                 .filter(e -> e.equals(me) || contact.reached(now, within, e)).toList();
-        return reached.size() >= decided().majority()
+        return reached.size() >= decided().quorum()
                 && reached.stream().allMatch(e -> contact.stored(e) <= decided().slot());
     }
 
@@ -179,16 +180,16 @@
         if (decided() != null && decided().electors().contains(from)) {
             contact.echoed(sentAt, from, slot);
         }
-        // Whoever told it first may have gone, or the slip was lost: who is behind asks until it has it.
+        // Whoever told it first may have gone, or the message was lost: who is behind asks until it has it.
         if (slot > (decided() == null ? -1 : decided().slot())) {
-            out.send(from, new Slip.Query(0, decided() == null ? -1 : decided().slot()));
+            out.send(from, new Message.Query(0, decided() == null ? -1 : decided().slot()));
         }
     }
 
     /**
-     * This office is to end. Where there are more than three electors it goes out of them first, by agreement: a
-     * seat of one that is gone makes a majority of the others no smaller, and two such make it larger. Three stay
-     * three, for two would keep what is agreed on no third disk; and this one may come back.
+     * This office is to end. Where there are more than three electors it goes out of them first, by
+     * agreement: a seat of one that is gone makes a quorum of the others no smaller, and two such make it larger. Three
+     * stay three, for two would keep what is agreed on no third disk; and this one may come back.
      */
     public void leave(double now) {
         wake(now);
@@ -196,7 +197,7 @@
         go(now);
     }
 
-    /** Whether it may end: it has gone out, or need not, and each elector in contact has the newest on disk. */
+    /** Whether it may end: it is out, or need not be, and each elector in contact has the newest on disk. */
     public boolean left(double now) {
         if (decided() == null) {
             return true;
@@ -223,7 +224,7 @@
     private void add(double now, Call call) {
         wake(now);
         call.endAt = now + CALL_MOST;
-        if (calls.size() >= CALLS_MOST || lonely(now)) {
+        if (calls.size() >= CALLS_MOST || withoutQuorum(now)) {
             end(call, Verdict.UNCLEAR);
             return;
         }
@@ -240,42 +241,42 @@
         begun = true;
     }
 
-    // Whether no majority has been in contact for so long that no call is worth the wait.
-    private boolean lonely(double now) {
+    // Whether no quorum has been in contact for so long that no call is worth the wait.
+    private boolean withoutQuorum(double now) {
         if (decided() == null || inTouch(now, CONTACT)) {
-            lonelySince = Double.NaN;
-        } else if (Double.isNaN(lonelySince) || lonelySince == Double.NEGATIVE_INFINITY) {
-            lonelySince = now;
+            withoutQuorumSince = Double.NaN;
+        } else if (Double.isNaN(withoutQuorumSince) || withoutQuorumSince == Double.NEGATIVE_INFINITY) {
+            withoutQuorumSince = now;
         }
-        return now - lonelySince > LONELY;
+        return now - withoutQuorumSince > WITHOUT_QUORUM;
     }
 
-    /** A slip came, from this office itself too. */
-    public void received(double now, String from, Slip slip) {
+    /** A message came, from this office itself too. */
+    public void received(double now, String from, Message message) {
         wake(now);
-        if (slip instanceof Slip.Prepare p) {
-            reply(now, from, elector.prepare(p));
-        } else if (slip instanceof Slip.Propose p) {
-            reply(now, from, elector.propose(p));
-            if (elector.memory().vote() != null && Double.isNaN(votedAt)) {
+        if (message instanceof Message.Prepare p) {
+            reply(now, from, acceptor.prepare(p));
+        } else if (message instanceof Message.Accept p) {
+            reply(now, from, acceptor.accept(p));
+            if (acceptor.memory().vote() != null && Double.isNaN(votedAt)) {
                 votedAt = now;
             }
-        } else if (slip instanceof Slip.Query q) {
+        } else if (message instanceof Message.Query q) {
             query(from, q);
-        } else if (slip instanceof Slip.Decided d) {
+        } else if (message instanceof Message.Decided d) {
             learn(now, d.decision());
-        } else if (slip instanceof Slip.Join j) {
+        } else if (message instanceof Message.Join j) {
             join(now, from, j.slot());
-        } else if (slip instanceof Slip.State s) {
+        } else if (message instanceof Message.State s) {
             state(from, s);
-        } else if (slip instanceof Slip.Lagging l) {
+        } else if (message instanceof Message.Lagging l) {
             if (decided() != null && l.have() < decided().slot()) {
-                out.send(from, new Slip.Decided(decided()));
+                out.send(from, new Message.Decided(decided()));
             }
-        } else if (candidacy != null) {
-            Candidacy.State before = candidacy.state();
-            reply(from, slip);
-            if (candidacy.state() != before) {
+        } else if (proposer != null) {
+            Proposer.State before = proposer.state();
+            reply(from, message);
+            if (proposer.state() != before) {
                 // What comes next is not asked again but for the first time.
                 againAt = now;
             }
@@ -283,43 +284,43 @@
         go(now);
     }
 
-    private void reply(String from, Slip slip) {
-        if (slip instanceof Slip.Promise p && p.slot() == candidacy.slot()) {
-            candidacy.promise(from, p);
-        } else if (slip instanceof Slip.Voted v && v.slot() == candidacy.slot()) {
-            candidacy.vote(from, v);
-        } else if (slip instanceof Slip.Outbid o && o.slot() == candidacy.slot()) {
-            candidacy.outbid(o);
+    private void reply(String from, Message message) {
+        if (message instanceof Message.Promise p && p.slot() == proposer.slot()) {
+            proposer.promise(from, p);
+        } else if (message instanceof Message.Accepted v && v.slot() == proposer.slot()) {
+            proposer.vote(from, v);
+        } else if (message instanceof Message.Nack o && o.slot() == proposer.slot()) {
+            proposer.outbid(o);
         }
     }
 
     // An office without a seat has promised nothing that it can be held to: it answers no ballot.
-    private void reply(double now, String to, Elector.Reply reply) {
-        if (reply.slip() instanceof Slip.Promise || reply.slip() instanceof Slip.Voted) {
+    private void reply(double now, String to, Acceptor.Reply reply) {
+        if (reply.message() instanceof Message.Promise || reply.message() instanceof Message.Accepted) {
             if (!seated()) {
                 return;
             }
         }
         if (reply.synced()) {
-            out.sync(elector.memory(), to, reply.slip());
+            out.sync(acceptor.memory(), to, reply.message());
         } else {
-            out.send(to, reply.slip());
+            out.send(to, reply.message());
         }
     }
 
-    private void query(String from, Slip.Query q) {
+    private void query(String from, Message.Query q) {
         if (decided() == null) {
             return;
         }
         if (q.slot() < decided().slot()) {
-            out.send(from, new Slip.Decided(decided()));
+            out.send(from, new Message.Decided(decided()));
         }
-        out.send(from, new Slip.State(q.nonce(), decided().slot(), elector.memory().vote() != null));
+        out.send(from, new Message.State(q.nonce(), decided().slot(), acceptor.memory().vote() != null));
     }
 
-    private void state(String from, Slip.State s) {
-        // One that knows a newer decision has sent it, and counts once that is here: schedule 4209 read an old
-        // version where the two came in the other order.
+    private void state(String from, Message.State s) {
+        // One that knows a newer decision has sent it, and counts once that is here: schedule 4209 read
+        // an old version where the two came in the other order.
         boolean current = decided() != null && s.slot() <= decided().slot();
         if (s.nonce() == nonce && current && decided().electors().contains(from)) {
             answered.add(from);
@@ -328,9 +329,9 @@
     }
 
     private void learn(double now, Decision decision) {
-        if (elector.learn(decision)) {
+        if (acceptor.learn(decision)) {
             votedAt = Double.NaN;
-            candidacy = null;
+            proposer = null;
             out.decided(decision);
             contact.keep(now, decision.electors());
             if (!calls.isEmpty()) {
@@ -349,7 +350,7 @@
         newcomer = from;
         newcomerHas = has;
         if (has < decided().slot()) {
-            out.send(from, new Slip.Decided(decided()));
+            out.send(from, new Message.Decided(decided()));
         } else if (has == decided().slot()) {
             add(now, new Call(-1, has, 0, null, null, from, false));
         }
@@ -358,23 +359,23 @@
     /** Time passes; to be called some tens of times a second. */
     public void tick(double now) {
         wake(now);
-        boolean lonely = lonely(now);
+        boolean withoutQuorum = withoutQuorum(now);
         Call first = calls.peek();
         for (Call call : List.copyOf(calls)) {
-            if (now > call.endAt || lonely) {
+            if (now > call.endAt || withoutQuorum) {
                 calls.remove(call);
                 end(call, Verdict.UNCLEAR);
             }
         }
         if (calls.peek() != first) {
-            candidacy = null;
+            proposer = null;
         }
         if (decided() == null || !seated()) {
             if (now >= joinAt) {
                 joinAt = now + JOIN_EVERY * (0.75 + 0.5 * random.nextDouble());
                 askForSeat();
             }
-        } else if (!lonely) {
+        } else if (!withoutQuorum) {
             // A vote that nobody came back for: it may be decided, and nobody knows.
             if (calls.isEmpty() && now - votedAt > UNFINISHED * (1 + random.nextDouble())) {
                 votedAt = now;
@@ -389,14 +390,14 @@
     private void askForSeat() {
         long have = decided() == null ? -1 : decided().slot();
         if (have >= 0 && storedSlot == have && !leaving) {
-            decided().electors().forEach(e -> out.send(e, new Slip.Join(have)));
+            decided().electors().forEach(e -> out.send(e, new Message.Join(have)));
         }
-        out.send(null, new Slip.Query(0, have));
+        out.send(null, new Message.Query(0, have));
     }
 
     // With an even number of seats one that is silent is given up: the count that it leaves has the same
-    // majority less one. So are two of an odd number, one after the other. One that leaves goes out whatever the
-    // number, and gives its seat to a newcomer that asks.
+    // majority less one. So are two of an odd number, one after the other. One that leaves goes out whatever
+    // the number, and gives its seat to a newcomer that asks.
     private void retire(double now) {
         int electors = decided().electors().size();
         long silent = decided().electors().stream().filter(e -> silent(now, e)).count();
@@ -432,7 +433,7 @@
         return mark < 0 ? id : id.substring(0, mark);
     }
 
-    // The next decision that gives the joiner a seat, or the one without one that leaves; null where none is due.
+    // The next decision, which gives the joiner a seat or is without one that leaves; null where none is due.
     private Decision seatFor(double now, Call call) {
         String joiner = call.joiner;
         if (call.version != decided().slot()) {
@@ -467,7 +468,7 @@
             if (decided() == null) {
                 return;
             }
-            if (candidacy != null) {
+            if (proposer != null) {
                 if (!ballot(now)) {
                     return;
                 }
@@ -505,9 +506,9 @@
                 }
             }
             case ASKING -> {
-                if (answered.size() < decided().majority()) {
+                if (answered.size() < decided().quorum()) {
                     again(now, () -> decided().electors().stream().filter(e -> !answered.contains(e))
-                            .forEach(e -> out.send(e, new Slip.Query(nonce, decided().slot()))));
+                            .forEach(e -> out.send(e, new Message.Query(nonce, decided().slot()))));
                     return false;
                 }
                 call.stage = Stage.ASKED;
@@ -540,41 +541,41 @@
     }
 
     private void run(double now, Decision wanted) {
-        round = Math.max(round, elector.memory().promised().round()) + 1;
-        candidacy = new Candidacy(decided(), new Ballot(round, caller), wanted);
+        round = Math.max(round, acceptor.memory().promised().round()) + 1;
+        proposer = new Proposer(decided(), new Ballot(round, caller), wanted);
         againAt = now;
     }
 
     // False while it waits.
     private boolean ballot(double now) {
-        Candidacy c = candidacy;
-        Candidacy.State before = c.state();
+        Proposer c = proposer;
+        Proposer.State before = c.state();
         switch (before) {
             case PREPARING, PROPOSING -> {
                 again(now, () -> decided().electors().forEach(e -> {
-                    Slip slip = c.call(e);
-                    if (slip != null) {
-                        out.send(e, slip);
+                    Message message = c.call(e);
+                    if (message != null) {
+                        out.send(e, message);
                     }
                 }));
-                if (candidacy == c && c.state() != before) {
+                if (proposer == c && c.state() != before) {
                     againAt = now;
                     return true;
                 }
-                return candidacy != c;
+                return proposer != c;
             }
             case WON -> {
-                candidacy = null;
+                proposer = null;
                 backoff = BACKOFF;
                 Decision won = c.value();
                 learn(now, won);
                 won.electors().stream().filter(e -> !e.equals(me))
-                        .forEach(e -> out.send(e, new Slip.Decided(won)));
+                        .forEach(e -> out.send(e, new Message.Decided(won)));
                 finished(won);
                 return true;
             }
-            case OUTBID -> {
-                candidacy = null;
+            case NACKED -> {
+                proposer = null;
                 round = Math.max(round, c.higher().round());
                 startAt = now + backoff * (0.5 + random.nextDouble());
                 backoff = Math.min(BACKOFF_MOST, backoff * 2);
@@ -584,7 +585,7 @@
                 return false;
             }
             default -> {
-                candidacy = null;
+                proposer = null;
                 Call call = calls.peek();
                 if (call.body == null && !call.reads) {
                     votedAt = Double.NaN;
--- a/src/main/java/cobaltrack/post/ballot/Decision.java
+++ b/src/main/java/cobaltrack/post/ballot/Decision.java
@@ -58,8 +58,8 @@
         return new Decision(slot, version, body, List.of(), electors);
     }
 
-    /** How many electors are more than half. */
-    public int majority() {
+    /** How many electors are a quorum: more than half. */
+    public int quorum() {
         return electors.size() / 2 + 1;
     }
 
--- a/src/main/java/cobaltrack/post/ballot/Candidacy.java
+++ b/src/main/java/cobaltrack/post/ballot/Proposer.java
@@ -4,16 +4,16 @@
 import java.util.Set;
 
 /** One office's attempt to have a value agreed on in one slot. Pure. */
-final class Candidacy {
+final class Proposer {
     /** Where it stands. */
-    enum State { PREPARING, PROPOSING, WON, OUTBID, IDLE }
+    enum State { PREPARING, PROPOSING, WON, NACKED, IDLE }
 
     private final Decision base;
     private final Ballot ballot;
     private final Decision wanted;
     private final Set<String> promised = new HashSet<>();
     private final Set<String> voted = new HashSet<>();
-    private Slip.Vote highest;
+    private Message.Vote highest;
     private Ballot higher = Ballot.NONE;
     private State state = State.PREPARING;
 
@@ -23,7 +23,7 @@
      * @param base the decision before
      * @param wanted the value to have agreed on, or null to only finish what another began
      */
-    Candidacy(Decision base, Ballot ballot, Decision wanted) {
+    Proposer(Decision base, Ballot ballot, Decision wanted) {
         this.base = base;
         this.ballot = ballot;
         this.wanted = wanted;
@@ -52,16 +52,16 @@
     }
 
     /** What to ask an elector now that has not answered; null if nothing. */
-    Slip call(String elector) {
+    Message call(String elector) {
         return switch (state) {
-            case PREPARING -> promised.contains(elector) ? null : new Slip.Prepare(slot(), ballot);
-            case PROPOSING -> voted.contains(elector) ? null : new Slip.Propose(ballot, value());
+            case PREPARING -> promised.contains(elector) ? null : new Message.Prepare(slot(), ballot);
+            case PROPOSING -> voted.contains(elector) ? null : new Message.Accept(ballot, value());
             default -> null;
         };
     }
 
     /** A promise came. */
-    void promise(String from, Slip.Promise p) {
+    void promise(String from, Message.Promise p) {
         if (state != State.PREPARING || !p.ballot().equals(ballot) || !base.electors().contains(from)) {
             return;
         }
@@ -69,27 +69,27 @@
         if (p.vote() != null && (highest == null || p.vote().ballot().compareTo(highest.ballot()) > 0)) {
             highest = p.vote();
         }
-        if (promised.size() >= base.majority()) {
+        if (promised.size() >= base.quorum()) {
             to(value() == null ? State.IDLE : State.PROPOSING);
         }
     }
 
     /** A vote came. */
-    void vote(String from, Slip.Voted v) {
+    void vote(String from, Message.Accepted v) {
         if (state != State.PROPOSING || !v.ballot().equals(ballot) || !base.electors().contains(from)) {
             return;
         }
         voted.add(from);
-        if (voted.size() >= base.majority()) {
+        if (voted.size() >= base.quorum()) {
             to(State.WON);
         }
     }
 
     /** A higher promise stands somewhere. */
-    void outbid(Slip.Outbid o) {
+    void outbid(Message.Nack o) {
         if (o.ballot().equals(ballot) && (state == State.PREPARING || state == State.PROPOSING)) {
             higher = o.promised();
-            to(State.OUTBID);
+            to(State.NACKED);
         }
     }
 
--- a/src/main/java/cobaltrack/post/carrier/Desk.java
+++ b/src/main/java/cobaltrack/post/carrier/Desk.java
@@ -198,8 +198,8 @@
         seek();
     }
 
-    // What is in force here never goes back, and a decision is one whoever tells it; but where nothing is in force
-    // yet, an office that is cut off must not be the one to begin with while a better one can be reached.
+    // What is in force here never goes back, and a decision is one whoever tells it; but where nothing is in
+    // force yet, an office that is cut off must not be the one to begin with while a better one can be reached.
     private void offered(Letter.News news) {
         if (newest != null) {
             take(news.decision());
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -5,8 +5,8 @@
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
-import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.ballot.Acceptor;
+import cobaltrack.post.ballot.Message;
 import cobaltrack.post.card.Card;
 import cobaltrack.post.directory.Directory;
 import cobaltrack.post.directory.Listing;
@@ -116,7 +116,7 @@
         String folder = Card.present(card.self().dataDir(), "Self.DataDir");
         String control = Card.present(card.network().bind().control(), "Network.Bind.Control");
         Ledger ledger = Ledger.open(Path.of(folder));
-        Elector.Memory memory = recall(ledger);
+        Acceptor.Memory memory = recall(ledger);
         scribe = new Scribe(ledger, id, loop);
         council = new Council(id, memory, new SecureRandom().nextLong(), this);
         // Ahead of the first call: loading the validator takes longer than checking with it.
@@ -134,7 +134,7 @@
     }
 
     // A new disk is a new elector: what the old one may have promised, this one can't know.
-    private Elector.Memory recall(Ledger ledger) throws LedgerException {
+    private Acceptor.Memory recall(Ledger ledger) throws LedgerException {
         Ledger.Entry entry = ledger.read();
         if (entry != null) {
             id = entry.id();
@@ -149,7 +149,7 @@
         List<String> seeds = card.network().seeds().stream().map(Office::host).toList();
         boolean founds = card.self().bootstrap() && seeds.contains(ip);
         id = ip + "#" + (founds ? "0" : Long.toHexString(new SecureRandom().nextLong() | 1));
-        Elector.Memory memory = new Elector.Memory(founds
+        Acceptor.Memory memory = new Acceptor.Memory(founds
                 ? Decision.founding(seeds.stream().map(s -> s + "#0").sorted().toList()) : null,
                 Ballot.NONE, null);
         // On disk before anything is said under this name.
@@ -235,7 +235,7 @@
                     @Override
                     public void changed(Tie t, Tie.State before) {
                         if (t.state() == Tie.State.UP && before == Tie.State.DIALLING) {
-                            t.send(new Letter.Paper(new Slip.Query(0, slot())));
+                            t.send(new Letter.Paper(new Message.Query(0, slot())));
                             t.send(new Letter.Post(List.copyOf(directory.all())));
                         }
                     }
@@ -300,7 +300,7 @@
         } else if (letter instanceof Letter.Post post) {
             posted(link, post.listings());
         } else if (letter instanceof Letter.Paper paper) {
-            council.received(now(), link.peer(), paper.slip());
+            council.received(now(), link.peer(), paper.message());
         } else if (letter instanceof Letter.Uses uses) {
             sum.say(now(), link.peer(), uses.uses());
             if (uses.wanted()) {
@@ -374,29 +374,29 @@
     // --- what the council has done
 
     @Override
-    public void send(String to, Slip slip) {
+    public void send(String to, Message message) {
         if (to == null) {
-            offices.values().forEach(tie -> tie.send(new Letter.Paper(slip)));
+            offices.values().forEach(tie -> tie.send(new Letter.Paper(message)));
         } else if (to.equals(id)) {
-            loop.execute(() -> guard(() -> council.received(now(), id, slip)));
+            loop.execute(() -> guard(() -> council.received(now(), id, message)));
         } else {
             String address = Council.address(to);
             know(address);
             Tie tie = offices.get(address);
             if (tie != null) {
-                tie.send(new Letter.Paper(slip));
+                tie.send(new Letter.Paper(message));
             }
         }
     }
 
     @Override
-    public void sync(Elector.Memory memory, String to, Slip slip) {
-        scribe.write(Letters.write(memory), () -> send(to, slip));
+    public void sync(Acceptor.Memory memory, String to, Message message) {
+        scribe.write(Letters.write(memory), () -> send(to, message));
     }
 
     @Override
     public void decided(Decision decision) {
-        scribe.write(Letters.write(new Elector.Memory(decision, Ballot.NONE, null)),
+        scribe.write(Letters.write(new Acceptor.Memory(decision, Ballot.NONE, null)),
                 () -> guard(() -> council.stored(now(), decision.slot())));
         decision.electors().forEach(e -> know(Council.address(e)));
         Event.DECIDED.log("slot " + decision.slot() + " version " + Long.toHexString(decision.version())
--- a/src/main/java/cobaltrack/post/office/Scribe.java
+++ b/src/main/java/cobaltrack/post/office/Scribe.java
@@ -17,7 +17,7 @@
 final class Scribe {
     /** Between two tries of a disk that refuses, unless there is a later memory, in milliseconds. */
     static final long PAUSE_MS = 250;
-    /** What may wait for a disk that stalls; the oldest beyond are dropped, as slips lost on the way. */
+    /** What may wait for a disk that stalls; the oldest beyond are dropped, as messages lost on the way. */
     static final int WAITING_MOST = 1000;
     private static final double NANOS = 1e6;
 
--- a/src/main/java/cobaltrack/post/wire/Letter.java
+++ b/src/main/java/cobaltrack/post/wire/Letter.java
@@ -2,7 +2,7 @@
 
 import cobaltrack.post.allowance.Use;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.ballot.Message;
 import cobaltrack.post.directory.Listing;
 import java.util.List;
 
@@ -23,7 +23,7 @@
     /** Asks for the newest. */
     record Fetch() implements Letter { }
 
-    /** The newest known there, whole; {@code confirmed} tells that its office is in contact with a majority. */
+    /** The newest known there, whole; {@code confirmed} tells that its office reaches a quorum. */
     record News(Decision decision, boolean confirmed) implements Letter { }
 
     /** Asks for a sign of life. */
@@ -45,7 +45,7 @@
     record Offices(List<String> addresses) implements Letter { }
 
     /** About a ballot. */
-    record Paper(Slip slip) implements Letter { }
+    record Paper(Message message) implements Letter { }
 
     /** A sidecar tells what it is asked for, and may ask for the sums. */
     record Uses(List<Use> uses, boolean wanted) implements Letter { }
--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -3,8 +3,8 @@
 import cobaltrack.post.allowance.Use;
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
-import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.ballot.Acceptor;
+import cobaltrack.post.ballot.Message;
 import cobaltrack.post.directory.Listing;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -72,7 +72,7 @@
             p.packByte((byte) 8).packLong(l.number()).packString(l.id()).packLong(l.slot());
         } else if (letter instanceof Letter.Paper l) {
             p.packByte((byte) 9);
-            slip(p, l.slip());
+            message(p, l.message());
         } else if (letter instanceof Letter.Uses l) {
             p.packByte((byte) 13);
             uses(p, l.uses());
@@ -130,7 +130,7 @@
                 case 6 -> new Letter.News(decision(u), u.unpackBoolean());
                 case 7 -> new Letter.Ping(u.unpackLong());
                 case 8 -> new Letter.Pong(u.unpackLong(), u.unpackString(), u.unpackLong());
-                case 9 -> new Letter.Paper(slip(u));
+                case 9 -> new Letter.Paper(message(u));
                 case 10 -> new Letter.Parcel(u.unpackLong(), u.unpackString(), u.unpackString(), strings(u),
                         bytes(u), u.unpackInt(), u.unpackString(), u.unpackString(), u.unpackInt());
                 case 11 -> new Letter.Delivered(u.unpackLong(), u.unpackInt(), strings(u), bytes(u),
@@ -150,7 +150,7 @@
     }
 
     /** Writes what an elector remembers. */
-    public static byte[] write(Elector.Memory memory) {
+    public static byte[] write(Acceptor.Memory memory) {
         try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
             if (memory.decided() == null) {
                 p.packNil();
@@ -170,62 +170,62 @@
      *
      * @throws IOException if these bytes are no memory
      */
-    public static Elector.Memory memory(byte[] bytes) throws IOException {
+    public static Acceptor.Memory memory(byte[] bytes) throws IOException {
         try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
             Decision decided = u.tryUnpackNil() ? null : decision(u);
-            return new Elector.Memory(decided, ballot(u), vote(u));
+            return new Acceptor.Memory(decided, ballot(u), vote(u));
         } catch (RuntimeException e) {
             throw new IOException("not an elector's memory", e);
         }
     }
 
-    private static void slip(MessageBufferPacker p, Slip slip) throws IOException {
-        if (slip instanceof Slip.Prepare s) {
+    private static void message(MessageBufferPacker p, Message message) throws IOException {
+        if (message instanceof Message.Prepare s) {
             p.packByte((byte) 1).packLong(s.slot());
             ballot(p, s.ballot());
-        } else if (slip instanceof Slip.Promise s) {
+        } else if (message instanceof Message.Promise s) {
             p.packByte((byte) 2).packLong(s.slot());
             ballot(p, s.ballot());
             vote(p, s.vote());
-        } else if (slip instanceof Slip.Propose s) {
+        } else if (message instanceof Message.Accept s) {
             p.packByte((byte) 3);
             ballot(p, s.ballot());
             decision(p, s.value());
-        } else if (slip instanceof Slip.Voted s) {
+        } else if (message instanceof Message.Accepted s) {
             p.packByte((byte) 4).packLong(s.slot());
             ballot(p, s.ballot());
-        } else if (slip instanceof Slip.Outbid s) {
+        } else if (message instanceof Message.Nack s) {
             p.packByte((byte) 5).packLong(s.slot());
             ballot(p, s.ballot());
             ballot(p, s.promised());
-        } else if (slip instanceof Slip.Lagging s) {
+        } else if (message instanceof Message.Lagging s) {
             p.packByte((byte) 6).packLong(s.slot()).packLong(s.have());
-        } else if (slip instanceof Slip.Decided s) {
+        } else if (message instanceof Message.Decided s) {
             p.packByte((byte) 7);
             decision(p, s.decision());
-        } else if (slip instanceof Slip.Query s) {
+        } else if (message instanceof Message.Query s) {
             p.packByte((byte) 8).packLong(s.nonce()).packLong(s.slot());
-        } else if (slip instanceof Slip.State s) {
+        } else if (message instanceof Message.State s) {
             p.packByte((byte) 9).packLong(s.nonce()).packLong(s.slot()).packBoolean(s.voted());
-        } else if (slip instanceof Slip.Join s) {
+        } else if (message instanceof Message.Join s) {
             p.packByte((byte) 10).packLong(s.slot());
         }
     }
 
-    private static Slip slip(MessageUnpacker u) throws IOException {
+    private static Message message(MessageUnpacker u) throws IOException {
         byte tag = u.unpackByte();
         return switch (tag) {
-            case 1 -> new Slip.Prepare(u.unpackLong(), ballot(u));
-            case 2 -> new Slip.Promise(u.unpackLong(), ballot(u), vote(u));
-            case 3 -> new Slip.Propose(ballot(u), decision(u));
-            case 4 -> new Slip.Voted(u.unpackLong(), ballot(u));
-            case 5 -> new Slip.Outbid(u.unpackLong(), ballot(u), ballot(u));
-            case 6 -> new Slip.Lagging(u.unpackLong(), u.unpackLong());
-            case 7 -> new Slip.Decided(decision(u));
-            case 8 -> new Slip.Query(u.unpackLong(), u.unpackLong());
-            case 9 -> new Slip.State(u.unpackLong(), u.unpackLong(), u.unpackBoolean());
-            case 10 -> new Slip.Join(u.unpackLong());
-            default -> throw new IOException("no slip has the tag " + tag);
+            case 1 -> new Message.Prepare(u.unpackLong(), ballot(u));
+            case 2 -> new Message.Promise(u.unpackLong(), ballot(u), vote(u));
+            case 3 -> new Message.Accept(ballot(u), decision(u));
+            case 4 -> new Message.Accepted(u.unpackLong(), ballot(u));
+            case 5 -> new Message.Nack(u.unpackLong(), ballot(u), ballot(u));
+            case 6 -> new Message.Lagging(u.unpackLong(), u.unpackLong());
+            case 7 -> new Message.Decided(decision(u));
+            case 8 -> new Message.Query(u.unpackLong(), u.unpackLong());
+            case 9 -> new Message.State(u.unpackLong(), u.unpackLong(), u.unpackBoolean());
+            case 10 -> new Message.Join(u.unpackLong());
+            default -> throw new IOException("no message has the tag " + tag);
         };
     }
 
@@ -237,7 +237,7 @@
         return new Ballot(u.unpackLong(), u.unpackString());
     }
 
-    private static void vote(MessageBufferPacker p, Slip.Vote vote) throws IOException {
+    private static void vote(MessageBufferPacker p, Message.Vote vote) throws IOException {
         if (vote == null) {
             p.packNil();
         } else {
@@ -246,11 +246,11 @@
         }
     }
 
-    private static Slip.Vote vote(MessageUnpacker u) throws IOException {
-        return u.getNextFormat() == MessageFormat.NIL ? nil(u) : new Slip.Vote(ballot(u), decision(u));
+    private static Message.Vote vote(MessageUnpacker u) throws IOException {
+        return u.getNextFormat() == MessageFormat.NIL ? nil(u) : new Message.Vote(ballot(u), decision(u));
     }
 
-    private static Slip.Vote nil(MessageUnpacker u) throws IOException {
+    private static Message.Vote nil(MessageUnpacker u) throws IOException {
         u.unpackNil();
         return null;
     }
--- a/src/main/java/cobaltrack/standin/post/CouncilPlay.java
+++ b/src/main/java/cobaltrack/standin/post/CouncilPlay.java
@@ -3,8 +3,8 @@
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
-import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.ballot.Acceptor;
+import cobaltrack.post.ballot.Message;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,9 +14,9 @@
 import java.util.SplittableRandom;
 
 /**
- * The real councils under a driven clock, a seeded network and seeded disks: slips are lost, delayed and cut
- * off in one direction, syncs take time and what was not synced is lost with the power, disks are wiped, one
- * office is replaced at another address. Operators race and repeat their calls. Checks that no slot has two
+ * The real councils under a driven clock, a seeded network and seeded disks: messages are lost, delayed and
+ * cut off in one direction, syncs take time and what was not synced is lost with the power, disks are wiped,
+ * one office is replaced at another address. Operators race and repeat their calls. Checks that no slot has two
  * values and that nothing acknowledged is forgotten or taken twice on one version. The same seed plays the
  * same. One thread.
  */
@@ -46,13 +46,13 @@
         private final String address;
         private String id;
         private Council council;
-        private Elector.Memory disk;
+        private Acceptor.Memory disk;
         private int life;
         private boolean up = true;
         private double freeAt;
         private int ticks;
 
-        private Machine(String address, String id, Elector.Memory disk) {
+        private Machine(String address, String id, Acceptor.Memory disk) {
             this.address = address;
             this.id = id;
             this.disk = disk;
@@ -111,40 +111,40 @@
             power(false);
             if (bug != Bug.VOTES_AFTER_WIPE) {
                 id = address + "#" + Long.toHexString(random.nextLong() | 1);
-                disk = new Elector.Memory(null, Ballot.NONE, null);
+                disk = new Acceptor.Memory(null, Ballot.NONE, null);
             } else {
-                disk = new Elector.Memory(Decision.founding(founders), Ballot.NONE, null);
+                disk = new Acceptor.Memory(Decision.founding(founders), Ballot.NONE, null);
             }
         }
 
         @Override
-        public void send(String to, Slip slip) {
+        public void send(String to, Message message) {
             if (to == null) {
                 machines.forEach((a, m) -> {
                     if (m != this) {
-                        slip(this, m, m.id, slip);
+                        message(this, m, m.id, message);
                     }
                 });
             } else {
                 Machine m = machines.get(Council.address(to));
                 if (m != null) {
-                    slip(this, m, to, slip);
+                    message(this, m, to, message);
                 }
             }
         }
 
         @Override
-        public void sync(Elector.Memory memory, String to, Slip slip) {
+        public void sync(Acceptor.Memory memory, String to, Message message) {
             int mine = life;
             if (bug == Bug.UNSYNCED) {
-                send(to, slip);
+                send(to, message);
             }
             double took = 1 + (random.nextInt(50) == 0 ? 400 : random.nextDouble() * 3);
             at(written(took), () -> {
                 if (life == mine && up) {
                     disk = memory;
                     if (bug != Bug.UNSYNCED) {
-                        send(to, slip);
+                        send(to, message);
                     }
                 }
             });
@@ -159,7 +159,7 @@
             int mine = life;
             at(written(1), () -> {
                 if (life == mine && up) {
-                    disk = new Elector.Memory(decision, Ballot.NONE, null);
+                    disk = new Acceptor.Memory(decision, Ballot.NONE, null);
                     council.stored(now, decision.slot());
                 }
             });
@@ -225,7 +225,7 @@
     private Outcome play() {
         for (String id : founders) {
             machines.put(Council.address(id), new Machine(Council.address(id), id,
-                    new Elector.Memory(Decision.founding(founders), Ballot.NONE, null)));
+                    new Acceptor.Memory(Decision.founding(founders), Ballot.NONE, null)));
         }
         double step = CALM / CALLS;
         for (int i = 0; i < CALLS; i++) {
@@ -252,14 +252,14 @@
         queue.add(new Due(now + after, ++order, task));
     }
 
-    private void slip(Machine from, Machine to, String id, Slip slip) {
+    private void message(Machine from, Machine to, String id, Message message) {
         if (from != to && (random.nextDouble() < loss || cut.containsKey(from.address + to.address))) {
             return;
         }
         String sender = from.id;
         at(from == to ? 0 : 0.5 + random.nextDouble() * 2, () -> {
             if (to.up && to.id.equals(id)) {
-                to.council.received(now, sender, slip);
+                to.council.received(now, sender, message);
             }
         });
     }
@@ -362,7 +362,7 @@
                 String address = m.address + "'";
                 at(1500, () -> machines.put(address, new Machine(address, address + "#"
                         + Long.toHexString(random.nextLong() | 1),
-                        new Elector.Memory(null, Ballot.NONE, null))));
+                        new Acceptor.Memory(null, Ballot.NONE, null))));
             }
         }
     }
--- a/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
@@ -200,7 +200,7 @@
             String size = large ? " (350 routes)" : " (small)";
             core.checker().sample("a member that is back, ms to the newest on its disk" + size,
                     core.now() - backAt);
-            core.checker().sample("a member that is back, bytes of slips until then" + size,
+            core.checker().sample("a member that is back, bytes of messages until then" + size,
                     member.metered());
             ready = true;
         } else if (core.now() - backAt > Core.SYNC) {
--- a/src/main/java/cobaltrack/standin/post/hardening/Core.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Core.java
@@ -3,7 +3,7 @@
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
+import cobaltrack.post.ballot.Acceptor;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -54,7 +54,7 @@
             founders.add((char) ('a' + i) + "#0");
         }
         founders.forEach(id -> add(Council.address(id), new Disk.Entry(id,
-                new Elector.Memory(Decision.founding(founders), Ballot.NONE, null))));
+                new Acceptor.Memory(Decision.founding(founders), Ballot.NONE, null))));
     }
 
     Agenda agenda() {
--- a/src/main/java/cobaltrack/standin/post/hardening/Disk.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Disk.java
@@ -1,6 +1,6 @@
 package cobaltrack.standin.post.hardening;
 
-import cobaltrack.post.ballot.Elector;
+import cobaltrack.post.ballot.Acceptor;
 import cobaltrack.post.wire.Letters;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -15,7 +15,7 @@
  */
 final class Disk {
     /** What lies on it: an office's id, and its memory. */
-    record Entry(String id, Elector.Memory memory) { }
+    record Entry(String id, Acceptor.Memory memory) { }
 
     private static final double QUICK = 1;
     private static final double SPREAD = 3;
--- a/src/main/java/cobaltrack/standin/post/hardening/Machine.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Machine.java
@@ -3,8 +3,8 @@
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
-import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.ballot.Acceptor;
+import cobaltrack.post.ballot.Message;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
 import cobaltrack.standin.post.hardening.Operation.Change;
@@ -120,7 +120,7 @@
         if (entry == null) {
             // A new disk is a new elector: what the old one may have promised, this one can't know.
             entry = new Disk.Entry(address + "#" + Long.toHexString(core.random().nextLong() | 1),
-                    new Elector.Memory(null, Ballot.NONE, null));
+                    new Acceptor.Memory(null, Ballot.NONE, null));
             disk.found(entry);
         }
         id = entry.id();
@@ -181,7 +181,7 @@
         disk.wipe();
         core.tell(address + " has lost its disk");
         if (core.bug() == Bug.VOTES_AFTER_WIPE) {
-            disk.found(new Disk.Entry(id, new Elector.Memory(Decision.founding(core.founders()), Ballot.NONE,
+            disk.found(new Disk.Entry(id, new Acceptor.Memory(Decision.founding(core.founders()), Ballot.NONE,
                     null)));
         }
     }
@@ -317,7 +317,7 @@
                 reached++;
             }
         }
-        return reached >= d.majority();
+        return reached >= d.quorum();
     }
 
     private String key() {
@@ -362,7 +362,7 @@
         what.accept(this);
     }
 
-    /** Begins to count the bytes of the slips that come. */
+    /** Begins to count the bytes of the messages that come. */
     void meter() {
         metered = 0;
     }
@@ -375,53 +375,54 @@
     // --- what the council has done
 
     @Override
-    public void send(String to, Slip slip) {
+    public void send(String to, Message message) {
         if (to == null) {
-            known.forEach(a -> slip(a, slip));
+            known.forEach(a -> message(a, message));
         } else if (to.equals(id)) {
             int mine = life;
-            core.agenda().in(0, () -> loop(mine, () -> council.received(local(), id, slip)));
+            core.agenda().in(0, () -> loop(mine, () -> council.received(local(), id, message)));
         } else {
             know(Council.address(to));
-            slip(Council.address(to), slip);
+            message(Council.address(to), message);
         }
-        if (core.bug() == Bug.ACKNOWLEDGES_ON_PROMISE && slip instanceof Slip.Propose p) {
+        if (core.bug() == Bug.ACKNOWLEDGES_ON_PROMISE && message instanceof Message.Accept p) {
             int mine = life;
             core.agenda().in(0, () -> loop(mine, () -> council.received(local(), to,
-                    new Slip.Voted(p.value().slot(), p.ballot()))));
+                    new Message.Accepted(p.value().slot(), p.ballot()))));
         }
     }
 
-    private void slip(String to, Slip slip) {
+    private void message(String to, Message message) {
         String sender = id;
-        post(to, m -> m.received(sender, slip));
+        post(to, m -> m.received(sender, message));
     }
 
-    private void received(String from, Slip slip) {
+    private void received(String from, Message message) {
         if (core.traced()) {
-            core.tell(address + " gets from " + from + " " + shortly(slip));
+            core.tell(address + " gets from " + from + " " + shortly(message));
         }
         if (metered >= 0) {
-            metered += Letters.write(new Letter.Paper(slip)).length;
+            metered += Letters.write(new Letter.Paper(message)).length;
         }
-        if (slip instanceof Slip.Decided d && core.bug() == Bug.LEARNS_OLDER && council.decided() != null
+        if (message instanceof Message.Decided d && core.bug() == Bug.LEARNS_OLDER
+                && council.decided() != null
                 && d.decision().slot() < council.decided().slot()) {
-            council = new Council(id, new Elector.Memory(d.decision(), Ballot.NONE, null),
+            council = new Council(id, new Acceptor.Memory(d.decision(), Ballot.NONE, null),
                     core.random().nextLong(), this);
         }
-        if (slip instanceof Slip.Decided d && core.bug() == Bug.FORGETS_TAKEN) {
-            council.received(local(), from, new Slip.Decided(forgetful(d.decision())));
+        if (message instanceof Message.Decided d && core.bug() == Bug.FORGETS_TAKEN) {
+            council.received(local(), from, new Message.Decided(forgetful(d.decision())));
         } else {
-            council.received(local(), from, slip);
+            council.received(local(), from, message);
         }
     }
 
-    private static String shortly(Slip slip) {
-        return slip instanceof Slip.Decided d ? "Decided " + d.decision().slot()
-                : slip instanceof Slip.Propose p ? "Propose " + p.ballot() + " slot " + p.value().slot()
-                : slip instanceof Slip.Promise p ? "Promise slot " + p.slot() + " " + p.ballot()
+    private static String shortly(Message message) {
+        return message instanceof Message.Decided d ? "Decided " + d.decision().slot()
+                : message instanceof Message.Accept p ? "Accept " + p.ballot() + " slot " + p.value().slot()
+                : message instanceof Message.Promise p ? "Promise slot " + p.slot() + " " + p.ballot()
                         + (p.vote() == null ? "" : " voted in " + p.vote().ballot())
-                : slip.toString();
+                : message.toString();
     }
 
     private static Decision forgetful(Decision d) {
@@ -431,14 +432,14 @@
     }
 
     @Override
-    public void sync(Elector.Memory memory, String to, Slip slip) {
+    public void sync(Acceptor.Memory memory, String to, Message message) {
         boolean early = core.bug() == Bug.UNSYNCED;
         if (early) {
-            send(to, slip);
+            send(to, message);
         }
         write(memory, () -> {
             if (!early) {
-                send(to, slip);
+                send(to, message);
             }
         });
     }
@@ -450,12 +451,12 @@
                     + " electors " + decision.electors());
         }
         core.checker().decided(decision);
-        write(new Elector.Memory(decision, Ballot.NONE, null),
+        write(new Acceptor.Memory(decision, Ballot.NONE, null),
                 () -> council.stored(local(), decision.slot()));
         decision.electors().forEach(e -> know(Council.address(e)));
     }
 
-    private void write(Elector.Memory memory, Runnable then) {
+    private void write(Acceptor.Memory memory, Runnable then) {
         int mine = life;
         disk.write(new Disk.Entry(id, memory), () -> loop(mine, () -> {
             onDisk = Math.max(onDisk, slot(memory.decided()));
--- a/src/test/java/cobaltrack/post/CouncilContactTest.java
+++ b/src/test/java/cobaltrack/post/CouncilContactTest.java
@@ -7,8 +7,8 @@
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
-import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.ballot.Acceptor;
+import cobaltrack.post.ballot.Message;
 import java.util.HashSet;
 import java.util.Set;
 import org.testng.annotations.Test;
@@ -26,8 +26,8 @@
         c.cutOff.add("a#0");
         c.now += 20_000;
         // Held back for twenty seconds: what the others asked, and answers to questions of before the cut.
-        a.received(c.now, "b#0", new Slip.Query(1, 0));
-        a.received(c.now, "c#0", new Slip.Query(1, 0));
+        a.received(c.now, "b#0", new Message.Query(1, 0));
+        a.received(c.now, "c#0", new Message.Query(1, 0));
         a.echoed(cutAt, "b#0", 0);
         a.echoed(cutAt, "c#0", 0);
         assertFalse(a.inTouch(c.now, WITHIN));
@@ -90,17 +90,18 @@
         // Its own promise was not on disk when it went; what it had called may still be on its way.
         Set<Ballot> ballots = new HashSet<>();
         for (int life = 0; life < 3; life++) {
-            Council c = new Council("a#0", new Elector.Memory(Decision.founding(Councils.FOUNDERS), Ballot.NONE,
-                    null), life, new Council.Actions() {
+            Acceptor.Memory founding = new Acceptor.Memory(Decision.founding(Councils.FOUNDERS), Ballot.NONE,
+                    null);
+            Council c = new Council("a#0", founding, life, new Council.Actions() {
                         @Override
-                        public void send(String to, Slip slip) {
-                            if (slip instanceof Slip.Prepare p) {
+                        public void send(String to, Message message) {
+                            if (message instanceof Message.Prepare p) {
                                 ballots.add(p.ballot());
                             }
                         }
 
                         @Override
-                        public void sync(Elector.Memory memory, String to, Slip slip) { }
+                        public void sync(Acceptor.Memory memory, String to, Message message) { }
 
                         @Override
                         public void replaced(long call, Council.Verdict verdict) { }
--- a/src/test/java/cobaltrack/post/CouncilSeatTest.java
+++ b/src/test/java/cobaltrack/post/CouncilSeatTest.java
@@ -6,7 +6,7 @@
 
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.ballot.Message;
 import java.util.List;
 import org.testng.annotations.Test;
 
@@ -19,7 +19,7 @@
         c.pass(1200);
         c.start("d#1", null);
         c.pass(800);
-        assertEquals(c.electors(), Councils.FOUNDERS, "a seat beside one that may be dead leaves no room for a loss");
+        assertEquals(c.electors(), Councils.FOUNDERS, "a seat beside a dead one leaves no room for a loss");
         c.pass(1200);
         assertEquals(c.electors(), List.of("a#0", "b#0", "d#1"));
     }
@@ -140,7 +140,8 @@
         c.all.get("b#0").leave(c.now);
         c.pass(1500);
         List<String> electors = c.electors();
-        assertTrue(electors.contains("d#1") && !electors.contains("b#0") && electors.size() == 3, "" + electors);
+        assertTrue(electors.contains("d#1") && !electors.contains("b#0"), "" + electors);
+        assertEquals(electors.size(), 3);
     }
 
     @Test
@@ -221,9 +222,9 @@
     @Test
     public void whoIsBehindAsksUntilItHasTheNewest() {
         Councils c = new Councils();
-        c.lost = slip -> slip instanceof Slip.Decided;
+        c.lost = message -> message instanceof Message.Decided;
         assertEquals(c.replace("a#0", 5, 0, "digest"), Council.Verdict.TAKEN);
-        c.lost = slip -> slip instanceof Slip.Prepare;
+        c.lost = message -> message instanceof Message.Prepare;
         c.pass(1000);
         assertEquals(c.all.get("b#0").decided().version(), 5L);
         assertEquals(c.all.get("c#0").decided().version(), 5L);
--- a/src/test/java/cobaltrack/post/Councils.java
+++ b/src/test/java/cobaltrack/post/Councils.java
@@ -3,8 +3,8 @@
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Council;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
-import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.ballot.Acceptor;
+import cobaltrack.post.ballot.Message;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -22,8 +22,8 @@
 
     final List<Council.Verdict> verdicts = new ArrayList<>();
     final Map<String, Council> all = new LinkedHashMap<>();
-    /** Slips that are lost. */
-    Predicate<Slip> lost = slip -> false;
+    /** Messages that are lost. */
+    Predicate<Message> lost = message -> false;
     /** Offices that no packet reaches or leaves. */
     final Set<String> cutOff = new HashSet<>();
     /** Offices whose packets arrive, and that nothing reaches. */
@@ -42,7 +42,7 @@
     }
 
     Council start(String id, Decision known) {
-        Council council = new Council(id, new Elector.Memory(known, Ballot.NONE, null), id.hashCode(),
+        Council council = new Council(id, new Acceptor.Memory(known, Ballot.NONE, null), id.hashCode(),
                 new Driver(id));
         all.put(id, council);
         return council;
@@ -61,20 +61,20 @@
         }
 
         @Override
-        public void send(String to, Slip slip) {
+        public void send(String to, Message message) {
             all.forEach((name, c) -> {
                 boolean open = name.equals(id) || !cutOff.contains(id) && !cutOff.contains(name)
                         && !deaf.contains(name);
-                if ((to == null && !name.equals(id) || name.equals(to)) && open && !lost.test(slip)) {
-                    mail.add(() -> c.received(now, id, slip));
+                if ((to == null && !name.equals(id) || name.equals(to)) && open && !lost.test(message)) {
+                    mail.add(() -> c.received(now, id, message));
                 }
             });
         }
 
         @Override
-        public void sync(Elector.Memory memory, String to, Slip slip) {
+        public void sync(Acceptor.Memory memory, String to, Message message) {
             if (!stalled.containsKey(id)) {
-                send(to, slip);
+                send(to, message);
             }
         }
 
--- a/src/test/java/cobaltrack/post/LettersTest.java
+++ b/src/test/java/cobaltrack/post/LettersTest.java
@@ -6,8 +6,8 @@
 import cobaltrack.post.allowance.Use;
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
-import cobaltrack.post.ballot.Slip;
+import cobaltrack.post.ballot.Acceptor;
+import cobaltrack.post.ballot.Message;
 import cobaltrack.post.directory.Listing;
 import cobaltrack.post.log.Event;
 import cobaltrack.post.wire.Letter;
@@ -32,15 +32,15 @@
                 new Letter.Ask(-1), new Letter.Notice(8), new Letter.Fetch(), new Letter.News(DECISION, true),
                 new Letter.Ping(1), new Letter.Pong(1, "10.0.0.1#0", 7), new Letter.Seek(),
                 new Letter.Offices(List.of("10.0.0.1")),
-                new Letter.Paper(new Slip.Prepare(8, BALLOT)),
-                new Letter.Paper(new Slip.Promise(8, BALLOT, null)),
-                new Letter.Paper(new Slip.Promise(8, BALLOT, new Slip.Vote(BALLOT, DECISION))),
-                new Letter.Paper(new Slip.Propose(BALLOT, DECISION)),
-                new Letter.Paper(new Slip.Voted(8, BALLOT)),
-                new Letter.Paper(new Slip.Outbid(8, BALLOT, BALLOT)),
-                new Letter.Paper(new Slip.Lagging(8, -1)), new Letter.Paper(new Slip.Decided(DECISION)),
-                new Letter.Paper(new Slip.Query(5, 3)), new Letter.Paper(new Slip.State(5, 3, true)),
-                new Letter.Paper(new Slip.Join(6)), new Letter.Uses(List.of(new Use("t", 0.5)), true),
+                new Letter.Paper(new Message.Prepare(8, BALLOT)),
+                new Letter.Paper(new Message.Promise(8, BALLOT, null)),
+                new Letter.Paper(new Message.Promise(8, BALLOT, new Message.Vote(BALLOT, DECISION))),
+                new Letter.Paper(new Message.Accept(BALLOT, DECISION)),
+                new Letter.Paper(new Message.Accepted(8, BALLOT)),
+                new Letter.Paper(new Message.Nack(8, BALLOT, BALLOT)),
+                new Letter.Paper(new Message.Lagging(8, -1)), new Letter.Paper(new Message.Decided(DECISION)),
+                new Letter.Paper(new Message.Query(5, 3)), new Letter.Paper(new Message.State(5, 3, true)),
+                new Letter.Paper(new Message.Join(6)), new Letter.Uses(List.of(new Use("t", 0.5)), true),
                 new Letter.Sums(3, List.of(new Use("t", 0.5))),
                 new Letter.Returned(4, Letter.Why.MOVED, 0.5, 2));
     }
@@ -57,9 +57,9 @@
         Letter.Delivered d = (Letter.Delivered) Letters.read(Letters.write(new Letter.Delivered(1, 200,
                 List.of("A", "b"), new byte[] {9}, 0.5, 2)));
         assertEquals(d.status(), 200);
-        Elector.Memory m = new Elector.Memory(DECISION, BALLOT, new Slip.Vote(BALLOT, DECISION));
+        Acceptor.Memory m = new Acceptor.Memory(DECISION, BALLOT, new Message.Vote(BALLOT, DECISION));
         assertEquals(Letters.memory(Letters.write(m)), m);
-        Elector.Memory none = new Elector.Memory(null, Ballot.NONE, null);
+        Acceptor.Memory none = new Acceptor.Memory(null, Ballot.NONE, null);
         assertEquals(Letters.memory(Letters.write(none)), none);
     }
 
--- a/src/test/java/cobaltrack/standin/post/hardening/DiskTest.java
+++ b/src/test/java/cobaltrack/standin/post/hardening/DiskTest.java
@@ -7,7 +7,7 @@
 
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Elector;
+import cobaltrack.post.ballot.Acceptor;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -30,7 +30,7 @@
     }
 
     private static Disk.Entry entry(long round) {
-        return new Disk.Entry("a#0", new Elector.Memory(Decision.founding(List.of("a#0")),
+        return new Disk.Entry("a#0", new Acceptor.Memory(Decision.founding(List.of("a#0")),
                 new Ballot(round, "a#0"), null));
     }
 
