Tell a sidecar that begins as soon as its office reaches a quorum, and dial an office that dials

Cause: after a loss of all processes sidecars began up to some tenths of a second late: they asked again each 0.2 s whether what they had was confirmed, and offices that found each other's port closed waited for their next dial. Change: an office tells whom it told something unconfirmed once it reaches a quorum, and dials back whoever dials it.

--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -33,9 +33,11 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -84,6 +86,8 @@
     private final Map<String, Tie> offices = new LinkedHashMap<>();
     /** Links that sidecars and other offices made, and for sidecars the slot that each has. */
     private final Map<Link, Long> guests = new LinkedHashMap<>();
+    /** Of these, who was told what no quorum has confirmed. */
+    private final Set<Link> unconfirmed = new HashSet<>();
     private final Map<Long, Consumer<Answer>> open = new HashMap<>();
     private final Sum sum = new Sum();
     private TariffCheck check;
@@ -202,6 +206,20 @@
             council.stored(now(), slot());
         }
         council.tick(now());
+        if (!unconfirmed.isEmpty() && council.inTouch(now(), CONFIRMED_MS)) {
+            List<Link> wait = List.copyOf(unconfirmed);
+            unconfirmed.clear();
+            wait.forEach(this::news);
+        }
+    }
+
+    // A sidecar that begins waits for what is confirmed: it is told again as soon as that is so.
+    private void news(Link link) {
+        boolean confirmed = council.inTouch(now(), CONFIRMED_MS);
+        if (!confirmed) {
+            unconfirmed.add(link);
+        }
+        link.send(new Letter.News(council.decided().forSidecars(), confirmed));
     }
 
     private void guard(Runnable task) {
@@ -273,6 +291,7 @@
     @Override
     public void down(Link link) {
         guests.remove(link);
+        unconfirmed.remove(link);
     }
 
     @Override
@@ -285,6 +304,11 @@
             link.peer(hello.id());
             if (hello.office()) {
                 know(Council.address(hello.id()));
+                // It listens from now on: no need to wait for the next dial.
+                Tie back = offices.get(Council.address(hello.id()));
+                if (back != null) {
+                    back.dial();
+                }
             } else {
                 link.send(new Letter.Post(List.copyOf(directory.all())));
             }
@@ -296,7 +320,7 @@
             guests.put(link, ask.slot());
             notice(link, ask.slot());
         } else if (letter instanceof Letter.Fetch && council.decided() != null) {
-            link.send(new Letter.News(council.decided().forSidecars(), council.inTouch(now(), CONFIRMED_MS)));
+            news(link);
         } else if (letter instanceof Letter.Post post) {
             posted(link, post.listings());
         } else if (letter instanceof Letter.Paper paper) {
