--- a/src/main/java/cobaltrack/post/carrier/Classes.java
+++ b/src/main/java/cobaltrack/post/carrier/Classes.java
@@ -12,11 +12,10 @@
     /** Ranks told apart; beyond the last, all are alike. */
     static final int RANKS = 4;
     /**
-     * Targets, in milliseconds: from the first, each half as much again as the one before. The module acts
-     * ten times in the first, and sheds once the loop is later than that: with 250, a carrier that has 0.3
-     * of a core would shed for 25 ms.
+     * Targets, in milliseconds: from the first, each half as much again as the one before. The module acts ten
+     * times in the first; with 400 it found its way back after a loss of all processes a second later.
      */
-    private static final double FIRST_TARGET = 400;
+    private static final double FIRST_TARGET = 250;
     private static final double STEP = 1.5;
     private static final int TARGETS = 10;
     /** How often a module acts in the first target. */
