Add rehearse scale: what control costs a carrier and an office, by size

Up to three offices and one carrier run as processes of their own with the deploy file's options; the other carriers, real Sidecars with endpoints that only beat, share one process. The real carrier's links go through a relay that counts letters by kind. Each point is bounded in time, all processes end with the run, and it stops above 4 cores or 10 GB.

Ruled out: processor time from the threads' schedstat (a JVM's compiler threads end, and a trial on 5 and 10 carriers gave negative figures); a short warm-up (6 s: a trial of 25 carriers used more when calm than with changes); counting letters inside the processes, which would change post/.

--- a/src/main/java/cobaltrack/standin/Rehearse.java
+++ b/src/main/java/cobaltrack/standin/Rehearse.java
@@ -1,6 +1,7 @@
 package cobaltrack.standin;
 
 import cobaltrack.decide.Decide;
+import cobaltrack.standin.post.scale.ScaleRehearsal;
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -19,7 +20,7 @@
 @Command(name = "rehearse", description = "Causes a failure on loopback and prints what came of it.",
         subcommands = {Rehearse.Room.class, Rehearse.Overload.class, Rehearse.Processor.class,
             Rehearse.Alike.class, ConsultSpeed.class, Speed.class, PlanRehearsal.class,
-            SignalRehearsal.class, CopiesRehearsal.class, CopiesCostRehearsal.class})
+            SignalRehearsal.class, CopiesRehearsal.class, CopiesCostRehearsal.class, ScaleRehearsal.class})
 public final class Rehearse implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/scale/Fleet.java
@@ -0,0 +1,260 @@
+package cobaltrack.standin.post.scale;
+
+import cobaltrack.standin.post.Talk;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The processes of one point of a scale run: offices, one real carrier behind a {@link Relay}, and one
+ * process of hollow carriers. They end when this is closed, or with this process. One thread.
+ */
+final class Fleet implements AutoCloseable {
+    /** As in {@code deploy/system.toml}; the archive of classes is taken where the build has made one. */
+    private static final List<String> JAVA = List.of("-Xmx96m", "-Xss256k", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-XX:SharedArchiveFile=target/mesh.jsa",
+            "-Xlog:disable", "-XX:-UsePerfData", "-Dio.netty.jfr.enabled=false",
+            "-Dio.netty.leakDetection.level=disabled");
+    private static final List<String> HOLLOW = List.of("-Xmx4g", "-Xss256k", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Dio.netty.leakDetection.level=disabled");
+    private static final long WAIT_S = 60;
+    private static final long POLL_MS = 50;
+    private static final int TAKEN = 200;
+
+    private final Sizes sizes;
+    private final Places places;
+    private final Path folder;
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final Relay relay = new Relay(loop);
+    private final Heard heard = new Heard();
+    private final List<Process> offices = new ArrayList<>();
+    private final List<Heard> officesHeard = new ArrayList<>();
+    private Process carrier;
+    private Process hollow;
+    private PrintStream toHollow;
+    private BufferedReader fromHollow;
+    private int replaced;
+    private long version;
+
+    private Fleet(Sizes sizes, int officeCount) throws IOException {
+        this.sizes = sizes;
+        this.places = new Places(officeCount);
+        this.folder = Files.createTempDirectory("scale");
+    }
+
+    /**
+     * Starts all and waits until the first configuration is in force everywhere.
+     *
+     * @throws IOException if that does not come about within a minute
+     */
+    static Fleet start(Sizes sizes, int officeCount) throws IOException, InterruptedException {
+        Fleet fleet = new Fleet(sizes, officeCount);
+        try {
+            fleet.begin();
+            return fleet;
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            fleet.close();
+            throw e;
+        }
+    }
+
+    private void begin() throws IOException, InterruptedException {
+        for (int i = 0; i < places.offices(); i++) {
+            offices.add(role("office", "office-" + i,
+                    places.office(i, folder.resolve("disk-" + i).toString()), hear()));
+            relay.listen(new InetSocketAddress(places.officeIp(i), places.relay()),
+                    new InetSocketAddress(places.officeIp(i), places.talk()));
+        }
+        until("the first configuration is taken", () -> {
+            try {
+                return change() > 0;
+            } catch (IOException e) {
+                // Not up yet.
+                return false;
+            }
+        });
+        List<String> words = new ArrayList<>(HOLLOW);
+        words.addAll(List.of("-cp", System.getProperty("java.class.path"), Hollow.class.getName(),
+                places.toString(), Integer.toString(sizes.carriers()), Integer.toString(sizes.services()),
+                Integer.toString(sizes.asked())));
+        hollow = java(words).redirectError(log("hollow")).start();
+        toHollow = new PrintStream(hollow.getOutputStream(), true, StandardCharsets.UTF_8);
+        fromHollow = hollow.inputReader(StandardCharsets.UTF_8);
+        carrier = role("carrier", "carrier", places.carrier(0, Sizes.service(0)), heard);
+        until("the first configuration is in force", () -> inForce(1).size() == sizes.carriers());
+    }
+
+    private File log(String name) {
+        return folder.resolve(name + ".log").toFile();
+    }
+
+    private ProcessBuilder java(List<String> words) {
+        List<String> command = new ArrayList<>(words);
+        command.add(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        return new ProcessBuilder(command);
+    }
+
+    private Heard hear() {
+        officesHeard.add(new Heard());
+        return officesHeard.get(officesHeard.size() - 1);
+    }
+
+    private Process role(String role, String name, List<String> settings, Heard ear) throws IOException {
+        Path file = Files.write(folder.resolve(name + ".conf"), settings);
+        List<String> words = new ArrayList<>(JAVA);
+        words.addAll(List.of("-cp", System.getProperty("java.class.path"), Tethered.class.getName(), role,
+                "-s", file.toString()));
+        Process process = java(words).redirectErrorStream(true).start();
+        Thread reading = new Thread(() -> process.inputReader(StandardCharsets.UTF_8).lines()
+                .forEach(line -> ear.line(line, System.nanoTime())), "log of " + name);
+        reading.setDaemon(true);
+        reading.start();
+        return process;
+    }
+
+    /** Whether something holds. */
+    interface Question {
+        /** Whether it does. */
+        boolean holds() throws IOException;
+    }
+
+    /**
+     * Waits until it holds.
+     *
+     * @throws IOException if it does not within a minute, or asking fails
+     */
+    static void until(String what, Question question) throws IOException, InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+        while (!question.holds()) {
+            if (System.nanoTime() > end) {
+                throw new IOException("not in " + WAIT_S + " s: " + what);
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
+    }
+
+    /** Orders the next version; the time of its acknowledgement, or 0 if it was not taken. */
+    long change() throws IOException {
+        long next = version + 1;
+        int office = (int) (next % offices.size());
+        int status = Talk.ask(places.control(office), "POST /whinlead/rpc?call=config.replace",
+                Map.of("If-Match", Long.toHexString(version), "Content-Type", "application/json"),
+                sizes.tariff(next).getBytes(StandardCharsets.UTF_8)).status();
+        if (status != TAKEN) {
+            return 0;
+        }
+        version = next;
+        return System.nanoTime();
+    }
+
+    /** The newest version that was acknowledged. */
+    long version() {
+        return version;
+    }
+
+    /** Has endpoints replaced at this rate from now on. */
+    void replaceListings(double perMin) {
+        toHollow.println("listings " + perMin);
+    }
+
+    /** How many endpoints were replaced so far. */
+    int replaced() throws IOException {
+        ask();
+        return replaced;
+    }
+
+    /** When each carrier had a version in force. */
+    List<Long> inForce(long aVersion) throws IOException {
+        List<Long> times = new ArrayList<>(ask().inForce(aVersion));
+        times.addAll(heard.inForce(aVersion));
+        return times;
+    }
+
+    /** How often carriers, the real one too, logged an event. */
+    int count(cobaltrack.post.log.Event event) throws IOException {
+        return ask().count(event) + heard.count(event);
+    }
+
+    /** The real carrier's heap in use after a collection, in bytes. */
+    double carrierHeap() throws IOException, InterruptedException {
+        return heap(carrier, heard);
+    }
+
+    /** The same of the office with the most. */
+    double officeHeap() throws IOException, InterruptedException {
+        double most = 0;
+        for (int i = 0; i < offices.size(); i++) {
+            most = Math.max(most, heap(offices.get(i), officesHeard.get(i)));
+        }
+        return most;
+    }
+
+    private static double heap(Process process, Heard ear) throws IOException, InterruptedException {
+        process.getOutputStream().write('\n');
+        process.getOutputStream().flush();
+        until("a heap is told", () -> !Double.isNaN(ear.heap()));
+        return ear.heap();
+    }
+
+    private Heard ask() throws IOException {
+        toHollow.println("report");
+        Heard told = new Heard();
+        for (String line = fromHollow.readLine(); !"end".equals(line); line = fromHollow.readLine()) {
+            if (line == null) {
+                throw new IOException("the hollow carriers' process has ended: "
+                        + Files.readString(log("hollow").toPath()));
+            }
+            if (line.startsWith("replaced ")) {
+                replaced = Integer.parseInt(line.split(" ")[1]);
+            } else {
+                told.parse(line);
+            }
+        }
+        return told;
+    }
+
+    /** What each process has used and each way has carried so far. */
+    Snapshot snapshot() throws IOException {
+        List<Usage> each = new ArrayList<>();
+        for (Process office : offices) {
+            each.add(Usage.of(office.pid()));
+        }
+        return new Snapshot(System.nanoTime(), Usage.of(carrier.pid()), each, Usage.of(hollow.pid()),
+                Usage.of(ProcessHandle.current().pid()), relay.counts());
+    }
+
+    @Override
+    public void close() {
+        loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        offices.forEach(Process::destroyForcibly);
+        if (hollow != null) {
+            hollow.destroyForcibly();
+        }
+        if (carrier != null) {
+            carrier.destroyForcibly();
+        }
+        try {
+            for (Process office : offices) {
+                office.waitFor();
+            }
+            Files.walk(folder).sorted(java.util.Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
+        } catch (IOException e) {
+            System.err.println("left behind: " + folder);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/scale/Hollow.java
@@ -0,0 +1,143 @@
+package cobaltrack.standin.post.scale;
+
+import cobaltrack.post.card.CardReader;
+import cobaltrack.post.carrier.Sidecar;
+import cobaltrack.post.log.Event;
+import cobaltrack.standin.post.Talk;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The hollow carriers of a scale run: many {@link Sidecar}s in one process, on two loops, with an endpoint
+ * beside each that only beats. It beats to the real carrier 0 as well. Commands come on standard input, one a
+ * line, and answers go to standard output; the process ends with its input.
+ */
+public final class Hollow {
+    private static final int LOOPS = 2;
+    /** Within the settings' time between two beats, in microseconds. */
+    private static final double BEAT_US = 1.2e6;
+    /** How often a tenant's request comes to a carrier, in microseconds: enough to be told to offices. */
+    private static final double ASK_US = 4e6;
+    private static final double US_A_MIN = 60e6;
+
+    private final Places places;
+    private final Sizes sizes;
+    private final Heard heard = new Heard();
+    private final ScheduledExecutorService beats = Executors.newSingleThreadScheduledExecutor();
+    private final ScheduledExecutorService asks = Executors.newSingleThreadScheduledExecutor();
+    private final Talk[] toBeats;
+    private final Talk[] toEgress;
+    private final int[] lives;
+    private long calls;
+    private int beaten;
+    private int replaced;
+    private int asked;
+    private Future<?> replacing;
+
+    private Hollow(Places places, Sizes sizes) {
+        this.places = places;
+        this.sizes = sizes;
+        this.toBeats = new Talk[sizes.carriers()];
+        this.toEgress = new Talk[sizes.carriers()];
+        this.lives = new int[sizes.carriers()];
+    }
+
+    /** Runs; arguments are the places, carriers, services, and tenants that are asked for. */
+    public static void main(String... args) throws IOException, InterruptedException {
+        Hollow hollow = new Hollow(Places.parse(args[0]), new Sizes(Integer.parseInt(args[1]),
+                Integer.parseInt(args[2]), 1, 0, Integer.parseInt(args[3]), 0, 0));
+        hollow.start();
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            hollow.run(line.split(" "));
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
+    private void start() throws InterruptedException {
+        heard.listen();
+        CardReader reader = new CardReader(new ObjectMapper());
+        EventLoopGroup loops = new MultiThreadIoEventLoopGroup(LOOPS, NioIoHandler.newFactory());
+        for (int i = 1; i < sizes.carriers(); i++) {
+            new Sidecar(reader.parse(places.carrier(i, target(i))), loops.next(), new ObjectMapper()).start();
+        }
+        beats.scheduleAtFixedRate(() -> beat(beaten++ % sizes.carriers()), 0,
+                (long) (BEAT_US / sizes.carriers()), TimeUnit.MICROSECONDS);
+        if (sizes.asked() > 0) {
+            asks.scheduleAtFixedRate(this::ask, 0, (long) (ASK_US / sizes.carriers() / sizes.asked()),
+                    TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void run(String... command) {
+        if ("listings".equals(command[0])) {
+            double perMin = Double.parseDouble(command[1]);
+            if (replacing != null) {
+                replacing.cancel(false);
+            }
+            if (perMin > 0) {
+                long every = (long) (US_A_MIN / perMin);
+                replacing = beats.scheduleAtFixedRate(this::replace, every, every, TimeUnit.MICROSECONDS);
+            }
+        } else {
+            heard.report(System.out);
+            System.out.println("replaced " + replaced);
+            System.out.println("end");
+        }
+    }
+
+    private String target(int carrier) {
+        return Sizes.service(carrier % sizes.services());
+    }
+
+    private void replace() {
+        int carrier = replaced++ % sizes.carriers();
+        lives[carrier]++;
+        beat(carrier);
+    }
+
+    private void beat(int i) {
+        String body = "{\"Target\":\"" + target(i) + "\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"hall-a\","
+                + "\"Epoch\":\"v1\",\"Capacity\":6,\"Phase\":\"serving\",\"WarmupS\":0,\"CallSeq\":"
+                + ++calls + "}";
+        say(toBeats, i, places.beats(i), "POST /whinlead/rpc?call=members.heartbeat&of=endpoint-" + i + "-"
+                + lives[i], Map.of("Content-Type", "application/json"), body);
+    }
+
+    private void ask() {
+        int i = asked % sizes.carriers();
+        int tenant = asked / sizes.carriers() % sizes.asked();
+        asked++;
+        say(toEgress, i, places.egress(i), "GET " + sizes.path(), Map.of("Host", Sizes.service(0)
+                + ".mesh.example", "Attempt-Id", "ask-" + asked, "Deadline-Ms", "1000", "Api-Key",
+                Sizes.key(tenant)), "");
+    }
+
+    private static void say(Talk[] talks, int i, String address, String first, Map<String, String> headers,
+            String body) {
+        try {
+            if (talks[i] == null) {
+                talks[i] = new Talk(address);
+            }
+            if (talks[i].ask(first, headers, body.getBytes(StandardCharsets.UTF_8)) != null) {
+                return;
+            }
+            talks[i].close();
+        } catch (IOException e) {
+            // Not up yet, or closed as idle: the next one dials again.
+            Event.FAULT.log(e.getMessage());
+        }
+        talks[i] = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/scale/Point.java
@@ -0,0 +1,208 @@
+package cobaltrack.standin.post.scale;
+
+import cobaltrack.post.log.Event;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One point of a scale run: a fleet of one size, measured when calm, then with changes of the
+ * configuration, then with endpoints replaced. What a change costs is what a span with changes used beyond a
+ * calm one, by the changes in it. Figures by name, in the order of the measurement. One thread.
+ */
+final class Point {
+    private static final double NANOS = 1e9;
+    private static final double MILLIS = 1e3;
+    private static final double MB = 1 << 20;
+    private static final double PERCENT = 100;
+    private static final double MIN_S = 60;
+    /** Of a span, the part in which something is set going; the rest sees its end. */
+    private static final double ACTIVE = 0.9;
+    /** The warming's end in which nothing changes, in seconds. */
+    private static final double REST_S = 2;
+
+    private final Sizes sizes;
+    private final int offices;
+    private final double seconds;
+    private final double warmS;
+    private final Map<String, Double> figures = new LinkedHashMap<>();
+
+    /**
+     * A point.
+     *
+     * @param seconds length of each of the spans
+     * @param warmS seconds before the first of them
+     */
+    Point(Sizes sizes, int offices, double seconds, double warmS) {
+        this.sizes = sizes;
+        this.offices = offices;
+        this.seconds = seconds;
+        this.warmS = warmS;
+    }
+
+    /** Measures it. */
+    Map<String, Double> measure() throws IOException, InterruptedException {
+        try (Fleet fleet = Fleet.start(sizes, offices)) {
+            warm(fleet);
+            int lost = fleet.count(Event.OFFICE_DOWN);
+            Snapshot calm = calm(fleet);
+            if (sizes.changesPerMin() > 0) {
+                changes(fleet, calm);
+            }
+            if (sizes.listingsPerMin() > 0) {
+                listings(fleet, calm);
+            }
+            figures.put("carrier, heap in use, MB", fleet.carrierHeap() / MB);
+            figures.put("office, heap in use, MB", fleet.officeHeap() / MB);
+            figures.put("ties lost by all carriers", (double) fleet.count(Event.OFFICE_DOWN) - lost);
+        }
+        return figures;
+    }
+
+    // All that is measured later is done before: a JVM compiles what runs often, and that costs as well.
+    private void warm(Fleet fleet) throws IOException, InterruptedException {
+        long end = System.nanoTime() + (long) (warmS * NANOS);
+        fleet.replaceListings(sizes.listingsPerMin());
+        while (sizes.changesPerMin() > 0 && System.nanoTime() < end - REST_S * NANOS) {
+            fleet.change();
+            sleepUntil(System.nanoTime() + (long) (MIN_S / sizes.changesPerMin() * NANOS));
+        }
+        fleet.replaceListings(0);
+        sleepUntil(end);
+    }
+
+    private static void sleepUntil(long nanos) throws InterruptedException {
+        TimeUnit.NANOSECONDS.sleep(Math.max(0, nanos - System.nanoTime()));
+    }
+
+    private Snapshot calm(Fleet fleet) throws IOException, InterruptedException {
+        Snapshot before = fleet.snapshot();
+        sleepUntil(before.nanos() + (long) (seconds * NANOS));
+        Snapshot calm = fleet.snapshot().since(before);
+        String name = "calm, ";
+        double s = calm.seconds();
+        figures.put(name + "carrier, % of a core", calm.carrier().cpuS() / s * PERCENT);
+        figures.put(name + "carrier, MB", calm.carrier().residentMb());
+        figures.put(name + "carrier, MB of its own", calm.carrier().ownMb());
+        figures.put(name + "carrier, bytes/s in", Snapshot.bytes(calm.letters().fromOffices()) / s);
+        figures.put(name + "carrier, bytes/s out", Snapshot.bytes(calm.letters().toOffices()) / s);
+        figures.put(name + "carrier, letters/s in", Snapshot.letters(calm.letters().fromOffices()) / s);
+        figures.put(name + "carrier, letters/s out", Snapshot.letters(calm.letters().toOffices()) / s);
+        calm.letters().fromOffices().forEach((kind, c) -> figures.put(name + "letters/s in, " + kind,
+                c.letters() / s));
+        calm.letters().toOffices().forEach((kind, c) -> figures.put(name + "letters/s out, " + kind,
+                c.letters() / s));
+        figures.put(name + "office, % of a core", calm.officeCpuS() / s * PERCENT);
+        figures.put(name + "office, MB", calm.officeMb());
+        figures.put(name + "office, MB of its own", calm.officeOwnMb());
+        figures.put(name + "office, bytes/s in", calm.officeRead() / s);
+        figures.put(name + "office, bytes/s out", calm.officeWritten() / s);
+        run(name, calm);
+        return calm;
+    }
+
+    private void run(String name, Snapshot span) {
+        figures.put(name + "all processes, cores", span.cores());
+        figures.put(name + "all processes, MB", span.residentMb());
+    }
+
+    private void changes(Fleet fleet, Snapshot calm) throws IOException, InterruptedException {
+        int most = Math.max(1, (int) (seconds * ACTIVE * sizes.changesPerMin() / MIN_S));
+        long every = (long) (MIN_S / sizes.changesPerMin() * NANOS);
+        Map<Long, Long> acknowledged = new LinkedHashMap<>();
+        List<Double> orders = new ArrayList<>();
+        int refused = 0;
+        Snapshot before = fleet.snapshot();
+        for (int i = 0; i < most; i++) {
+            sleepUntil(before.nanos() + i * every);
+            long sent = System.nanoTime();
+            long at = fleet.change();
+            if (at > 0) {
+                acknowledged.put(fleet.version(), at);
+                orders.add((at - sent) / NANOS * MILLIS);
+            } else {
+                refused++;
+            }
+        }
+        sleepUntil(before.nanos() + (long) (seconds * NANOS));
+        Snapshot span = fleet.snapshot().since(before);
+        long last = fleet.version();
+        Fleet.until("the last change is in force", () -> fleet.inForce(last).size() >= sizes.carriers());
+        String name = "changes, ";
+        costs(name + "each, ", span, calm, acknowledged.size());
+        figures.put(name + "carrier, % of a core", span.carrier().cpuS() / span.seconds() * PERCENT);
+        figures.put(name + "carrier, MB", span.carrier().residentMb());
+        figures.put(name + "office, % of a core", span.officeCpuS() / span.seconds() * PERCENT);
+        figures.put(name + "office, MB", span.officeMb());
+        figures.put(name + "taken", (double) acknowledged.size());
+        figures.put(name + "not taken", (double) refused);
+        figures.put(name + "order to acknowledgement, median ms", median(orders));
+        figures.put(name + "order to acknowledgement, worst ms", Collections.max(orders));
+        times(fleet, acknowledged);
+        run(name, span);
+    }
+
+    private void times(Fleet fleet, Map<Long, Long> acknowledged) throws IOException {
+        List<Double> medians = new ArrayList<>();
+        List<Double> last = new ArrayList<>();
+        int skipped = 0;
+        for (Map.Entry<Long, Long> e : acknowledged.entrySet()) {
+            List<Double> ms = new ArrayList<>();
+            fleet.inForce(e.getKey()).forEach(t -> ms.add((t - e.getValue()) / NANOS * MILLIS));
+            skipped += sizes.carriers() - ms.size();
+            if (!ms.isEmpty()) {
+                medians.add(median(ms));
+                last.add(Collections.max(ms));
+            }
+        }
+        figures.put("changes, in force at half of the carriers, median ms", median(medians));
+        figures.put("changes, in force at all carriers, median ms", median(last));
+        figures.put("changes, in force at all carriers, worst ms", Collections.max(last));
+        figures.put("changes, overtaken by the next at a carrier", (double) skipped);
+    }
+
+    private void listings(Fleet fleet, Snapshot calm) throws IOException, InterruptedException {
+        int had = fleet.replaced();
+        Snapshot before = fleet.snapshot();
+        fleet.replaceListings(sizes.listingsPerMin());
+        sleepUntil(before.nanos() + (long) (seconds * ACTIVE * NANOS));
+        fleet.replaceListings(0);
+        sleepUntil(before.nanos() + (long) (seconds * NANOS));
+        Snapshot span = fleet.snapshot().since(before);
+        int replaced = fleet.replaced() - had;
+        costs("listings, each, ", span, calm, replaced);
+        figures.put("listings, changed", (double) replaced);
+        run("listings, ", span);
+    }
+
+    private void costs(String name, Snapshot span, Snapshot calm, int count) {
+        double s = span.seconds() / calm.seconds();
+        double of = Math.max(1, count);
+        figures.put(name + "carrier, ms of a core",
+                (span.carrier().cpuS() - calm.carrier().cpuS() * s) * MILLIS / of);
+        figures.put(name + "carrier, bytes in", (Snapshot.bytes(span.letters().fromOffices())
+                - Snapshot.bytes(calm.letters().fromOffices()) * s) / of);
+        figures.put(name + "carrier, bytes out", (Snapshot.bytes(span.letters().toOffices())
+                - Snapshot.bytes(calm.letters().toOffices()) * s) / of);
+        span.letters().fromOffices().forEach((kind, c) -> {
+            Relay.Count less = calm.letters().fromOffices().get(kind);
+            figures.put(name + "letters in, " + kind,
+                    (c.letters() - (less == null ? 0 : less.letters() * s)) / of);
+        });
+        figures.put(name + "office, ms of a core",
+                (span.officeCpuS() - calm.officeCpuS() * s) * MILLIS / of);
+        figures.put(name + "office, bytes in", (span.officeRead() - calm.officeRead() * s) / of);
+        figures.put(name + "office, bytes out", (span.officeWritten() - calm.officeWritten() * s) / of);
+    }
+
+    static double median(List<Double> values) {
+        List<Double> sorted = new ArrayList<>(values);
+        Collections.sort(sorted);
+        int n = sorted.size();
+        return n == 0 ? Double.NaN : (sorted.get((n - 1) / 2) + sorted.get(n / 2)) / 2;
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/scale/ScaleRehearsal.java
@@ -0,0 +1,160 @@
+package cobaltrack.standin.post.scale;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/**
+ * {@code rehearse scale}: what control costs a carrier and an office, at several sizes of the mesh, and how
+ * it grows. Offices and one carrier are processes of their own, the other carriers share one. Of the sizes
+ * one may have several values; each figure is then fitted on it. Exits with 1 where the run used more than
+ * it may.
+ */
+@Command(name = "scale", description = "What control costs carriers and offices, and how it grows with "
+        + "carriers, services, routes, tenants or changes a minute.")
+public final class ScaleRehearsal implements Callable<Integer> {
+    /** What all processes of a run may use together. */
+    private static final double CORES_MOST = 4;
+    private static final double MB_MOST = 10_240;
+    private static final int CARRIERS_MOST = 600;
+
+    @Option(names = "--carriers", split = ",", description = "How many, the real one too; ${DEFAULT-VALUE}.")
+    private List<Integer> carriers = List.of(25, 50, 100, 200);
+    @Option(names = "--services", split = ",", description = "In the configuration; ${DEFAULT-VALUE}.")
+    private List<Integer> services = List.of(2);
+    @Option(names = "--routes", split = ",", description = "In the configuration; ${DEFAULT-VALUE}.")
+    private List<Integer> routes = List.of(8);
+    @Option(names = "--tenants", split = ",", description = "In the configuration; ${DEFAULT-VALUE}.")
+    private List<Integer> tenants = List.of(20);
+    @Option(names = "--asked", split = ",",
+            description = "Tenants that requests come for at every carrier; ${DEFAULT-VALUE}.")
+    private List<Integer> asked = List.of(0);
+    @Option(names = "--changes-per-min", split = ",", description = "Of the configuration; ${DEFAULT-VALUE}.")
+    private List<Double> changes = List.of(60.0);
+    @Option(names = "--listings-per-min", split = ",", description = "Endpoints replaced; ${DEFAULT-VALUE}.")
+    private List<Double> listings = List.of(600.0);
+    @Option(names = "--offices", description = "${DEFAULT-VALUE}.")
+    private int offices = 3;
+    @Option(names = "--seconds", description = "Length of each span; ${DEFAULT-VALUE}.")
+    private double seconds = 15;
+    @Option(names = "--warm", description = "Seconds before the first span; ${DEFAULT-VALUE}.")
+    private double warm = 20;
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        List<double[]> points = points();
+        String size = varied();
+        Map<String, List<double[]>> fits = new LinkedHashMap<>();
+        for (double[] p : points) {
+            Sizes sizes = new Sizes((int) p[0], (int) p[1], (int) p[2], (int) p[3], (int) p[4], p[5], p[6]);
+            double load = load();
+            Map<String, Double> figures = new Point(sizes, offices, seconds, warm).measure();
+            figures.put("the machine's load before", load);
+            figures.put("the machine's load after", load());
+            double at = at(size, sizes);
+            figures.forEach((name, value) -> {
+                System.out.printf(Locale.ROOT, "%s=%.0f, %s: %.4f%n", size, at, name, value);
+                fits.computeIfAbsent(name, n -> new ArrayList<>()).add(new double[] {at, value});
+            });
+            if (broken(figures)) {
+                return 1;
+            }
+        }
+        fits.forEach((name, values) -> fit(size, name, values, points.size()));
+        return 0;
+    }
+
+    private static double load() {
+        return ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage();
+    }
+
+    private List<double[]> points() {
+        List<double[]> all = new ArrayList<>();
+        for (int n : carriers) {
+            for (int s : services) {
+                for (int r : routes) {
+                    for (int t : tenants) {
+                        for (int a : asked) {
+                            for (double c : changes) {
+                                for (double l : listings) {
+                                    all.add(new double[] {n, s, r, t, a, c, l});
+                                }
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        for (double[] p : all) {
+            if (p[0] < 2 || p[0] > CARRIERS_MOST || p[1] < 1 || p[2] < p[1] || p[4] > p[3]) {
+                throw new ParameterException(spec.commandLine(), "2 to " + CARRIERS_MOST
+                        + " carriers, as many routes as services at least, no more asked for than tenants");
+            }
+        }
+        return all;
+    }
+
+    // By the letter that stands for it in formulas.
+    private String varied() {
+        Map<String, List<?>> sizes = new LinkedHashMap<>();
+        sizes.put("N", carriers);
+        sizes.put("S", services);
+        sizes.put("R", routes);
+        sizes.put("T", tenants);
+        sizes.put("A", asked);
+        sizes.put("C", changes);
+        sizes.put("L", listings);
+        List<String> several = sizes.entrySet().stream().filter(e -> e.getValue().size() > 1)
+                .map(Map.Entry::getKey).toList();
+        if (several.size() > 1) {
+            throw new ParameterException(spec.commandLine(), "only one size may have several values");
+        }
+        return several.isEmpty() ? "N" : several.get(0);
+    }
+
+    private static double at(String size, Sizes s) {
+        return switch (size) {
+            case "S" -> s.services();
+            case "R" -> s.routes();
+            case "T" -> s.tenants();
+            case "A" -> s.asked();
+            case "C" -> s.changesPerMin();
+            case "L" -> s.listingsPerMin();
+            default -> s.carriers();
+        };
+    }
+
+    private static boolean broken(Map<String, Double> figures) {
+        boolean over = figures.entrySet().stream().anyMatch(e -> e.getKey().endsWith("all processes, cores")
+                && e.getValue() > CORES_MOST || e.getKey().endsWith("all processes, MB")
+                && e.getValue() > MB_MOST);
+        if (over) {
+            System.out.printf(Locale.ROOT, "stopped: over %.0f cores or %.0f MB (promised) BROKEN%n",
+                    CORES_MOST, MB_MOST);
+        }
+        return over;
+    }
+
+    private static void fit(String size, String name, List<double[]> values, int all) {
+        for (int degree = 1; degree <= 2; degree++) {
+            if (values.size() == all && all > degree + 1) {
+                double[] x = values.stream().mapToDouble(v -> v[0]).toArray();
+                double[] y = values.stream().mapToDouble(v -> v[1]).toArray();
+                System.out.printf("fit of degree %d, %s: %s%n", degree, name,
+                        Fit.of(x, y, degree).formula(size));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cobaltrack/standin/post/scale/ScaleTest.java
@@ -0,0 +1,166 @@
+package cobaltrack.standin.post.scale;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import cobaltrack.post.tariff.Routing;
+import cobaltrack.post.tariff.Tariff;
+import cobaltrack.post.tariff.TariffCheck;
+import cobaltrack.post.tariff.TariffReader;
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Letters;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.Test;
+import picocli.CommandLine;
+
+/** A scale run's figures are those of what it ran, and its fits those of its figures. */
+public class ScaleTest {
+    private static final double EXACT = 1e-9;
+
+    @Test
+    public void aFitFindsTheLineAndTheParabolaThatFiguresLieOn() {
+        double[] sizes = {25, 50, 100, 200};
+        Fit line = Fit.of(sizes, new double[] {77, 152, 302, 602}, 1);
+        assertEquals(line.coefficients(), new double[] {2, 3}, EXACT);
+        assertEquals(line.errors(), new double[] {0, 0}, EXACT);
+        assertEquals(line.residual(), 0, EXACT);
+        assertEquals(line.at(29_000), 87_002, 1e-6);
+        Fit parabola = Fit.of(sizes, new double[] {626, 2501, 10_001, 40_001}, 2);
+        assertEquals(parabola.coefficients(), new double[] {1, 0, 1}, 1e-6);
+    }
+
+    @Test
+    public void aFitTellsItsErrors() {
+        // Squares left 2.4 over 3 to spare; spread of the sizes 10, their mean 3.
+        Fit fit = Fit.of(new double[] {1, 2, 3, 4, 5}, new double[] {2, 4, 5, 4, 5}, 1);
+        assertEquals(fit.coefficients(), new double[] {2.2, 0.6}, EXACT);
+        assertEquals(fit.residual(), Math.sqrt(0.8), EXACT);
+        assertEquals(fit.errors(), new double[] {Math.sqrt(0.8 * 1.1), Math.sqrt(0.08)}, EXACT);
+        assertEquals(fit.formula("N"), "2.200 (0.94) + 0.6000 (0.28) N, residual 0.89");
+    }
+
+    @Test
+    public void sizesThatTellNothingAreRefused() {
+        expectThrows(IllegalArgumentException.class, () -> Fit.of(new double[] {5, 5, 5},
+                new double[] {1, 2, 3}, 1));
+        expectThrows(IllegalArgumentException.class, () -> Fit.of(new double[] {5}, new double[] {1}, 1));
+    }
+
+    @Test
+    public void theConfigurationIsValidAndOfItsSizeAndChangesWithItsVersion() throws Exception {
+        Sizes sizes = new Sizes(4, 3, 10, 5, 0, 60, 60);
+        byte[] first = sizes.tariff(7).getBytes(StandardCharsets.UTF_8);
+        Tariff tariff = new TariffReader().read(first);
+        new TariffCheck().check(tariff);
+        assertEquals(tariff.version(), 7);
+        assertEquals(List.of(tariff.routes().size(), tariff.services().size(), tariff.tenants().size()),
+                List.of(10, 3, 5));
+        Routing routing = new Routing(1, tariff);
+        assertEquals(routing.route(Sizes.service(0) + ".mesh.example", sizes.path()).name(), "route-00000");
+        assertEquals(routing.payer(Sizes.key(4)).name(), "tenant-00004");
+        Tariff next = new TariffReader().read(sizes.tariff(8).getBytes(StandardCharsets.UTF_8));
+        long changed = tariff.routes().entrySet().stream()
+                .filter(e -> !e.getValue().equals(next.routes().get(e.getKey()))).count();
+        assertEquals(changed, 2, "the route of either version");
+    }
+
+    @Test
+    public void whatWasHeardIsReportedWhole() {
+        Heard heard = new Heard();
+        heard.line("301 office in reach: 127.0.0.1", 1);
+        heard.line("401 configuration in force: version 0000001f slot 3", 20);
+        heard.line("401 configuration in force: version 0000001f slot 3", 30);
+        heard.line("heap 12345", 40);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        heard.report(new PrintStream(out, true, StandardCharsets.UTF_8));
+        Heard read = new Heard();
+        out.toString(StandardCharsets.UTF_8).lines().forEach(read::parse);
+        assertEquals(read.inForce(31), List.of(20L, 30L));
+        assertEquals(read.count(cobaltrack.post.log.Event.OFFICE_UP), 1);
+        assertEquals(heard.heap(), 12345.0);
+    }
+
+    @Test
+    public void theRelayPassesLettersOnAndCountsThem() throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        try (ServerSocket office = new ServerSocket(0, 4, InetAddress.getByName("127.0.0.1"))) {
+            Relay relay = new Relay(loop);
+            InetSocketAddress here = (InetSocketAddress) relay.listen(new InetSocketAddress("127.0.0.1", 0),
+                    office.getLocalSocketAddress()).localAddress();
+            byte[] ping = Letters.write(new Letter.Ping(5));
+            byte[] pong = Letters.write(new Letter.Pong(5, true));
+            try (Socket near = new Socket(here.getAddress(), here.getPort()); Socket far = office.accept()) {
+                say(near, ping);
+                say(near, ping);
+                assertEquals(hear(far), ping);
+                assertEquals(hear(far), ping);
+                say(far, pong);
+                assertEquals(hear(near), pong);
+            }
+            Relay.Counts counts = relay.counts();
+            assertEquals(counts.toOffices(), Map.of("Ping", new Relay.Count(2, 2L * (4 + ping.length))));
+            assertEquals(counts.fromOffices(), Map.of("Pong", new Relay.Count(1, 4 + pong.length)));
+        } finally {
+            loop.parent().shutdownGracefully();
+        }
+    }
+
+    private static void say(Socket socket, byte[] letter) throws Exception {
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        out.writeInt(letter.length);
+        out.write(letter);
+    }
+
+    private static byte[] hear(Socket socket) throws Exception {
+        socket.setSoTimeout(10_000);
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        return in.readNBytes(in.readInt());
+    }
+
+    @Test
+    public void aSmallMeshIsMeasured() throws Exception {
+        Map<String, Double> figures = new Point(new Sizes(4, 1, 4, 2, 1, 120, 300), 1, 2, 1).measure();
+        assertEquals(figures.get("changes, not taken"), 0.0, figures.toString());
+        assertTrue(figures.get("changes, taken") >= 1, figures.toString());
+        // One notice from the one office and the configuration once: neither less nor, but for one asked for
+        // again beside other work, more.
+        for (String kind : List.of("Notice", "News")) {
+            double each = figures.get("changes, each, letters in, " + kind);
+            assertTrue(each > 0.5 && each < 2.5, kind + " " + each);
+        }
+        assertTrue(figures.get("changes, in force at all carriers, worst ms")
+                >= figures.get("changes, in force at half of the carriers, median ms"), figures.toString());
+        assertTrue(figures.get("listings, changed") >= 1, figures.toString());
+        assertTrue(figures.get("listings, each, carrier, bytes in") > 20, figures.toString());
+        // A listing a second and what is asked for three times a second, to one office; pings only when idle.
+        assertTrue(figures.get("calm, letters/s out, Post") > 0.2, figures.toString());
+        assertTrue(figures.get("calm, letters/s out, Uses") > 0.5, figures.toString());
+        assertTrue(figures.get("carrier, heap in use, MB") > 1, figures.toString());
+        assertTrue(figures.get("office, heap in use, MB") > 1, figures.toString());
+        assertTrue(figures.get("calm, carrier, MB") > figures.get("carrier, heap in use, MB"),
+                figures.toString());
+    }
+
+    @Test
+    public void sizesThatCannotBeRunAreBadUsage() {
+        CommandLine line = new CommandLine(new ScaleRehearsal());
+        line.setErr(new java.io.PrintWriter(new java.io.StringWriter()));
+        assertEquals(line.execute("--carriers", "25,50", "--services", "2,4"), 2);
+        assertEquals(line.execute("--carriers", "100000"), 2);
+        assertEquals(line.execute("--services", "9", "--routes", "8"), 2);
+    }
+}
