Scale run: enough threads for the beats, larger directories, letters' weights

Cause: one thread beat to all endpoints in turn and waited for each answer; a trial of 200 carriers at a load of 75 let endpoints fall silent and replaced none, so its figures were of that. Ruled out: a fault of the carriers, whose ties were kept in it. Eight threads beat now, and a point tells ties lost and beats that stayed away.

Need: costs of a directory at sizes that no machine holds carriers for (--listed, said to the offices as carriers would, up to Directory.MOST), bytes of configurations and listings without a run (--bytes), and spans with listings as a share of a core, for fits on their rate.

--- a/src/main/java/cobaltrack/standin/post/scale/Fleet.java
+++ b/src/main/java/cobaltrack/standin/post/scale/Fleet.java
@@ -94,6 +94,12 @@
         toHollow = new PrintStream(hollow.getOutputStream(), true, StandardCharsets.UTF_8);
         fromHollow = hollow.inputReader(StandardCharsets.UTF_8);
         carrier = role("carrier", "carrier", places.carrier(0, Sizes.service(0)), heard);
+        if (sizes.listed() > 0) {
+            Ghosts ghosts = new Ghosts(loop, sizes);
+            for (int i = 0; i < places.offices(); i++) {
+                ghosts.say(places, i);
+            }
+        }
         until("the first configuration is in force", () -> inForce(1).size() == sizes.carriers());
     }
 
@@ -209,6 +215,11 @@
         return ear.heap();
     }
 
+    /** How often a stand-in endpoint's beats stayed away; then the run measures that as well. */
+    int silent() throws IOException {
+        return ask().silent() + heard.silent();
+    }
+
     private Heard ask() throws IOException {
         toHollow.println("report");
         Heard told = new Heard();
--- a/src/main/java/cobaltrack/standin/post/scale/Heard.java
+++ b/src/main/java/cobaltrack/standin/post/scale/Heard.java
@@ -19,6 +19,7 @@
  */
 final class Heard extends Handler {
     private static final String VERSION = "version ";
+    private static final String SILENT = "silent";
     private static final int HEX = 16;
 
     private final SimpleFormatter formatter = new SimpleFormatter();
@@ -46,6 +47,9 @@
         }
         int space = line.indexOf(' ');
         events.merge(line.substring(0, Math.max(0, space)), 1, Integer::sum);
+        if (line.startsWith(Event.ENDPOINT.number() + " ") && line.endsWith(SILENT)) {
+            events.merge(SILENT, 1, Integer::sum);
+        }
         int at = line.indexOf(VERSION);
         if (at >= 0 && line.startsWith(Event.IN_FORCE.number() + " ")) {
             String version = line.substring(at + VERSION.length()).split(" ")[0];
@@ -63,6 +67,11 @@
         return events.getOrDefault(Integer.toString(event.number()), 0);
     }
 
+    /** How often an endpoint's beats stayed away. */
+    synchronized int silent() {
+        return events.getOrDefault(SILENT, 0);
+    }
+
     /** When a version came in force, once for each carrier here that had it. */
     synchronized List<Long> inForce(long version) {
         return List.copyOf(inForce.getOrDefault(version, List.of()));
--- a/src/main/java/cobaltrack/standin/post/scale/Hollow.java
+++ b/src/main/java/cobaltrack/standin/post/scale/Hollow.java
@@ -17,14 +17,17 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * The hollow carriers of a scale run: many {@link Sidecar}s in one process, on two loops, with an endpoint
+ * The hollow carriers of a scale run: many {@link Sidecar}s in one process, on few loops, with an endpoint
  * beside each that only beats. It beats to the real carrier 0 as well. Commands come on standard input, one a
  * line, and answers go to standard output; the process ends with its input.
  */
 public final class Hollow {
-    private static final int LOOPS = 2;
+    private static final int LOOPS = 3;
+    /** Threads that beat and ask, each for its own carriers, for each waits for its answers. */
+    private static final int WORKERS = 8;
     /** Within the settings' time between two beats, in microseconds. */
     private static final double BEAT_US = 1.2e6;
     /** How often a tenant's request comes to a carrier, in microseconds: enough to be told to offices. */
@@ -34,15 +37,13 @@
     private final Places places;
     private final Sizes sizes;
     private final Heard heard = new Heard();
-    private final ScheduledExecutorService beats = Executors.newSingleThreadScheduledExecutor();
-    private final ScheduledExecutorService asks = Executors.newSingleThreadScheduledExecutor();
+    private final ScheduledExecutorService[] workers = new ScheduledExecutorService[WORKERS];
+    private final ScheduledExecutorService replacer = Executors.newSingleThreadScheduledExecutor();
     private final Talk[] toBeats;
     private final Talk[] toEgress;
     private final int[] lives;
-    private long calls;
-    private int beaten;
-    private int replaced;
-    private int asked;
+    private final AtomicLong calls = new AtomicLong();
+    private volatile int replaced;
     private Future<?> replacing;
 
     private Hollow(Places places, Sizes sizes) {
@@ -56,7 +57,7 @@
     /** Runs; arguments are the places, carriers, services, and tenants that are asked for. */
     public static void main(String... args) throws IOException, InterruptedException {
         Hollow hollow = new Hollow(Places.parse(args[0]), new Sizes(Integer.parseInt(args[1]),
-                Integer.parseInt(args[2]), 1, 0, Integer.parseInt(args[3]), 0, 0));
+                Integer.parseInt(args[2]), 1, 0, Integer.parseInt(args[3]), 0, 0, 0));
         hollow.start();
         BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
         for (String line = in.readLine(); line != null; line = in.readLine()) {
@@ -72,12 +73,24 @@
         for (int i = 1; i < sizes.carriers(); i++) {
             new Sidecar(reader.parse(places.carrier(i, target(i))), loops.next(), new ObjectMapper()).start();
         }
-        beats.scheduleAtFixedRate(() -> beat(beaten++ % sizes.carriers()), 0,
-                (long) (BEAT_US / sizes.carriers()), TimeUnit.MICROSECONDS);
-        if (sizes.asked() > 0) {
-            asks.scheduleAtFixedRate(this::ask, 0, (long) (ASK_US / sizes.carriers() / sizes.asked()),
-                    TimeUnit.MICROSECONDS);
+        for (int w = 0; w < WORKERS; w++) {
+            workers[w] = Executors.newSingleThreadScheduledExecutor();
         }
+        for (int i = 0; i < sizes.carriers(); i++) {
+            int carrier = i;
+            workers[i % WORKERS].scheduleAtFixedRate(() -> beat(carrier), spread(BEAT_US, i),
+                    (long) BEAT_US, TimeUnit.MICROSECONDS);
+            for (int t = 0; t < sizes.asked(); t++) {
+                int tenant = t;
+                workers[i % WORKERS].scheduleAtFixedRate(() -> ask(carrier, tenant),
+                        spread(ASK_US, i + t), (long) ASK_US, TimeUnit.MICROSECONDS);
+            }
+        }
+    }
+
+    // When the first comes, so that they are spread over their time.
+    private long spread(double everyUs, int i) {
+        return (long) (everyUs * (i % sizes.carriers()) / sizes.carriers());
     }
 
     private void run(String... command) {
@@ -88,7 +101,7 @@
             }
             if (perMin > 0) {
                 long every = (long) (US_A_MIN / perMin);
-                replacing = beats.scheduleAtFixedRate(this::replace, every, every, TimeUnit.MICROSECONDS);
+                replacing = replacer.scheduleAtFixedRate(this::replace, every, every, TimeUnit.MICROSECONDS);
             }
         } else {
             heard.report(System.out);
@@ -102,26 +115,26 @@
     }
 
     private void replace() {
-        int carrier = replaced++ % sizes.carriers();
-        lives[carrier]++;
-        beat(carrier);
+        int carrier = replaced % sizes.carriers();
+        replaced = replaced + 1;
+        workers[carrier % WORKERS].execute(() -> {
+            lives[carrier]++;
+            beat(carrier);
+        });
     }
 
     private void beat(int i) {
         String body = "{\"Target\":\"" + target(i) + "\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"hall-a\","
                 + "\"Epoch\":\"v1\",\"Capacity\":6,\"Phase\":\"serving\",\"WarmupS\":0,\"CallSeq\":"
-                + ++calls + "}";
+                + calls.incrementAndGet() + "}";
         say(toBeats, i, places.beats(i), "POST /whinlead/rpc?call=members.heartbeat&of=endpoint-" + i + "-"
                 + lives[i], Map.of("Content-Type", "application/json"), body);
     }
 
-    private void ask() {
-        int i = asked % sizes.carriers();
-        int tenant = asked / sizes.carriers() % sizes.asked();
-        asked++;
+    private void ask(int i, int tenant) {
         say(toEgress, i, places.egress(i), "GET " + sizes.path(), Map.of("Host", Sizes.service(0)
-                + ".mesh.example", "Attempt-Id", "ask-" + asked, "Deadline-Ms", "1000", "Api-Key",
-                Sizes.key(tenant)), "");
+                + ".mesh.example", "Attempt-Id", "ask-" + calls.incrementAndGet(), "Deadline-Ms", "1000",
+                "Api-Key", Sizes.key(tenant)), "");
     }
 
     private static void say(Talk[] talks, int i, String address, String first, Map<String, String> headers,
--- a/src/main/java/cobaltrack/standin/post/scale/Point.java
+++ b/src/main/java/cobaltrack/standin/post/scale/Point.java
@@ -49,6 +49,7 @@
         try (Fleet fleet = Fleet.start(sizes, offices)) {
             warm(fleet);
             int lost = fleet.count(Event.OFFICE_DOWN);
+            int silent = fleet.silent();
             Snapshot calm = calm(fleet);
             if (sizes.changesPerMin() > 0) {
                 changes(fleet, calm);
@@ -59,6 +60,7 @@
             figures.put("carrier, heap in use, MB", fleet.carrierHeap() / MB);
             figures.put("office, heap in use, MB", fleet.officeHeap() / MB);
             figures.put("ties lost by all carriers", (double) fleet.count(Event.OFFICE_DOWN) - lost);
+            figures.put("endpoints whose beats stayed away", (double) fleet.silent() - silent);
         }
         return figures;
     }
@@ -175,6 +177,8 @@
         Snapshot span = fleet.snapshot().since(before);
         int replaced = fleet.replaced() - had;
         costs("listings, each, ", span, calm, replaced);
+        figures.put("listings, carrier, % of a core", span.carrier().cpuS() / span.seconds() * PERCENT);
+        figures.put("listings, office, % of a core", span.officeCpuS() / span.seconds() * PERCENT);
         figures.put("listings, changed", (double) replaced);
         run("listings, ", span);
     }
--- a/src/main/java/cobaltrack/standin/post/scale/ScaleRehearsal.java
+++ b/src/main/java/cobaltrack/standin/post/scale/ScaleRehearsal.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -28,8 +29,9 @@
     private static final double MB_MOST = 10_240;
     private static final int CARRIERS_MOST = 600;
 
-    @Option(names = "--carriers", split = ",", description = "How many, the real one too; ${DEFAULT-VALUE}.")
-    private List<Integer> carriers = List.of(25, 50, 100, 200);
+    @Option(names = "--carriers", split = ",",
+            description = "How many, the real one too; 25,50,100,200, or 25 where another size varies.")
+    private List<Integer> carriers;
     @Option(names = "--services", split = ",", description = "In the configuration; ${DEFAULT-VALUE}.")
     private List<Integer> services = List.of(2);
     @Option(names = "--routes", split = ",", description = "In the configuration; ${DEFAULT-VALUE}.")
@@ -39,10 +41,15 @@
     @Option(names = "--asked", split = ",",
             description = "Tenants that requests come for at every carrier; ${DEFAULT-VALUE}.")
     private List<Integer> asked = List.of(0);
+    @Option(names = "--listed", split = ",",
+            description = "Carriers that are listed and not there; ${DEFAULT-VALUE}.")
+    private List<Integer> listed = List.of(0);
     @Option(names = "--changes-per-min", split = ",", description = "Of the configuration; ${DEFAULT-VALUE}.")
     private List<Double> changes = List.of(60.0);
     @Option(names = "--listings-per-min", split = ",", description = "Endpoints replaced; ${DEFAULT-VALUE}.")
     private List<Double> listings = List.of(600.0);
+    @Option(names = "--bytes", description = "Only what letters weigh at these sizes; nothing is started.")
+    private boolean bytes;
     @Option(names = "--offices", description = "${DEFAULT-VALUE}.")
     private int offices = 3;
     @Option(names = "--seconds", description = "Length of each span; ${DEFAULT-VALUE}.")
@@ -54,15 +61,17 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
+        if (carriers == null) {
+            carriers = Stream.of(services, routes, tenants, asked, listed, changes, listings)
+                    .anyMatch(size -> size.size() > 1) ? List.of(25) : List.of(25, 50, 100, 200);
+        }
         List<double[]> points = points();
         String size = varied();
         Map<String, List<double[]>> fits = new LinkedHashMap<>();
         for (double[] p : points) {
-            Sizes sizes = new Sizes((int) p[0], (int) p[1], (int) p[2], (int) p[3], (int) p[4], p[5], p[6]);
-            double load = load();
-            Map<String, Double> figures = new Point(sizes, offices, seconds, warm).measure();
-            figures.put("the machine's load before", load);
-            figures.put("the machine's load after", load());
+            Sizes sizes = new Sizes((int) p[0], (int) p[1], (int) p[2], (int) p[3], (int) p[4],
+                    (int) p[5], p[6], p[7]);
+            Map<String, Double> figures = bytes ? Weights.of(sizes) : measured(sizes);
             double at = at(size, sizes);
             figures.forEach((name, value) -> {
                 System.out.printf(Locale.ROOT, "%s=%.0f, %s: %.4f%n", size, at, name, value);
@@ -76,6 +85,14 @@
         return 0;
     }
 
+    private Map<String, Double> measured(Sizes sizes) throws IOException, InterruptedException {
+        double load = load();
+        Map<String, Double> figures = new Point(sizes, offices, seconds, warm).measure();
+        figures.put("the machine's load before", load);
+        figures.put("the machine's load after", load());
+        return figures;
+    }
+
     private static double load() {
         return ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage();
     }
@@ -87,9 +104,11 @@
                 for (int r : routes) {
                     for (int t : tenants) {
                         for (int a : asked) {
-                            for (double c : changes) {
-                                for (double l : listings) {
-                                    all.add(new double[] {n, s, r, t, a, c, l});
+                            for (int d : listed) {
+                                for (double c : changes) {
+                                    for (double l : listings) {
+                                        all.add(new double[] {n, s, r, t, a, d, c, l});
+                                    }
                                 }
                             }
                         }
@@ -114,6 +133,7 @@
         sizes.put("R", routes);
         sizes.put("T", tenants);
         sizes.put("A", asked);
+        sizes.put("D", listed);
         sizes.put("C", changes);
         sizes.put("L", listings);
         List<String> several = sizes.entrySet().stream().filter(e -> e.getValue().size() > 1)
@@ -130,6 +150,7 @@
             case "R" -> s.routes();
             case "T" -> s.tenants();
             case "A" -> s.asked();
+            case "D" -> s.listed();
             case "C" -> s.changesPerMin();
             case "L" -> s.listingsPerMin();
             default -> s.carriers();
--- a/src/main/java/cobaltrack/standin/post/scale/Sizes.java
+++ b/src/main/java/cobaltrack/standin/post/scale/Sizes.java
@@ -9,11 +9,12 @@
  * @param routes in all, spread over the services
  * @param tenants in the configuration
  * @param asked tenants that requests come for at every carrier
+ * @param listed carriers that are listed and not there, beside those that are
  * @param changesPerMin changes of the configuration, one route's deadline each
  * @param listingsPerMin endpoints that are replaced by another life, one changed listing each
  */
-record Sizes(int carriers, int services, int routes, int tenants, int asked, double changesPerMin,
-        double listingsPerMin) {
+record Sizes(int carriers, int services, int routes, int tenants, int asked, int listed,
+        double changesPerMin, double listingsPerMin) {
     private static final long SEED = 43;
     private static final double DEADLINE_S = 2;
 
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/scale/Weights.java
@@ -0,0 +1,54 @@
+package cobaltrack.standin.post.scale;
+
+import cobaltrack.post.ballot.Decision;
+import cobaltrack.post.directory.Listing;
+import cobaltrack.post.office.Bodies;
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Letters;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What letters weigh at a size, in bytes on a link, the letter's length in front of it counted. Pure. */
+final class Weights {
+    private static final int LENGTH_BYTES = 4;
+    /** Versions that a decision remembers at most. */
+    private static final int TAKEN_MOST = 128;
+    private static final long MANY = 100_000;
+    private static final List<String> ELECTORS = List.of("10.1.0.14#0", "10.2.0.37#0", "10.3.0.16#0");
+
+    private Weights() { }
+
+    /** Of a size's configuration, and of what goes with it. */
+    static Map<String, Double> of(Sizes sizes) {
+        byte[] json = sizes.tariff(1).getBytes(StandardCharsets.UTF_8);
+        byte[] body = Bodies.deflate(json);
+        Map<String, Double> figures = new LinkedHashMap<>();
+        figures.put("configuration, bytes", (double) json.length);
+        figures.put("configuration deflated, bytes", (double) body.length);
+        figures.put("news of it, bytes, nothing remembered", news(body, 0));
+        figures.put("news of it, bytes, all that is remembered", news(body, TAKEN_MOST));
+        Listing listing = new Listing("10.123.45.67:8366", 1_790_000_000_000L, 12, "hall-a",
+                "endpoint-1234-17", Sizes.service(0), Listing.Phase.SERVING, 6, 0);
+        figures.put("one listing, bytes", letter(new Letter.Post(List.of(listing))));
+        figures.put("one listing more, bytes", letter(new Letter.Post(List.of(listing, listing)))
+                - letter(new Letter.Post(List.of(listing))));
+        figures.put("ping, bytes", letter(new Letter.Ping(MANY)));
+        figures.put("pong, bytes", letter(new Letter.Pong(MANY, true)));
+        return figures;
+    }
+
+    private static double news(byte[] body, int remembered) {
+        List<Decision.Taken> taken = new ArrayList<>();
+        for (int i = 0; i < remembered; i++) {
+            taken.add(new Decision.Taken(MANY + i, Bodies.digest(new byte[] {(byte) i})));
+        }
+        return letter(new Letter.News(new Decision(MANY, MANY, body, taken, ELECTORS)));
+    }
+
+    private static double letter(Letter letter) {
+        return LENGTH_BYTES + Letters.write(letter).length;
+    }
+}
--- a/src/test/java/cobaltrack/standin/post/scale/ScaleTest.java
+++ b/src/test/java/cobaltrack/standin/post/scale/ScaleTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import cobaltrack.post.directory.Listing;
 import cobaltrack.post.tariff.Routing;
 import cobaltrack.post.tariff.Tariff;
 import cobaltrack.post.tariff.TariffCheck;
@@ -62,7 +63,7 @@
 
     @Test
     public void theConfigurationIsValidAndOfItsSizeAndChangesWithItsVersion() throws Exception {
-        Sizes sizes = new Sizes(4, 3, 10, 5, 0, 60, 60);
+        Sizes sizes = new Sizes(4, 3, 10, 5, 0, 0, 60, 60);
         byte[] first = sizes.tariff(7).getBytes(StandardCharsets.UTF_8);
         Tariff tariff = new TariffReader().read(first);
         new TariffCheck().check(tariff);
@@ -78,12 +79,29 @@
         assertEquals(changed, 2, "the route of either version");
     }
 
+    @Test
+    public void lettersWeighWhatIsSent() {
+        Map<String, Double> small = Weights.of(new Sizes(2, 2, 8, 20, 0, 0, 0, 0));
+        Map<String, Double> large = Weights.of(new Sizes(2, 2, 1008, 20, 0, 0, 0, 0));
+        assertEquals(small.get("ping, bytes"), 4.0 + Letters.write(new Letter.Ping(100_000)).length);
+        double more = large.get("configuration deflated, bytes") - small.get("configuration deflated, bytes");
+        assertTrue(more > 5_000 && more < 100_000, "a thousand routes more: " + more);
+        assertEquals(large.get("news of it, bytes, nothing remembered")
+                - small.get("news of it, bytes, nothing remembered"), more, 4, "but for longer lengths");
+        // A version and its digest of 64 digits each.
+        double remembered = small.get("news of it, bytes, all that is remembered")
+                - small.get("news of it, bytes, nothing remembered");
+        assertTrue(remembered > 128 * 65 && remembered < 128 * 80, "remembered " + remembered);
+        assertTrue(small.get("one listing more, bytes") > 50, small.toString());
+    }
+
     @Test
     public void whatWasHeardIsReportedWhole() {
         Heard heard = new Heard();
         heard.line("301 office in reach: 127.0.0.1", 1);
         heard.line("401 configuration in force: version 0000001f slot 3", 20);
         heard.line("401 configuration in force: version 0000001f slot 3", 30);
+        heard.line("304 endpoint: endpoint-3-0 is silent", 35);
         heard.line("heap 12345", 40);
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         heard.report(new PrintStream(out, true, StandardCharsets.UTF_8));
@@ -91,6 +109,7 @@
         out.toString(StandardCharsets.UTF_8).lines().forEach(read::parse);
         assertEquals(read.inForce(31), List.of(20L, 30L));
         assertEquals(read.count(cobaltrack.post.log.Event.OFFICE_UP), 1);
+        assertEquals(read.silent(), 1);
         assertEquals(heard.heap(), 12345.0);
     }
 
@@ -119,6 +138,25 @@
         }
     }
 
+    @Test
+    public void thoseWhoAreNotThereAreListed() throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Places places = new Places(1);
+        InetAddress here = InetAddress.getByName(places.officeIp(0));
+        try (ServerSocket office = new ServerSocket(places.talk(), 4, here)) {
+            new Ghosts(loop, new Sizes(2, 3, 3, 0, 0, 700, 0, 0)).say(places, 0);
+            try (Socket socket = office.accept()) {
+                assertEquals(Letters.read(hear(socket)), new Letter.Hello("ghosts", false));
+                Letter.Post post = (Letter.Post) Letters.read(hear(socket));
+                assertEquals(post.listings().stream().map(Listing::node).distinct().count(), 700);
+                assertEquals(post.listings().stream().map(Listing::target).distinct().count(), 3);
+                assertTrue(post.listings().stream().allMatch(Listing::open));
+            }
+        } finally {
+            loop.parent().shutdownGracefully();
+        }
+    }
+
     private static void say(Socket socket, byte[] letter) throws Exception {
         DataOutputStream out = new DataOutputStream(socket.getOutputStream());
         out.writeInt(letter.length);
@@ -133,7 +171,7 @@
 
     @Test
     public void aSmallMeshIsMeasured() throws Exception {
-        Map<String, Double> figures = new Point(new Sizes(4, 1, 4, 2, 1, 120, 300), 1, 2, 1).measure();
+        Map<String, Double> figures = new Point(new Sizes(4, 1, 4, 2, 1, 50, 120, 300), 1, 2, 1).measure();
         assertEquals(figures.get("changes, not taken"), 0.0, figures.toString());
         assertTrue(figures.get("changes, taken") >= 1, figures.toString());
         // One notice from the one office and the configuration once: neither less nor, but for one asked for
