--- a/src/main/java/cobaltrack/standin/post/scale/Fleet.java
+++ b/src/main/java/cobaltrack/standin/post/scale/Fleet.java
@@ -1,5 +1,6 @@
 package cobaltrack.standin.post.scale;
 
+import cobaltrack.post.log.Event;
 import cobaltrack.standin.post.Talk;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -14,9 +15,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * The processes of one point of a scale run: offices, one real carrier behind a {@link Relay}, and one
@@ -190,7 +193,7 @@
     }
 
     /** How often carriers, the real one too, logged an event. */
-    int count(cobaltrack.post.log.Event event) throws IOException {
+    int count(Event event) throws IOException {
         return ask().count(event) + heard.count(event);
     }
 
@@ -261,7 +264,9 @@
             for (Process office : offices) {
                 office.waitFor();
             }
-            Files.walk(folder).sorted(java.util.Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
+            }
         } catch (IOException e) {
             System.err.println("left behind: " + folder);
         } catch (InterruptedException e) {
--- a/src/main/java/cobaltrack/standin/post/scale/Places.java
+++ b/src/main/java/cobaltrack/standin/post/scale/Places.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.stream.IntStream;
 
@@ -42,8 +43,8 @@
 
     /** What {@link #toString} wrote, read in another process. */
     static Places parse(String text) {
-        int[] all = java.util.Arrays.stream(text.split(",")).mapToInt(Integer::parseInt).toArray();
-        return new Places(all[0], java.util.Arrays.copyOfRange(all, 1, all.length));
+        int[] all = Arrays.stream(text.split(",")).mapToInt(Integer::parseInt).toArray();
+        return new Places(all[0], Arrays.copyOfRange(all, 1, all.length));
     }
 
     @Override
--- a/src/main/java/cobaltrack/standin/post/scale/Relay.java
+++ b/src/main/java/cobaltrack/standin/post/scale/Relay.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -80,7 +81,7 @@
                     protected void initChannel(Channel far) {
                         handlers(far, near, fromOffices);
                     }
-                }).connect(there).addListener((io.netty.channel.ChannelFuture f) -> {
+                }).connect(there).addListener((ChannelFuture f) -> {
                     if (f.isSuccess()) {
                         handlers(near, f.channel(), toOffices);
                         near.config().setAutoRead(true);
