--- a/src/main/java/cobaltrack/standin/post/hardening/Machine.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Machine.java
@@ -469,7 +469,8 @@
     /** Puts a change to the council; its end is told once, or never if the process ends. */
     void replace(Change change, byte[] body, Consumer<Council.Verdict> then) {
         int call = core.checker().invoked(change);
-        boolean alone = !contactWithin(Core.CONTACT);
+        // One that knows no electors yet has no majority to be out of contact with.
+        boolean alone = council.decided() != null && !contactWithin(Core.CONTACT);
         BiConsumer<Integer, Council.Verdict> end = (c, verdict) -> {
             ended(c, verdict, alone);
             then.accept(verdict);
