Rig: a member's way back by what it missed

Need: median and worst of members that missed all, that get hundreds of old slips at once, at a hanging disk and restarted again and again were in one figure.

--- a/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
@@ -11,7 +11,17 @@
  * of it while it is behind must not stand; and all power goes. One schedule, one thread.
  */
 final class CatchUpPlay {
-    private enum Kind { DOWN, CUT, HELD, FROZEN, STALLED_DISK, RESTARTED, WIPED }
+    private enum Kind {
+        DOWN("missed all"), CUT("missed all"), WIPED("missed all"), HELD("with all old slips at once"),
+        FROZEN("with all old slips at once"), STALLED_DISK("hanging disk"),
+        RESTARTED("restarted again and again");
+
+        private final String after;
+
+        Kind(String after) {
+            this.after = after;
+        }
+    }
 
     private static final int LEAST = 300;
     private static final int SPREAD = 60;
@@ -197,7 +207,7 @@
             return;
         }
         if (member.up() && member.version() >= newest && member.onDiskVersion() >= newest) {
-            String size = large ? " (350 routes)" : " (small)";
+            String size = " (" + kind.after + (large ? ", 350 routes)" : ", small)");
             core.checker().sample("a member that is back, ms to the newest on its disk" + size,
                     core.now() - backAt);
             core.checker().sample("a member that is back, bytes of slips until then" + size,
