Rig: let a member catch up without an order, too

Cause: the order that was put to a member at its return had it ask the others at once, 10 ms in the median; without one it learns by the answers to its own pings. Change: an order in half of the schedules.

--- a/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
@@ -180,7 +180,6 @@
 
     private void ease() {
         core.tell(member.address() + " is back, at version " + member.version() + " of " + base);
-        // A stale order, put to it before it has caught up, on what it knows.
         long behind = Math.max(0, member.version());
         member.meter();
         switch (kind) {
@@ -192,14 +191,22 @@
         backAt = core.now();
         core.eased(member.address());
         long newest = base;
-        Change stale = operators.change(behind);
-        member.loop(() -> member.replace(stale, operators.body(stale), verdict -> {
+        if (core.random().nextBoolean()) {
+            stale(behind);
+        }
+        await(newest);
+    }
+
+    // An order on what it knows, before it has caught up.
+    private void stale(long behind) {
+        Change c = operators.change(behind);
+        core.checker().count("orders put to a member at its return");
+        member.loop(() -> member.replace(c, operators.body(c), verdict -> {
             if (verdict == Council.Verdict.TAKEN) {
                 // It was not behind.
-                base = Math.max(base, stale.version());
+                base = Math.max(base, c.version());
             }
         }));
-        await(newest);
     }
 
     private void await(long newest) {
