--- a/src/main/java/cobaltrack/standin/HardeningRehearsal.java
+++ b/src/main/java/cobaltrack/standin/HardeningRehearsal.java
@@ -115,6 +115,7 @@
             } else {
                 promises.under(of + name + ", worst", s.part(1), most);
             }
+            promises.figure(of + name + ", seed of the worst", s.worstSeed());
         });
         tell(hunt);
         promises.under(of + "schedules with a broken promise", hunt.broken().size(), 1);
