Rig: a replacement is done when the old one is out of the electors

Cause: the time to a core that bears the next loss waited for the old process's end too, which a storm of orders puts off to 4.3 s after SIGTERM (schedule 303800 of point 3); it bears the loss from when the old one is out, 1.1 s.

--- a/src/main/java/cobaltrack/standin/post/hardening/Core.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Core.java
@@ -118,8 +118,8 @@
     }
 
     /**
-     * The machines that a process on this one is told of as it starts: three, from a list that lags. One of them at least is
-     * there: a machine that is told of none can't be found by any other either.
+     * The machines that a process on this one is told of as it starts: three, from a list that lags. One of
+     * them at least is there: a machine that is told of none can't be found by any other either.
      */
     List<String> seeds(String self) {
         if (now() == 0) {
--- a/src/main/java/cobaltrack/standin/post/hardening/Faults.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Faults.java
@@ -233,7 +233,7 @@
                     + old.address());
             return;
         }
-        if (core.at(old.address()) == null && bears()) {
+        if (!core.checker().newest().electors().contains(old.id()) && bears()) {
             core.checker().sample("a planned replacement, ms from the new one's start to a core that bears "
                     + "the next loss", core.now() - startedAt);
             core.checker().sample("a planned replacement, ms from SIGTERM to a core that bears the next loss",
--- a/src/main/java/cobaltrack/standin/post/hardening/SeatsPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/SeatsPlay.java
@@ -5,7 +5,8 @@
 /**
  * Point 3: one loss after the other, at a distance after the machine's return, three electors with one loss
  * or five with two at once: kills, wiped disks, replacements as planned and not, freezes, cuts, slow, stalled
- * and full disks. A majority must always be there, and the core must go on after it. One schedule, one thread.
+ * and full disks. A majority must always be there, and the core must go on after it. One schedule, one
+ * thread.
  */
 final class SeatsPlay {
     private static final double FIRST = 1500;
