--- a/src/main/java/cobaltrack/standin/HardeningRehearsal.java
+++ b/src/main/java/cobaltrack/standin/HardeningRehearsal.java
@@ -4,6 +4,7 @@
 import cobaltrack.standin.post.hardening.Hunt;
 import cobaltrack.standin.post.hardening.Outcome;
 import cobaltrack.standin.post.hardening.Point;
+import cobaltrack.standin.post.hardening.RelayPlay;
 import cobaltrack.standin.post.hardening.Trace;
 import java.util.Arrays;
 import java.util.List;
@@ -22,7 +23,7 @@
  * driven clock. The same seed plays the same schedule, whatever the number of threads.
  */
 @Command(name = "hardening", description = "The offices' councils under seeded schedules: cuts, racing "
-        + "operators, losses one after the other, hundreds of changes past a member.")
+        + "operators, losses one after the other, hundreds of changes past a member; whose answer is whose.")
 final class HardeningRehearsal implements Callable<Integer> {
     private static final double[] DISTANCES = {500, 1000, 1500, 2000, 2500, 3000, 4000};
     /** Margins are drawn from one in so many schedules, at each distance. */
@@ -30,6 +31,7 @@
     private static final int SEEDS_TOLD = 10;
     /** What a planted fault may take to be found, in schedules. */
     private static final int FOUND_WITHIN = 1000;
+    private static final int ANSWERS = 5;
     private static final double TELLS_SOON = 1000;
     private static final double ENDS_SOON = 2500;
     private static final double CONVERGE = 2500;
@@ -39,7 +41,8 @@
     @Spec
     private CommandSpec spec;
     @Option(names = "--point", description = "Only this: 1 a machine cut off, 2 operators' histories, "
-            + "3 losses one after the other, 4 hundreds of changes past a member.")
+            + "3 losses one after the other, 4 hundreds of changes past a member, "
+            + "5 whose answer, and run how often.")
     private int point;
     @Option(names = "--all", description = "All points.")
     private boolean all;
@@ -66,6 +69,13 @@
         if (all == point > 0) {
             throw new ParameterException(spec.commandLine(), "one of --all and --point is needed");
         }
+        Promises promises = new Promises(System.out);
+        if (all || point == ANSWERS) {
+            answers(promises);
+        }
+        if (point == ANSWERS) {
+            return promises.kept() ? 0 : 1;
+        }
         List<Point> points = all ? List.of(Point.values()) : List.of(Point.of(point));
         if (trace) {
             Outcome o = points.get(0) == Point.SEATS
@@ -74,7 +84,6 @@
             System.out.println(o.broken());
             return o.broken().isEmpty() ? 0 : 1;
         }
-        Promises promises = new Promises(System.out);
         for (Point p : points) {
             if (planted) {
                 Arrays.stream(Bug.values()).filter(b -> b.point() == p.number()).forEach(b ->
@@ -88,6 +97,37 @@
         return promises.kept() ? 0 : 1;
     }
 
+    // Sidecars' ties and endpoints' connections: a play of its own, with faults of its own.
+    private void answers(Promises promises) {
+        String of = "point " + ANSWERS + ", ";
+        if (planted) {
+            for (RelayPlay.Bug b : RelayPlay.Bug.values()) {
+                long took = 0;
+                boolean found = b == RelayPlay.Bug.NONE;
+                while (!found && took < FOUND_WITHIN) {
+                    found = !RelayPlay.play(seed + took++, b).broken().isEmpty();
+                }
+                if (b != RelayPlay.Bug.NONE) {
+                    promises.under("planted in " + of + b + ", found after schedules", found ? took
+                            : FOUND_WITHIN + 1, FOUND_WITHIN + 1);
+                }
+            }
+            return;
+        }
+        Map<String, Long> figures = new TreeMap<>();
+        int broken = 0;
+        for (long s = seed; s < seed + schedules; s++) {
+            RelayPlay.Outcome o = RelayPlay.play(s, RelayPlay.Bug.NONE);
+            o.figures().forEach((name, value) -> figures.merge(name, value, Long::sum));
+            if (!o.broken().isEmpty() && broken++ < SEEDS_TOLD) {
+                System.out.println("seed " + s + ": " + o.broken().get(0));
+            }
+        }
+        promises.figure(of + "schedules", schedules);
+        figures.forEach((name, value) -> promises.figure(of + name, value));
+        promises.under(of + "schedules with a broken promise", broken, 1);
+    }
+
     private void find(Promises promises, Point p, Bug planted) {
         int took = 0;
         Outcome o;
--- a/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/CatchUpPlay.java
@@ -12,8 +12,8 @@
  */
 final class CatchUpPlay {
     private enum Kind {
-        DOWN("missed all"), CUT("missed all"), WIPED("missed all"), HELD("with all old slips at once"),
-        FROZEN("with all old slips at once"), STALLED_DISK("hanging disk"),
+        DOWN("missed all"), CUT("missed all"), WIPED("missed all"), HELD("with all old messages at once"),
+        FROZEN("with all old messages at once"), STALLED_DISK("hanging disk"),
         RESTARTED("restarted again and again");
 
         private final String after;
--- a/src/main/java/cobaltrack/standin/post/scale/Weights.java
+++ b/src/main/java/cobaltrack/standin/post/scale/Weights.java
@@ -36,7 +36,7 @@
         figures.put("one listing more, bytes", letter(new Letter.Post(List.of(listing, listing)))
                 - letter(new Letter.Post(List.of(listing))));
         figures.put("ping, bytes", letter(new Letter.Ping(MANY)));
-        figures.put("pong, bytes", letter(new Letter.Pong(MANY, true)));
+        figures.put("pong, bytes", letter(new Letter.Pong(MANY, ELECTORS.get(0), MANY)));
         return figures;
     }
 
@@ -45,7 +45,7 @@
         for (int i = 0; i < remembered; i++) {
             taken.add(new Decision.Taken(MANY + i, Bodies.digest(new byte[] {(byte) i})));
         }
-        return letter(new Letter.News(new Decision(MANY, MANY, body, taken, ELECTORS)));
+        return letter(new Letter.News(new Decision(MANY, MANY, body, taken, ELECTORS), true));
     }
 
     private static double letter(Letter letter) {
--- a/src/test/java/cobaltrack/standin/post/scale/ScaleTest.java
+++ b/src/test/java/cobaltrack/standin/post/scale/ScaleTest.java
@@ -122,7 +122,7 @@
             InetSocketAddress here = (InetSocketAddress) relay.listen(new InetSocketAddress("127.0.0.1", 0),
                     office.getLocalSocketAddress()).localAddress();
             byte[] ping = Letters.write(new Letter.Ping(5));
-            byte[] pong = Letters.write(new Letter.Pong(5, true));
+            byte[] pong = Letters.write(new Letter.Pong(5, "10.0.0.1#0", 5));
             try (Socket near = new Socket(here.getAddress(), here.getPort()); Socket far = office.accept()) {
                 say(near, ping);
                 say(near, ping);
