--- a/src/test/java/cobaltrack/post/MeshProcessTest.java
+++ b/src/test/java/cobaltrack/post/MeshProcessTest.java
@@ -29,6 +29,11 @@
         mesh = new MeshRig(3);
         MeshRig.await("an office takes the first configuration", () -> mesh.replace(0, "0", FIRST).status()
                 == 200);
+        for (int i = 0; i < 3; i++) {
+            int office = i;
+            // Two are enough for the first configuration; the third may still be starting.
+            MeshRig.await("office " + i + " answers", () -> mesh.read(office).status() == 200);
+        }
         for (int i = 0; i < 3; i++) {
             int carrier = i;
             MeshRig.await("carrier " + i + " is ready", () -> mesh.ready(carrier));
