Take an answer without length as whole only at a clean end of its connection

A chunked body with a second coding was passed on still coded, and an answer whose Connection header named Server-Seal lost its seal on the way. Ruled out: passing on what a reset cut off (the reset is told before the close, and ends the attempt first); closing the connection in place of sending the rest, for new connections are dear. Change: AnswerCheck holds what an answer's head must be; EndpointLine ends an attempt at a reset or a failed write and uses a connection again once its request is written. Attempt-Id and Server-Seal are end to end.

--- a/src/main/java/cobaltrack/post/carrier/EndpointLine.java
+++ b/src/main/java/cobaltrack/post/carrier/EndpointLine.java
@@ -162,6 +162,7 @@
         private HttpResponse head;
         private boolean ours;
         private boolean interim;
+        private boolean writing;
         private ByteBuf body;
         private double idleSince;
         private final Set<String> asked = new LinkedHashSet<>();
@@ -190,8 +191,7 @@
                 boolean sound = channel != null && channel.isActive();
                 end(Letter.Why.UNREACHED);
                 if (sound) {
-                    idleSince = timers.now();
-                    idle.addLast(this);
+                    reusable();
                 }
                 return;
             }
@@ -206,7 +206,19 @@
                 return;
             }
             timer = timers.after(left + SLACK_MS, () -> spoilt(Letter.Why.LATE));
-            channel.writeAndFlush(request, channel.voidPromise());
+            writing = true;
+            channel.writeAndFlush(request).addListener(f -> written(f.isSuccess()));
+        }
+
+        // An endpoint may have answered before this, and reads the rest of a long body only later.
+        private void written(boolean whole) {
+            writing = false;
+            if (!whole) {
+                spoilt(Letter.Why.BROKEN);
+            } else if (parcel == null && channel.isActive()) {
+                timer.cancel();
+                reusable();
+            }
         }
 
         private FullHttpRequest written(Letter.Parcel sent, double left, String instance) {
@@ -260,9 +272,8 @@
             head = r;
             ours = done != null && attempt != null && attempt.equals(r.headers().get(Headers.ATTEMPT));
             body = Unpooled.buffer(256);
-            boolean framed = HttpUtil.isContentLengthSet(r) ^ HttpUtil.isTransferEncodingChunked(r);
-            if (!framed && r.status().code() != 204 && r.status().code() != 304) {
-                // Its end could not be told from a break.
+            if (!AnswerCheck.isFramed(r)) {
+                // Its end could not be told, or its body is not the endpoint's.
                 spoilt(Letter.Why.BROKEN);
             }
         }
@@ -290,8 +301,8 @@
                 return;
             }
             boolean keep = HttpUtil.isKeepAlive(answer) && !HttpMethod.CONNECT.name().equals(parcel.method());
-            keepAlive(answer);
-            Letter.Why why = judge(answer);
+            idleMs = AnswerCheck.idleMs(answer, idleMs, IDLE_MS);
+            Letter.Why why = AnswerCheck.reject(answer);
             Consumer<Letter> tell = done;
             Letter.Parcel told = parcel;
             rest(keep);
@@ -303,33 +314,6 @@
             }
         }
 
-        // Null where it is an answer for the client.
-        private Letter.Why judge(HttpResponse answer) {
-            int status = answer.status().code();
-            if (answer.headers().contains(Headers.NOT_EXECUTED) || status == 421) {
-                return status == 421 ? Letter.Why.MOVED : Letter.Why.TURNED_AWAY;
-            }
-            boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
-            if (success && (!answer.headers().contains(Headers.SEAL)
-                    || answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
-                return Letter.Why.BROKEN;
-            }
-            return status == 429 || status == 503 || status == 408 ? Letter.Why.BROKEN : null;
-        }
-
-        private void keepAlive(HttpResponse answer) {
-            String value = answer.headers().get("Keep-Alive");
-            int at = value == null ? -1 : value.indexOf("timeout=");
-            if (at >= 0) {
-                try {
-                    String seconds = value.substring(at + 8).split("[^0-9]")[0];
-                    idleMs = Math.max(1, Integer.parseInt(seconds)) * 1000.0;
-                } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
-                    idleMs = IDLE_MS;
-                }
-            }
-        }
-
         private void rest(boolean keep) {
             timer.cancel();
             done = null;
@@ -338,6 +322,15 @@
                 channel.close();
                 return;
             }
+            if (writing) {
+                // The rest of its body is due before anything else.
+                timer = timers.after(idleMs * IDLE_PART, this::close);
+            } else {
+                reusable();
+            }
+        }
+
+        private void reusable() {
             idleSince = timers.now();
             idle.addLast(this);
         }
@@ -368,9 +361,10 @@
             end(Letter.Why.BROKEN);
         }
 
+        // Before the connection is told to be closed: after a reset no answer ends with its connection.
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            spoilt(Letter.Why.BROKEN);
         }
     }
 }
--- a/src/main/java/cobaltrack/post/carrier/Headers.java
+++ b/src/main/java/cobaltrack/post/carrier/Headers.java
@@ -27,6 +27,9 @@
     private static final Set<String> SYSTEM = Set.of("tenant", "api-key", "caller-service",
             "target-instance", "deadline-ms");
 
+    /** End to end, whatever a connection says of them: what an answer is known by and proved by. */
+    private static final Set<String> END_TO_END = Set.of("attempt-id", "server-seal");
+
     private Headers() { }
 
     /** Names and values in turn, without those of one connection and, of requests, the system's. */
@@ -37,6 +40,7 @@
                 named.add(token.trim().toLowerCase(Locale.ROOT));
             }
         }
+        named.removeAll(END_TO_END);
         List<String> out = new ArrayList<>(headers.size() * 2);
         for (Map.Entry<String, String> e : headers) {
             String name = e.getKey().toLowerCase(Locale.ROOT);
