Wire: greetings name protocol versions, and what is unknown is passed over

A letter of an unknown kind, or a value out of range, ended the connection without a word.

Ruled out: lengths or names for each field. Programs without versions read fields by position and look no further, so fields at a letter's end are additive both ways as the format stands; any other framing is unreadable to them.

Change: a greeting ends with the newest and oldest protocol version; one without is version 1. Whoever is greeted by a later one greets back, and the link speaks the lower of both (Link.version). A letter is sent only where its kind is known (Letters.since). Unknown kinds (of letters and ballot messages), fields and values are passed over with event 305; a reason not known counts as "may have run", a listing in a phase not known changes nothing. Malformed letters and greetings without a shared version are refused by name (306); the connection ends only where nobody would say the letter again.

For those who add to a letter: read a new field at its end by `u.hasNext() ? u.unpackX() : DEFAULT`; a new kind gets its version in `since`.

--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -16,6 +16,7 @@
 import cobaltrack.post.tariff.Routing;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Link;
+import cobaltrack.post.wire.ProtocolVersion;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
@@ -56,6 +57,7 @@
     /** On which the services' modules act together. */
     private final Timers beat;
     private final String node;
+    private final Letter.Hello greeting;
     private final Hatch hatch;
     private final EndpointLine line;
     private final Directory directory = new Directory();
@@ -91,13 +93,13 @@
         this.hatch = new Hatch(card.substrate().heartbeatS() * 1000);
         this.line = new EndpointLine(loop, EndpointList.address(Card.present(card.self().appAddr(),
                 "Self.AppAddr")));
-        Letter.Hello hello = new Letter.Hello(node, false);
-        this.round = new Round(loop, node, this::deliver, hello,
+        this.greeting = new Letter.Hello(node, false);
+        this.round = new Round(loop, node, this::deliver, greeting,
                 address -> dials.apply(EndpointList.address(address)), this::stale);
         Card.Bounds bounds = card.clauses().bounds();
         this.allowance = new Allowance(timers.now(), bounds.quotaSlack(), bounds.quotaExcess(),
                 bounds.quotaWindowS(), new SecureRandom().nextLong());
-        this.desk = new Desk(loop, card, hello, dials, new Desk.Owner() {
+        this.desk = new Desk(loop, card, greeting, dials, new Desk.Owner() {
             @Override
             public void posted(List<Listing> listings) {
                 Sidecar.this.posted(listings);
@@ -359,6 +361,10 @@
             link.send(new Letter.Offices(desk.addresses()));
         } else if (letter instanceof Letter.Hello hello) {
             link.peer(hello.id());
+            // A program without versions would not know what a greeting on a connection of its own means.
+            if (link.version() > ProtocolVersion.UNVERSIONED) {
+                link.send(greeting);
+            }
         }
     }
 
--- a/src/main/java/cobaltrack/post/log/Event.java
+++ b/src/main/java/cobaltrack/post/log/Event.java
@@ -24,6 +24,8 @@
     OFFICE_DOWN(302, Level.INFO, "office out of reach"),
     PEER_DOWN(303, Level.INFO, "sidecar out of reach"),
     ENDPOINT(304, Level.INFO, "endpoint"),
+    PASSED_OVER(305, Level.INFO, "passed over, of a later version"),
+    PEER_REFUSED(306, Level.WARNING, "peer refused"),
     /** 4xx: configuration at sidecars. */
     IN_FORCE(401, Level.INFO, "configuration in force"),
     UNREADABLE(402, Level.WARNING, "configuration can't be read"),
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -22,6 +22,7 @@
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
 import cobaltrack.post.wire.Link;
+import cobaltrack.post.wire.ProtocolVersion;
 import cobaltrack.post.wire.Tie;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
@@ -302,6 +303,7 @@
     private void take(Link link, Letter letter) {
         if (letter instanceof Letter.Hello hello) {
             link.peer(hello.id());
+            greetBack(link);
             if (hello.office()) {
                 know(Council.address(hello.id()));
                 // It listens from now on: no need to wait for the next dial.
@@ -333,6 +335,13 @@
         }
     }
 
+    // A program without versions would not know what a greeting on a connection of its own means.
+    private void greetBack(Link link) {
+        if (link.version() > ProtocolVersion.UNVERSIONED) {
+            link.send(new Letter.Hello(id, true));
+        }
+    }
+
     private void notice(Link link, Long has) {
         if (has != null && council.decided() != null && council.decided().version() > 0
                 && council.decided().slot() > has) {
--- a/src/main/java/cobaltrack/post/wire/Letter.java
+++ b/src/main/java/cobaltrack/post/wire/Letter.java
@@ -8,8 +8,19 @@
 
 /** What the system's own processes say to each other. */
 public sealed interface Letter {
-    /** The first on every link: who it is, and whether an office. */
-    record Hello(String id, boolean office) implements Letter { }
+    /**
+     * The first on every link: who it is, and whether an office. Whoever is greeted by one that names its
+     * versions greets back.
+     */
+    record Hello(String id, boolean office, ProtocolVersion versions) implements Letter {
+        /** This program's greeting. */
+        public Hello(String id, boolean office) {
+            this(id, office, ProtocolVersion.OURS);
+        }
+    }
+
+    /** A letter of a later version, of which only the name of its kind is known. It is never written. */
+    record Unknown(String kind) implements Letter { }
 
     /** Listings, one's own or passed on. */
     record Post(List<Listing> listings) implements Letter { }
--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -9,15 +9,34 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageFormat;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
-/** Letters as MessagePack: a tag, then the fields in their order. For any thread. */
+/**
+ * Letters as MessagePack: a tag, then the fields in their order. For any thread.
+ *
+ * <p>Versions: a letter grows by fields at its end only, each with a default that stands where an older
+ * program has not sent it; an older reader passes over what it does not know. What stands inside a list or
+ * another value can't grow: new fields of a listing go into a list of their own at the letter's end. A new
+ * kind is sent only where {@link #since} allows it.
+ */
 public final class Letters {
     /** Lists longer than this are no letter of ours. */
     private static final int LIST_MOST = 1 << 16;
+    private static final Listing.Phase[] PHASES = Listing.Phase.values();
+    private static final Letter.Why[] REASONS = Letter.Why.values();
+
+    /** Names a kind of letter or ballot message that this version does not know. */
+    private static final class UnknownKindException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        private UnknownKindException(String kind) {
+            super(kind);
+        }
+    }
 
     private Letters() { }
 
@@ -49,6 +68,7 @@
     private static void rest(MessageBufferPacker p, Letter letter) throws IOException {
         if (letter instanceof Letter.Hello l) {
             p.packByte((byte) 1).packString(l.id()).packBoolean(l.office());
+            p.packInt(l.versions().newest()).packInt(l.versions().oldest());
         } else if (letter instanceof Letter.Post l) {
             p.packByte((byte) 2).packInt(l.listings().size());
             for (Listing x : l.listings()) {
@@ -104,49 +124,98 @@
         return uses;
     }
 
+    /** The first protocol version whose readers know this letter's kind. */
+    static int since(Letter letter) {
+        return ProtocolVersion.UNVERSIONED;
+    }
+
     /**
-     * Reads a letter.
+     * Reads a letter. One of a kind that this version does not know is {@link Letter.Unknown}; fields that it
+     * does not know are passed over.
      *
-     * @throws IOException if these bytes are none
+     * @throws MalformedLetterException if these bytes are none
      */
-    public static Letter read(byte[] bytes) throws IOException {
+    public static Letter read(byte[] bytes) throws MalformedLetterException {
+        LetterKind kind = null;
         try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
             byte tag = u.unpackByte();
-            return switch (tag) {
-                case 1 -> new Letter.Hello(u.unpackString(), u.unpackBoolean());
-                case 2 -> {
-                    int n = size(u.unpackInt());
-                    List<Listing> list = new ArrayList<>();
-                    for (int i = 0; i < n; i++) {
-                        list.add(new Listing(u.unpackString(), u.unpackLong(), u.unpackLong(),
-                                u.unpackString(), u.unpackString(), u.unpackString(),
-                                Listing.Phase.values()[u.unpackInt()], u.unpackInt(), u.unpackInt()));
-                    }
-                    yield new Letter.Post(list);
-                }
-                case 3 -> new Letter.Ask(u.unpackLong());
-                case 4 -> new Letter.Notice(u.unpackLong());
-                case 5 -> new Letter.Fetch();
-                case 6 -> new Letter.News(decision(u), u.unpackBoolean());
-                case 7 -> new Letter.Ping(u.unpackLong());
-                case 8 -> new Letter.Pong(u.unpackLong(), u.unpackString(), u.unpackLong());
-                case 9 -> new Letter.Paper(message(u));
-                case 10 -> new Letter.Parcel(u.unpackLong(), u.unpackString(), u.unpackString(), strings(u),
-                        bytes(u), u.unpackInt(), u.unpackString(), u.unpackString(), u.unpackInt());
-                case 11 -> new Letter.Delivered(u.unpackLong(), u.unpackInt(), strings(u), bytes(u),
-                        u.unpackDouble(), u.unpackDouble());
-                case 12 -> new Letter.Returned(u.unpackLong(), Letter.Why.values()[u.unpackInt()],
-                        u.unpackDouble(), u.unpackDouble());
-                case 13 -> new Letter.Uses(uses(u), u.unpackBoolean());
-                case 14 -> new Letter.Sums(u.unpackInt(), uses(u));
-                case 15 -> new Letter.Seek();
-                case 16 -> new Letter.Offices(strings(u));
-                default -> throw new IOException("no letter has the tag " + tag);
-            };
-        } catch (RuntimeException e) {
+            kind = LetterKind.of(tag);
+            Letter letter = read(tag, u);
+            if (!(letter instanceof Letter.Unknown) && u.hasNext()) {
+                VersionEvents.PROCESS.passedOver("a field of " + kind);
+            }
+            return letter;
+        } catch (UnknownKindException e) {
+            return new Letter.Unknown(e.getMessage());
+        } catch (IOException | RuntimeException e) {
             // The library's own errors, and numbers that name nothing.
-            throw new IOException("not a letter", e);
+            throw new MalformedLetterException(kind, e);
+        }
+    }
+
+    private static Letter read(byte tag, MessageUnpacker u) throws IOException {
+        return switch (tag) {
+            case 1 -> new Letter.Hello(u.unpackString(), u.unpackBoolean(), versions(u));
+            case 2 -> {
+                int n = size(u.unpackInt());
+                List<Listing> list = new ArrayList<>();
+                for (int i = 0; i < n; i++) {
+                    listing(u).ifPresent(list::add);
+                }
+                yield new Letter.Post(list);
+            }
+            case 3 -> new Letter.Ask(u.unpackLong());
+            case 4 -> new Letter.Notice(u.unpackLong());
+            case 5 -> new Letter.Fetch();
+            case 6 -> new Letter.News(decision(u), u.unpackBoolean());
+            case 7 -> new Letter.Ping(u.unpackLong());
+            case 8 -> new Letter.Pong(u.unpackLong(), u.unpackString(), u.unpackLong());
+            case 9 -> new Letter.Paper(message(u));
+            case 10 -> new Letter.Parcel(u.unpackLong(), u.unpackString(), u.unpackString(), strings(u),
+                    bytes(u), u.unpackInt(), u.unpackString(), u.unpackString(), u.unpackInt());
+            case 11 -> new Letter.Delivered(u.unpackLong(), u.unpackInt(), strings(u), bytes(u),
+                    u.unpackDouble(), u.unpackDouble());
+            case 12 -> new Letter.Returned(u.unpackLong(), why(u.unpackInt()),
+                    u.unpackDouble(), u.unpackDouble());
+            case 13 -> new Letter.Uses(uses(u), u.unpackBoolean());
+            case 14 -> new Letter.Sums(u.unpackInt(), uses(u));
+            case 15 -> new Letter.Seek();
+            case 16 -> new Letter.Offices(strings(u));
+            default -> throw new UnknownKindException("letter " + tag);
+        };
+    }
+
+    // A greeting of a program without versions ends before them.
+    private static ProtocolVersion versions(MessageUnpacker u) throws IOException {
+        return u.hasNext() ? new ProtocolVersion(u.unpackInt(), u.unpackInt()) : ProtocolVersion.NONE_NAMED;
+    }
+
+    // One in a phase that this version does not know is passed over: what was known of its node stands.
+    private static Optional<Listing> listing(MessageUnpacker u) throws IOException {
+        String node = u.unpackString();
+        long life = u.unpackLong();
+        long seq = u.unpackLong();
+        String zone = u.unpackString();
+        String endpoint = u.unpackString();
+        String target = u.unpackString();
+        int phase = u.unpackInt();
+        int capacity = u.unpackInt();
+        int warmMs = u.unpackInt();
+        if (phase < 0 || phase >= PHASES.length) {
+            VersionEvents.PROCESS.passedOver("a listing in phase " + phase);
+            return Optional.empty();
+        }
+        return Optional.of(new Listing(node, life, seq, zone, endpoint, target, PHASES[phase], capacity,
+                warmMs));
+    }
+
+    // A reason that this version does not know promises nothing: the request may have run.
+    private static Letter.Why why(int number) {
+        if (number < 0 || number >= REASONS.length) {
+            VersionEvents.PROCESS.passedOver("reason " + number + " of RETURNED");
+            return Letter.Why.BROKEN;
         }
+        return REASONS[number];
     }
 
     /** Writes what an elector remembers. */
@@ -225,7 +294,7 @@
             case 8 -> new Message.Query(u.unpackLong(), u.unpackLong());
             case 9 -> new Message.State(u.unpackLong(), u.unpackLong(), u.unpackBoolean());
             case 10 -> new Message.Join(u.unpackLong());
-            default -> throw new IOException("no message has the tag " + tag);
+            default -> throw new UnknownKindException("ballot message " + tag);
         };
     }
 
--- a/src/main/java/cobaltrack/post/wire/Link.java
+++ b/src/main/java/cobaltrack/post/wire/Link.java
@@ -9,11 +9,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import java.io.IOException;
 
 /**
  * One TCP connection between two processes of the system, on its loop's thread. Every letter goes behind its
- * length. What can't be read, or is too long, ends it.
+ * length. A letter of a later version's kind is passed over. A malformed one is refused by name; it ends the
+ * connection if nobody would say it again, for the new connection says all anew. One that is too long ends
+ * it.
  */
 public final class Link {
     /** The longest letter: a request's body at most, and what goes around it. */
@@ -34,6 +35,8 @@
 
     private final Channel channel;
     private String peer;
+    /** What both sides speak; the least until the other side has said more. */
+    private int version = ProtocolVersion.UNVERSIONED;
 
     private Link(Channel channel) {
         this.channel = channel;
@@ -51,9 +54,11 @@
         };
     }
 
-    /** Sends a letter; it is lost if the link goes down. */
+    /** Sends a letter; it is lost if the link goes down, or the other side does not know its kind yet. */
     public void send(Letter letter) {
-        send(Letters.write(letter));
+        if (Letters.since(letter) <= version) {
+            send(Letters.write(letter));
+        }
     }
 
     /** Sends a letter that is written already. */
@@ -78,6 +83,24 @@
         peer = id;
     }
 
+    /** The protocol version that both sides speak; the least one until the other side has greeted. */
+    public int version() {
+        return version;
+    }
+
+    /** Takes in the other side's versions; false, and the link is ended, if none is shared. */
+    private boolean agree(Letter.Hello hello) {
+        boolean shared = ProtocolVersion.OURS.sharesOneWith(hello.versions());
+        if (shared) {
+            version = ProtocolVersion.OURS.agreedWith(hello.versions());
+        } else {
+            VersionEvents.PROCESS.refused(hello.id(), "speaks protocol versions " + hello.versions()
+                    + ", this program " + ProtocolVersion.OURS);
+            close();
+        }
+        return shared;
+    }
+
     /** Ends it. */
     public void close() {
         channel.close();
@@ -103,8 +126,23 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws IOException {
-            ear.letter(link, Letters.read(ByteBufUtil.getBytes(frame)));
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+            try {
+                read(Letters.read(ByteBufUtil.getBytes(frame)));
+            } catch (MalformedLetterException e) {
+                VersionEvents.PROCESS.refused(link.peer, e.getMessage());
+                if (!e.repairedByRepetition()) {
+                    ctx.close();
+                }
+            }
+        }
+
+        private void read(Letter letter) {
+            if (letter instanceof Letter.Unknown unknown) {
+                VersionEvents.PROCESS.passedOver(unknown.kind());
+            } else if (!(letter instanceof Letter.Hello hello) || link.agree(hello)) {
+                ear.letter(link, letter);
+            }
         }
 
         @Override
@@ -112,7 +150,7 @@
             ear.down(link);
         }
 
-        // What can't be read, and connections that break, end alike: by a close.
+        // A letter that is too long, and connections that break, end alike: by a close.
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- /dev/null
+++ b/src/main/java/cobaltrack/post/wire/MalformedLetterException.java
@@ -0,0 +1,25 @@
+package cobaltrack.post.wire;
+
+import java.io.IOException;
+
+/** Bytes that are no letter of the kind that they name. */
+public final class MalformedLetterException extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    private final LetterKind kind;
+
+    /**
+     * What is wrong with it.
+     *
+     * @param kind the kind that the bytes name, or null if they name none
+     */
+    MalformedLetterException(LetterKind kind, Throwable cause) {
+        super("malformed " + (kind == null ? "letter" : kind) + ": " + cause.getMessage(), cause);
+        this.kind = kind;
+    }
+
+    /** Whether what was lost with it is sent again anyway, so that the connection may go on. */
+    public boolean repairedByRepetition() {
+        return kind != null && kind.repeated();
+    }
+}
--- a/src/main/java/cobaltrack/post/wire/Tie.java
+++ b/src/main/java/cobaltrack/post/wire/Tie.java
@@ -214,7 +214,9 @@
             if (state == State.SUSPECT) {
                 to(State.UP);
             }
-            owner.letter(Tie.this, letter);
+            if (!(letter instanceof Letter.Hello)) {
+                owner.letter(Tie.this, letter);
+            }
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/cobaltrack/post/wire/OtherVersionTest.java
@@ -0,0 +1,218 @@
+package cobaltrack.post.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import cobaltrack.post.directory.Listing;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Letters of the protocol before versions, and of a later one, beside this program's; both ways. */
+public class OtherVersionTest {
+    private static final int WAIT_MS = 10_000;
+    private static final byte HELLO = 1;
+    private static final byte POST = 2;
+    private static final byte PING = 7;
+    private static final byte PAPER = 9;
+    private static final byte PARCEL = 10;
+    private static final byte RETURNED = 12;
+    private static final byte LATER_KIND = 99;
+
+    private EventLoopGroup loops;
+    private Channel server;
+
+    /** Writes the fields of a letter, as a program of another version does. */
+    private interface Fields {
+        void write(MessageBufferPacker packer) throws IOException;
+    }
+
+    private static byte[] bytes(byte tag, Fields fields) throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packByte(tag);
+            fields.write(packer);
+            return packer.toByteArray();
+        }
+    }
+
+    private static byte[] hello(int newest, int oldest) throws IOException {
+        return bytes(HELLO, p -> p.packString("n").packBoolean(false).packInt(newest).packInt(oldest));
+    }
+
+    private static byte[] unversionedHello() throws IOException {
+        return bytes(HELLO, p -> p.packString("n").packBoolean(false));
+    }
+
+    private static void listing(MessageBufferPacker p, String node, int phase) throws IOException {
+        p.packString(node).packLong(1).packLong(2).packString("z").packString("i").packString("s");
+        p.packInt(phase).packInt(6).packInt(5);
+    }
+
+    @Test
+    public void aGreetingWithoutVersionsIsReadAndOursIsReadByItsSender() throws IOException {
+        assertEquals(Letters.read(unversionedHello()),
+                new Letter.Hello("n", false, ProtocolVersion.NONE_NAMED));
+        // The reader of the program before versions: it takes these fields and looks no further.
+        try (MessageUnpacker u = MessagePack.newDefaultUnpacker(Letters.write(new Letter.Hello("n", true)))) {
+            assertEquals(u.unpackByte(), HELLO);
+            assertEquals(u.unpackString(), "n");
+            assertTrue(u.unpackBoolean());
+        }
+    }
+
+    @Test
+    public void theLowerOfBothNewestVersionsIsSpoken() {
+        ProtocolVersion later = new ProtocolVersion(9, 2);
+        assertEquals(ProtocolVersion.OURS.agreedWith(later), ProtocolVersion.OURS.newest());
+        assertEquals(later.agreedWith(ProtocolVersion.OURS), ProtocolVersion.OURS.newest());
+        assertEquals(ProtocolVersion.OURS.agreedWith(ProtocolVersion.NONE_NAMED),
+                ProtocolVersion.UNVERSIONED);
+        assertFalse(later.sharesOneWith(ProtocolVersion.NONE_NAMED));
+        assertFalse(ProtocolVersion.NONE_NAMED.sharesOneWith(later));
+        assertThrows(IllegalArgumentException.class, () -> new ProtocolVersion(1, 2));
+    }
+
+    @Test
+    public void kindsOfALaterVersionAreNamedAndNoError() throws IOException {
+        assertEquals(Letters.read(bytes(LATER_KIND, p -> p.packString("x"))),
+                new Letter.Unknown("letter 99"));
+        assertEquals(Letters.read(bytes(PAPER, p -> p.packByte(LATER_KIND).packLong(1))),
+                new Letter.Unknown("ballot message 99"));
+    }
+
+    @Test
+    public void fieldsOfALaterVersionArePassedOver() throws IOException {
+        assertEquals(Letters.read(bytes(PING, p -> p.packLong(4).packString("later"))), new Letter.Ping(4));
+    }
+
+    @Test
+    public void valuesOfALaterVersionHaveStatedDefaults() throws IOException {
+        byte[] post = bytes(POST, p -> {
+            p.packInt(2);
+            listing(p, "a", 7);
+            listing(p, "b", Listing.Phase.DRAINING.ordinal());
+        });
+        assertEquals(Letters.read(post), new Letter.Post(List.of(
+                new Listing("b", 1, 2, "z", "i", "s", Listing.Phase.DRAINING, 6, 5))), "a's is passed over");
+        byte[] returned = bytes(RETURNED, p -> p.packLong(3).packInt(77).packDouble(0).packDouble(0));
+        Letter.Returned read = (Letter.Returned) Letters.read(returned);
+        assertFalse(read.why().neverRan, "a reason that is not known promises nothing");
+    }
+
+    @Test
+    public void whatIsMalformedIsRefusedByTheNameOfItsKind() throws IOException {
+        byte[] parcel = bytes(PARCEL, p -> p.packString("no number"));
+        MalformedLetterException refused = expectThrows(MalformedLetterException.class,
+                () -> Letters.read(parcel));
+        assertTrue(refused.getMessage().contains("PARCEL"), refused.getMessage());
+        assertThrows(MalformedLetterException.class, () -> Letters.read(hello(1, 2)));
+    }
+
+    /** Answers to greetings and pings, as offices and sidecars do. */
+    private static final class Acceptor implements Link.Ear {
+        @Override
+        public void up(Link link) { }
+
+        @Override
+        public void letter(Link link, Letter letter) {
+            if (letter instanceof Letter.Hello hello) {
+                link.peer(hello.id());
+            } else if (letter instanceof Letter.Ping ping) {
+                link.send(new Letter.Pong(ping.number(), "version " + link.version(), -1));
+            }
+        }
+
+        @Override
+        public void down(Link link) { }
+    }
+
+    @BeforeClass
+    public void listen() throws InterruptedException {
+        loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        server = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .childHandler(Link.handlers(new Acceptor())).bind(InetAddress.getLoopbackAddress(), 0).sync()
+                .channel();
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void end() throws InterruptedException {
+        loops.shutdownGracefully(0, WAIT_MS, TimeUnit.MILLISECONDS).sync();
+    }
+
+    /** A peer of another version: it says these letters, then asks for a sign of life. */
+    private Letter answerAfter(byte[]... letters) throws IOException {
+        InetSocketAddress address = (InetSocketAddress) server.localAddress();
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(WAIT_MS);
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            for (byte[] letter : letters) {
+                say(out, letter);
+            }
+            say(out, Letters.write(new Letter.Ping(4)));
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            return Letters.read(in.readNBytes(in.readInt()));
+        }
+    }
+
+    private static void say(DataOutputStream out, byte[] letter) throws IOException {
+        out.writeInt(letter.length);
+        out.write(letter);
+        out.flush();
+    }
+
+    @Test
+    public void connectionsOutlastWhatIsNotKnown() throws IOException {
+        byte[] laterKind = bytes(LATER_KIND, p -> p.packString("x"));
+        byte[] laterPaper = bytes(PAPER, p -> p.packByte(LATER_KIND).packLong(1));
+        byte[] malformedPing = bytes(PING, p -> p.packString("no number"));
+        assertEquals(answerAfter(unversionedHello(), laterKind, laterPaper, malformedPing),
+                new Letter.Pong(4, "version 1", -1));
+        assertEquals(answerAfter(hello(9, 1), laterKind),
+                new Letter.Pong(4, "version " + ProtocolVersion.OURS.newest(), -1));
+    }
+
+    @Test
+    public void whatNobodyWouldRepeatEndsTheConnectionIfMalformed() throws IOException {
+        byte[] parcel = bytes(PARCEL, p -> p.packString("no number"));
+        assertThrows(EOFException.class, () -> answerAfter(unversionedHello(), parcel));
+    }
+
+    @Test
+    public void aPeerWithWhichNoVersionIsSharedIsRefused() throws IOException {
+        int later = ProtocolVersion.OURS.newest() + 1;
+        assertThrows(EOFException.class, () -> answerAfter(hello(later, later)));
+    }
+
+    @Test
+    public void whatIsPassedOverIsLoggedABoundedNumberOfTimes() {
+        VersionEvents events = new VersionEvents();
+        events.passedOver("the same thing");
+        events.passedOver("the same thing");
+        assertEquals(events.logged(), 1);
+        for (int i = 0; i < 2 * VersionEvents.LOGGED_MOST; i++) {
+            events.passedOver("thing " + i);
+        }
+        assertEquals(events.logged(), VersionEvents.LOGGED_MOST);
+    }
+}
