Rig: play each pair of voters cut, one way and both, with losses between

Cause: two voters that can't reach each other while both reach the rest may take each other's seat, and no schedule brought that about. An unplanned replacement is timed too. Ruled out: an extension of point 3, whose losses make a machine count as in trouble, so that its seat may go.

--- a/src/main/java/cobaltrack/standin/HardeningRehearsal.java
+++ b/src/main/java/cobaltrack/standin/HardeningRehearsal.java
@@ -42,7 +42,7 @@
     private CommandSpec spec;
     @Option(names = "--point", description = "Only this: 1 a machine cut off, 2 operators' histories, "
             + "3 losses one after the other, 4 hundreds of changes past a member, "
-            + "5 whose answer, and run how often.")
+            + "5 whose answer, and run how often, 6 pairs of voters that can't reach each other.")
     private int point;
     @Option(names = "--all", description = "All points.")
     private boolean all;
--- a/src/main/java/cobaltrack/standin/post/hardening/Faults.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Faults.java
@@ -1,5 +1,6 @@
 package cobaltrack.standin.post.hardening;
 
+import cobaltrack.post.ballot.Decision;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,6 +50,8 @@
     private static final double HANDOVER_MOST = 2000;
     /** Between two looks, in milliseconds. */
     private static final double LOOK = 25;
+    /** A successor without a seat for so long is not waited for, in milliseconds. */
+    private static final double UNSEATED = 20_000;
     /** Every process of the core may end at once and is back within this, in milliseconds. */
     private static final double POWER_BACK = 1000;
 
@@ -74,7 +77,12 @@
 
     /** Whether one more may be lost now. */
     boolean may() {
-        return lostUntil.values().stream().filter(t -> t > core.now()).count() < budget;
+        return losses() < budget;
+    }
+
+    /** How many machines count as lost now. */
+    int losses() {
+        return (int) lostUntil.values().stream().filter(t -> t > core.now()).count();
     }
 
     /** Whether nothing is lost. */
@@ -146,8 +154,9 @@
             }
             case REPLACED -> {
                 core.remove(m);
+                double removedAt = core.now();
                 core.agenda().in(Math.min(lasts, RESTART_MOST), () -> {
-                    newcomer();
+                    measureSeat(newcomer(), m, removedAt, core.now());
                     back(m.address());
                 });
             }
@@ -223,6 +232,23 @@
         }
     }
 
+    // An unplanned replacement: until the successor has a seat and the one that is gone has none.
+    private void measureSeat(Machine young, Machine old, double removedAt, double startedAt) {
+        Decision newest = core.checker().newest();
+        boolean done = newest != null && newest.electors().contains(young.id())
+                && !newest.electors().contains(old.id());
+        if (done) {
+            core.checker().sample("an unplanned replacement, ms from the loss to the new voters",
+                    core.now() - removedAt);
+            core.checker().sample("an unplanned replacement, ms from the new one's start to the new voters",
+                    core.now() - startedAt);
+        } else if (core.at(young.address()) != young || core.now() - startedAt > UNSEATED) {
+            core.checker().count("unplanned replacements that were overtaken");
+        } else {
+            core.agenda().in(LOOK, () -> measureSeat(young, old, removedAt, startedAt));
+        }
+    }
+
     private void measure(Machine young, Machine old, double startedAt, double toldAt, int struck) {
         if (strikes != struck || lostUntil.containsValue(Double.POSITIVE_INFINITY)) {
             core.checker().count("planned replacements that another loss overtook before the core bore it");
--- a/src/main/java/cobaltrack/standin/post/hardening/Point.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Point.java
@@ -11,7 +11,9 @@
     /** Losses one after the other, and members that come and go. */
     SEATS(3, (seed, bug, trace) -> SeatsPlay.play(seed, bug, trace, Core.SYNC)),
     /** Hundreds of changes past a member. */
-    CATCH_UP(4, CatchUpPlay::play);
+    CATCH_UP(4, CatchUpPlay::play),
+    /** Pairs of voters that can't reach each other while both reach the rest. */
+    PAIR_CUT(6, PairCutPlay::play);
 
     /** Plays a schedule. */
     private interface Play {
