--- /dev/null
+++ b/src/main/java/cobaltrack/post/ballot/PendingOperation.java
@@ -0,0 +1,37 @@
+package cobaltrack.post.ballot;
+
+/** An operation that waits at this office until the one before it has ended. */
+sealed interface PendingOperation {
+    /**
+     * A configuration change that an operator ordered.
+     *
+     * @param call the caller's number for it
+     * @param version of the new configuration
+     * @param builtOn the version that the change was made on
+     * @param digest of what was sent
+     * @param body the new configuration
+     */
+    record Replace(long call, long version, long builtOn, String digest, byte[] body)
+            implements PendingOperation { }
+
+    /** A linearizable read, by the caller's number. */
+    record Read(long call) implements PendingOperation { }
+
+    /**
+     * Gives a learner a vote.
+     *
+     * @param learner its id
+     * @param slot the newest decision on its disk, which must be the newest decision of all
+     */
+    record AddVoter(String learner, long slot) implements PendingOperation { }
+
+    /**
+     * Takes a vote away.
+     *
+     * @param slot the newest decision as this was queued
+     */
+    record RemoveVoter(long slot) implements PendingOperation { }
+
+    /** Brings a vote that was never told decided to its end. */
+    record FinishVote() implements PendingOperation { }
+}
--- a/src/main/java/cobaltrack/post/ballot/Proposer.java
+++ b/src/main/java/cobaltrack/post/ballot/Proposer.java
@@ -1,6 +1,7 @@
 package cobaltrack.post.ballot;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 /** One office's attempt to have a value agreed on in one slot. Pure. */
@@ -46,6 +47,11 @@
         return base.slot() + 1;
     }
 
+    /** Whom it asks. */
+    List<String> voters() {
+        return base.electors();
+    }
+
     /** What it proposes: a vote that may have been the last needed binds it. */
     Decision value() {
         return highest == null ? wanted : highest.value();
