Ledger: write each format as its program does, so that a program can be set back

Need: a ledger that was opened by this program could no longer be written by a program without checksums: opening added a column, and that program's INSERT names none ("table office has 4 columns but 3 values were supplied").

Ruled out: a generated column (SQLite has no CRC), a view in place of the table (no upsert into views), telling an earlier program's row from a damaged one by its content (impossible).

Change: post.ledger.Layout holds one case for each format. Format 0 stays 0: its checksum stands in a table of its own, and triggers clear it when a program without checksums writes. Writes name their columns, so columns of a later program keep what they hold. A format not known is refused by its number, the file left as it was. An elector's memory ends with its format and the oldest whose readers may read it; an earlier reader looks no further, a later record that forbids it is refused by name and not as damage.

--- a/src/main/java/cobaltrack/post/ledger/Ledger.java
+++ b/src/main/java/cobaltrack/post/ledger/Ledger.java
@@ -1,18 +1,15 @@
 package cobaltrack.post.ledger;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.sql.Connection;
 import java.sql.DriverManager;
-import java.sql.PreparedStatement;
 import java.sql.ResultSet;
 import java.sql.SQLException;
 import java.sql.Statement;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.zip.CRC32C;
 
 /**
  * An office's memory on disk: one row, replaced and synced each time. SQLite in WAL mode with full syncs: a
@@ -27,16 +24,16 @@
     private static final String LOG = FILE + "-wal";
     /** Pages in the log after which it is folded into the file; keeps it at some hundred kilobytes. */
     private static final int CHECKPOINT_PAGES = 200;
-    /** The table with a checksum. Before it there was version 0, without one. */
-    private static final int VERSION = 1;
 
     /** What was found. */
     public record Entry(String id, byte[] memory) { }
 
     private final Connection connection;
+    private final Layout layout;
 
-    private Ledger(Connection connection) {
+    private Ledger(Connection connection, Layout layout) {
         this.connection = connection;
+        this.layout = layout;
     }
 
     /**
@@ -68,8 +65,7 @@
                 syncer.file(folder.resolve(LOG));
             }
             c = DriverManager.getConnection("jdbc:sqlite:" + folder.resolve(FILE));
-            prepare(c, folder, syncer);
-            return new Ledger(c);
+            return new Ledger(c, prepare(c, folder, syncer));
         } catch (SQLException | IOException e) {
             close(c);
             throw new LedgerException("the ledger in " + folder + " can't be opened: " + e.getMessage(), e);
@@ -105,7 +101,7 @@
         return Files.exists(file) ? Files.size(file) : 0;
     }
 
-    private static void prepare(Connection c, Path folder, Syncer syncer) throws SQLException, IOException,
+    private static Layout prepare(Connection c, Path folder, Syncer syncer) throws SQLException, IOException,
             LedgerException {
         try (Statement s = c.createStatement()) {
             // The locking mode first: then the log's index needs no mapped file. And before the switch to the
@@ -114,20 +110,20 @@
             s.execute("PRAGMA synchronous=EXTRA");
             s.execute("PRAGMA journal_mode=WAL");
             s.execute("PRAGMA wal_autocheckpoint=" + CHECKPOINT_PAGES);
-            long version = number(s, "PRAGMA user_version");
+            long format = number(s, "PRAGMA user_version");
             if (number(s, "SELECT count(*) FROM sqlite_schema") == 0) {
-                s.execute("BEGIN");
-                s.execute("CREATE TABLE office (one INTEGER PRIMARY KEY CHECK (one = 1), id TEXT NOT NULL,"
-                        + " memory BLOB NOT NULL, crc INTEGER)");
-                s.execute("PRAGMA user_version=" + VERSION);
-                s.execute("COMMIT");
+                Layout.found(s);
                 syncer.folder(folder);
-            } else if (version == 0) {
-                upgrade(c, s);
-            } else if (version != VERSION) {
+                return Layout.NEWEST;
+            }
+            Layout layout = Layout.of(format);
+            if (layout == null) {
                 throw new LedgerException("the ledger in " + folder + " is damaged, or of a later version: "
-                        + version);
+                        + "its format is " + format + ", this program knows 0 to " + Layout.NEWEST.format()
+                        + "; it is left as it was");
             }
+            layout.prepare(c, s);
+            return layout;
         }
     }
 
@@ -137,66 +133,38 @@
         }
     }
 
-    // A ledger of before: its row gets a checksum. All or nothing.
-    private static void upgrade(Connection c, Statement s) throws SQLException {
-        s.execute("BEGIN");
-        s.execute("ALTER TABLE office ADD COLUMN crc INTEGER");
-        Entry entry = null;
-        try (ResultSet r = s.executeQuery("SELECT id, memory FROM office")) {
-            if (r.next()) {
-                entry = new Entry(r.getString(1), r.getBytes(2));
-            }
-        }
-        if (entry != null) {
-            try (PreparedStatement p = c.prepareStatement("UPDATE office SET crc = ?")) {
-                p.setLong(1, checksum(entry.id(), entry.memory()));
-                p.executeUpdate();
-            }
-        }
-        s.execute("PRAGMA user_version=" + VERSION);
-        s.execute("COMMIT");
-    }
-
-    private static long checksum(String id, byte[] memory) {
-        CRC32C crc = new CRC32C();
-        crc.update(id.getBytes(StandardCharsets.UTF_8));
-        crc.update(0);
-        crc.update(memory);
-        return crc.getValue();
-    }
-
     /**
      * What was written last, or null in a new ledger. It lasts: no loss of power after this takes it.
      *
      * @throws LedgerException if it can't be read, or is damaged
      */
     public Entry read() throws LedgerException {
-        try (Statement s = connection.createStatement();
-                ResultSet r = s.executeQuery("SELECT one, id, memory, crc FROM office LIMIT 2")) {
-            if (!r.next()) {
-                return unwritten();
+        try {
+            Layout.Stored stored = layout.read(connection);
+            if (stored == null) {
+                check();
+                return null;
             }
-            Entry entry = new Entry(r.getString(2), r.getBytes(3));
-            boolean whole = r.getLong(1) == 1 && entry.id() != null && entry.memory() != null
-                    && r.getString(4) != null && r.getLong(4) == checksum(entry.id(), entry.memory());
-            if (!whole || r.next()) {
+            if (stored.withoutChecksum()) {
+                check();
+                layout.write(connection, stored.entry());
+            } else if (!stored.whole()) {
                 throw new LedgerException("the ledger's entry is damaged; remove it to join as a new office");
             }
-            return entry;
+            return stored.entry();
         } catch (SQLException e) {
             throw new LedgerException("the ledger can't be read: " + e.getMessage(), e);
         }
     }
 
-    // Nothing was said yet, or a damaged page hides the row.
-    private Entry unwritten() throws SQLException, LedgerException {
+    // Where no checksum tells: a damaged page may hide a row, or hold one of a program without checksums.
+    private void check() throws SQLException, LedgerException {
         try (Statement s = connection.createStatement();
                 ResultSet r = s.executeQuery("PRAGMA quick_check")) {
             if (!"ok".equals(r.getString(1))) {
                 throw new LedgerException("the ledger is damaged: " + r.getString(1)
                         + "; remove it to join as a new office");
             }
-            return null;
         }
     }
 
@@ -206,14 +174,8 @@
      * @throws LedgerException if it may not be
      */
     public void write(String id, byte[] memory) throws LedgerException {
-        // Made anew each time: the driver ends a statement that a full disk refused once, for good.
-        try (PreparedStatement replace = connection.prepareStatement("INSERT INTO office VALUES (1, ?, ?, ?)"
-                + " ON CONFLICT (one) DO UPDATE SET id = excluded.id, memory = excluded.memory,"
-                + " crc = excluded.crc")) {
-            replace.setString(1, id);
-            replace.setBytes(2, memory);
-            replace.setLong(3, checksum(id, memory));
-            replace.executeUpdate();
+        try {
+            layout.write(connection, new Entry(id, memory));
         } catch (SQLException e) {
             throw new LedgerException("the ledger can't be written: " + e.getMessage(), e);
         }
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -19,6 +19,7 @@
 import cobaltrack.post.tariff.TariffCheck;
 import cobaltrack.post.tariff.TariffException;
 import cobaltrack.post.tariff.TariffReader;
+import cobaltrack.post.wire.LaterFormatException;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
 import cobaltrack.post.wire.Link;
@@ -145,6 +146,8 @@
             id = entry.id();
             try {
                 return Letters.memory(entry.memory());
+            } catch (LaterFormatException e) {
+                throw new LedgerException(e.getMessage() + "; it is left as it was", e);
             } catch (IOException e) {
                 throw new LedgerException("the ledger's entry is damaged; remove it to join as a new office",
                         e);
--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -26,6 +26,10 @@
 public final class Letters {
     /** Lists longer than this are no letter of ours. */
     private static final int LIST_MOST = 1 << 16;
+    /** The format of an elector's memory. Before it there was 1, which says nothing of formats. */
+    private static final int MEMORY_FORMAT = 2;
+    /** The oldest format whose readers may pass over what this one has added. */
+    private static final int MEMORY_READABLE_FROM = 1;
     private static final Listing.Phase[] PHASES = Listing.Phase.values();
     private static final Letter.Why[] REASONS = Letter.Why.values();
 
@@ -228,6 +232,7 @@
             }
             ballot(p, memory.promised());
             vote(p, memory.vote());
+            p.packInt(MEMORY_FORMAT).packInt(MEMORY_READABLE_FROM);
             return p.toByteArray();
         } catch (IOException e) {
             throw new IllegalStateException("writing to memory failed", e);
@@ -235,19 +240,31 @@
     }
 
     /**
-     * Reads what an elector remembers.
+     * Reads what an elector remembers; fields that a later program has added are passed over.
      *
+     * @throws LaterFormatException if a later program has added what must not be passed over
      * @throws IOException if these bytes are no memory
      */
     public static Acceptor.Memory memory(byte[] bytes) throws IOException {
         try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
             Decision decided = u.tryUnpackNil() ? null : decision(u);
-            return new Acceptor.Memory(decided, ballot(u), vote(u));
+            Acceptor.Memory memory = new Acceptor.Memory(decided, ballot(u), vote(u));
+            checkFormat(u);
+            return memory;
         } catch (RuntimeException e) {
             throw new IOException("not an elector's memory", e);
         }
     }
 
+    // A memory of a program before formats ends here.
+    private static void checkFormat(MessageUnpacker u) throws IOException {
+        int format = u.hasNext() ? u.unpackInt() : 1;
+        int readableFrom = u.hasNext() ? u.unpackInt() : 1;
+        if (readableFrom > MEMORY_FORMAT) {
+            throw new LaterFormatException(format, readableFrom, MEMORY_FORMAT);
+        }
+    }
+
     private static void message(MessageBufferPacker p, Message message) throws IOException {
         if (message instanceof Message.Prepare s) {
             p.packByte((byte) 1).packLong(s.slot());
--- a/src/test/java/cobaltrack/post/wire/OtherVersionTest.java
+++ b/src/test/java/cobaltrack/post/wire/OtherVersionTest.java
@@ -6,6 +6,9 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import cobaltrack.post.ballot.Acceptor;
+import cobaltrack.post.ballot.Ballot;
+import cobaltrack.post.ballot.Decision;
 import cobaltrack.post.directory.Listing;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -20,6 +23,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.msgpack.core.MessageBufferPacker;
@@ -129,8 +133,38 @@
         assertThrows(MalformedLetterException.class, () -> Letters.read(hello(1, 2)));
     }
 
+    // What the program before formats writes, as it stands in its file.
+    private static byte[] memory(int... formats) throws IOException {
+        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+            p.packLong(7).packLong(12).packBinaryHeader(2).writePayload(new byte[] {1, 2});
+            p.packInt(1).packLong(12).packString("digest").packInt(1).packString("10.0.0.1#0");
+            p.packLong(3).packString("10.0.0.1#0").packNil();
+            for (int format : formats) {
+                p.packInt(format);
+            }
+            return p.toByteArray();
+        }
+    }
+
+    @Test
+    public void memoriesOfOtherFormatsAreReadUnlessTheyForbidIt() throws IOException {
+        Acceptor.Memory read = Letters.memory(memory());
+        assertEquals(read, new Acceptor.Memory(new Decision(7, 12, new byte[] {1, 2},
+                List.of(new Decision.Taken(12, "digest")), List.of("10.0.0.1#0")),
+                new Ballot(3, "10.0.0.1#0"), null));
+        byte[] ours = Letters.write(read);
+        byte[] before = memory();
+        assertEquals(Arrays.copyOf(ours, before.length), before,
+                "ours begins as theirs, who read no further");
+        assertEquals(Letters.memory(memory(9, 1, 4, 5)), read);
+        LaterFormatException refused = expectThrows(LaterFormatException.class,
+                () -> Letters.memory(memory(9, 8)));
+        assertTrue(refused.getMessage().contains("of format 9 needs a program that knows format 8"),
+                refused.getMessage());
+    }
+
     /** Answers to greetings and pings, as offices and sidecars do. */
-    private static final class Acceptor implements Link.Ear {
+    private static final class Responder implements Link.Ear {
         @Override
         public void up(Link link) { }
 
@@ -151,7 +185,7 @@
     public void listen() throws InterruptedException {
         loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         server = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
-                .childHandler(Link.handlers(new Acceptor())).bind(InetAddress.getLoopbackAddress(), 0).sync()
+                .childHandler(Link.handlers(new Responder())).bind(InetAddress.getLoopbackAddress(), 0).sync()
                 .channel();
     }
 
