Split the simulated replication schedules by concern

Need: CopiesDay held machines and network, faults, the limit on losses, client requests and the final checks in one class of 460 lines, with bare numbers for odds and times.

Change: CopiesDay plays a schedule; SimCluster holds machines, network, clock and random numbers, SimFaults injects faults, LossLimit says which losses a group bears, SimRequest is one client's request, FinalStateCheck what must hold at the end, SimRequestKind the classes and settings, which PointsDay shares. Random draws keep their order.

--- a/src/main/java/cobaltrack/standin/copies/PointsDay.java
+++ b/src/main/java/cobaltrack/standin/copies/PointsDay.java
@@ -77,7 +77,7 @@
         }
         SortedMap<String, SortedSet<String>> groups = new TreeMap<>(Map.of(GROUP, names));
         for (String name : names) {
-            machines.put(name, new SimMachine(name, names, groups, 0, CopiesDay.SETTINGS, world, truth,
+            machines.put(name, new SimMachine(name, names, groups, 0, SimRequestKind.SETTINGS, world, truth,
                     Bug.NONE,
                     plan.disk, new Random(dice.nextLong())));
         }
@@ -178,7 +178,7 @@
         heard.add(d.word());
         if (d instanceof Directive.Send send) {
             runs++;
-            truth.ran(ID, true, plan.kind == 2 ? CopiesDay.WINDOW_MS : 0, world.now());
+            truth.ran(ID, true, SimRequestKind.at(plan.kind).keyWindowMs(), world.now());
             if (m == victim) {
                 reached(Point.SENT);
             }
@@ -197,7 +197,7 @@
         } else {
             over = true;
             if (d instanceof Directive.Refused) {
-                truth.refused(ID, plan.kind == 2 ? CopiesDay.WINDOW_MS : 0, world.now());
+                truth.refused(ID, SimRequestKind.at(plan.kind).keyWindowMs(), world.now());
             }
         }
     }
@@ -210,7 +210,7 @@
             there.run(() -> m.consultations().ask(peer, ID, new Ask(plan.kind, -1, TIME_MS, false), d -> {
                 ends.add(d.word());
                 if (d instanceof Directive.Send) {
-                    truth.ran(ID, true, plan.kind == 2 ? CopiesDay.WINDOW_MS : 0, world.now());
+                    truth.ran(ID, true, SimRequestKind.at(plan.kind).keyWindowMs(), world.now());
                 }
             }));
         }
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/copies/SimProxy.java
@@ -0,0 +1,11 @@
+package cobaltrack.standin.copies;
+
+import cobaltrack.consult.Peer;
+
+/** A simulated proxy, by its name in the network and as processes see it. */
+record SimProxy(String name, Peer peer) {
+    /** The proxy of this name. */
+    static SimProxy named(String name) {
+        return new SimProxy(name, new Peer(true, name));
+    }
+}
