Rig: another version of the program beside this one, on processes

Two offices and a sidecar go to this version, stand, are set back, stand, and all six go through. Counted: requests lost, run twice, refused and run; changes lost, refused or read back as another; time for each node.

--- a/src/main/java/cobaltrack/standin/Rehearse.java
+++ b/src/main/java/cobaltrack/standin/Rehearse.java
@@ -2,6 +2,7 @@
 
 import cobaltrack.decide.Decide;
 import cobaltrack.standin.post.scale.ScaleRehearsal;
+import cobaltrack.standin.post.upgrade.UpgradeRehearsal;
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -21,7 +22,7 @@
         subcommands = {Rehearse.Room.class, Rehearse.Overload.class, Rehearse.Processor.class,
             Rehearse.Alike.class, ConsultSpeed.class, Speed.class, PlanRehearsal.class,
             SignalRehearsal.class, CopiesRehearsal.class, CopiesCostRehearsal.class,
-            HardeningRehearsal.class, ScaleRehearsal.class})
+            HardeningRehearsal.class, ScaleRehearsal.class, UpgradeRehearsal.class})
 public final class Rehearse implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/upgrade/Machine.java
@@ -0,0 +1,111 @@
+package cobaltrack.standin.post.upgrade;
+
+import cobaltrack.standin.post.Talk;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One machine: its settings, its disk, and the process of whichever version runs on it. One thread;
+ * {@link #ready} is for any.
+ */
+final class Machine {
+    /** After SIGTERM a machine kills what has not ended; the settings say so too. */
+    private static final long GRACE_S = 6;
+
+    /** What runs on it. */
+    enum Role {
+        /** A control node. */
+        OFFICE,
+        /** A sidecar. */
+        CARRIER;
+
+        private String command() {
+            return name().toLowerCase(java.util.Locale.ROOT);
+        }
+    }
+
+    private final Role role;
+    private final String name;
+    private final Path settings;
+    private final Path log;
+    private final String probeAddress;
+    private Process process;
+    private boolean killed;
+
+    /**
+     * A machine on which nothing runs.
+     *
+     * @param probeAddress where it is asked whether it is ready
+     */
+    Machine(Role role, int number, Path folder, List<String> settings, String probeAddress)
+            throws IOException {
+        this.role = role;
+        this.name = role.command() + " " + number;
+        this.settings = Files.write(folder.resolve(role.command() + "-" + number + ".conf"), settings);
+        this.log = folder.resolve(role.command() + "-" + number + ".log");
+        this.probeAddress = probeAddress;
+    }
+
+    /** What it is called in the figures. */
+    String name() {
+        return name;
+    }
+
+    /** What runs on it. */
+    Role role() {
+        return role;
+    }
+
+    /** Starts this version's process. */
+    void start(Program program) throws IOException {
+        ProcessBuilder b = new ProcessBuilder(program.command(role.command()));
+        b.environment().put("WHINLEAD_NODE_FILE", settings.toString());
+        process = b.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+    }
+
+    /** Ends the process: SIGTERM, and a kill once the grace is over. */
+    void stop() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(GRACE_S, TimeUnit.SECONDS)) {
+            killed = true;
+            kill();
+        }
+    }
+
+    /** Ends the process at once. */
+    void kill() throws InterruptedException {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    /** Whether a process on it did not end within the grace. */
+    boolean wasKilled() {
+        return killed;
+    }
+
+    /** Whether it can be used: an office answers a read, a sidecar says that it is ready. */
+    boolean ready() {
+        String first = role == Role.OFFICE ? "POST /whinlead/rpc?call=config.read"
+                : "GET /whinlead/readiness";
+        try {
+            Talk.Message answer = Talk.ask(probeAddress, first, Map.of(), new byte[0]);
+            return answer != null && answer.status() == 200;
+        } catch (IOException e) {
+            // Not listening, or gone in the middle of it.
+            return false;
+        }
+    }
+
+    /** The lines that its processes have logged and that hold this. */
+    List<String> logged(String text) throws IOException {
+        try (var lines = Files.lines(log)) {
+            return lines.filter(line -> line.contains(text)).toList();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/upgrade/Rollout.java
@@ -0,0 +1,217 @@
+package cobaltrack.standin.post.upgrade;
+
+import cobaltrack.standin.Promises;
+import cobaltrack.standin.post.Cards;
+import cobaltrack.standin.post.StandInApp;
+import cobaltrack.standin.post.Talk;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Three offices and three sidecars as processes on loopback, upgraded one at a time under requests and
+ * changes: half way, back, and through. One thread.
+ */
+final class Rollout implements AutoCloseable {
+    private static final int NODES = 3;
+    private static final int CLIENTS_EACH = 2;
+    private static final long HEARTBEAT_MS = 200;
+    private static final long WAIT_S = 60;
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final double NANOS_PER_MS = 1e6;
+    private static final double PROMISED_READY_MS = 30_000;
+    private static final int LOSSES_TOLD = 10;
+
+    private final Promises promises;
+    private final Program old;
+    private final Program current;
+    private final long standMs;
+    private final Cards cards = new Cards(NODES);
+    private final List<Machine> offices = new ArrayList<>();
+    private final List<Machine> carriers = new ArrayList<>();
+    private final List<StandInApp> endpoints = new ArrayList<>();
+    private final Clients clients;
+    private final Changes changes;
+
+    /**
+     * A fleet that is not started.
+     *
+     * @param standMs how long it stands half way, set back, and through
+     */
+    Rollout(Promises promises, Program old, Program current, long standMs) throws IOException {
+        this.promises = promises;
+        this.old = old;
+        this.current = current;
+        this.standMs = standMs;
+        Path folder = Files.createTempDirectory("upgrade");
+        List<String> egress = new ArrayList<>();
+        List<String> control = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            offices.add(new Machine(Machine.Role.OFFICE, i, folder,
+                    cards.office(i, folder.resolve("disk-" + i).toString(), true), cards.control(i)));
+            carriers.add(new Machine(Machine.Role.CARRIER, i, folder, cards.carrier(i, "svc"),
+                    cards.readiness(i)));
+            endpoints.add(new StandInApp("i-" + i, "svc", cards.app(i), cards.beats(i)));
+            egress.add(cards.egress(i));
+            control.add(cards.control(i));
+        }
+        clients = new Clients(carriers, egress);
+        changes = new Changes(control);
+    }
+
+    /** Plays it all. */
+    void play() throws Exception {
+        begin();
+        replace("half way up, ", current, offices.get(0), carriers.get(0), offices.get(1));
+        stand("half way up, ");
+        replace("back, ", old, offices.get(1), carriers.get(0), offices.get(0));
+        stand("back, ");
+        replace("through, ", current, offices.get(0), carriers.get(0), offices.get(1), carriers.get(1),
+                offices.get(2), carriers.get(2));
+        stand("through, ");
+        report();
+    }
+
+    private void begin() throws Exception {
+        for (Machine m : offices) {
+            m.start(old);
+        }
+        for (int i = 0; i < NODES; i++) {
+            carriers.get(i).start(old);
+            endpoints.get(i).beatEvery(HEARTBEAT_MS);
+        }
+        changes.start();
+        for (Machine m : carriers) {
+            await(m.name() + " is ready", m::ready);
+        }
+        for (Machine m : offices) {
+            await(m.name() + " answers", m::ready);
+        }
+        for (String egress : List.of(cards.egress(0), cards.egress(1), cards.egress(2))) {
+            await(egress + " serves", () -> status(egress, "/a/first") == 200);
+        }
+        clients.start(CLIENTS_EACH);
+    }
+
+    private static void await(String what, Callable<Boolean> holds) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S);
+        while (!holds.call()) {
+            if (System.nanoTime() > end) {
+                throw new IllegalStateException("not in " + WAIT_S + " s: " + what);
+            }
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
+
+    private static int status(String egress, String path) {
+        try {
+            Talk.Message answer = Talk.ask(egress, "GET " + path, Map.of("Host", "post.example", "Attempt-Id",
+                    "probe-" + System.nanoTime(), "Deadline-Ms", "4000", "Api-Key", "key-1"), new byte[0]);
+            return answer == null ? 0 : answer.status();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private void replace(String of, Program program, Machine... machines) throws Exception {
+        for (Machine m : machines) {
+            long began = System.nanoTime();
+            m.stop();
+            double stopped = (System.nanoTime() - began) / NANOS_PER_MS;
+            m.start(program);
+            await(m.name() + " is ready again", m::ready);
+            promises.figure(of + m.name() + " to " + program.name() + ", ms to its process's end", stopped);
+            promises.under(of + m.name() + " to " + program.name() + ", ms from SIGTERM to ready",
+                    (System.nanoTime() - began) / NANOS_PER_MS, PROMISED_READY_MS);
+        }
+    }
+
+    // Under load for a while; then what was acknowledged last must be at every office and sidecar.
+    private void stand(String of) throws Exception {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(standMs));
+        long version = changes.hold();
+        long began = System.nanoTime();
+        for (int i = 0; i < NODES; i++) {
+            String control = cards.control(i);
+            String egress = cards.egress(i);
+            await(control + " has version " + version, () -> read(control).equals(Changes.body(version)));
+            await(egress + " serves version " + version,
+                    () -> status(egress, Changes.path(version) + "x") == 200);
+        }
+        promises.figure(of + "changes acknowledged so far, each in force everywhere", version);
+        promises.figure(of + "ms until the last one was seen at every office and sidecar",
+                (System.nanoTime() - began) / NANOS_PER_MS);
+        changes.resume();
+    }
+
+    private static String read(String control) {
+        try {
+            Talk.Message answer = Talk.ask(control, "POST /whinlead/rpc?call=config.read", Map.of(),
+                    new byte[0]);
+            return answer == null ? "" : answer.text();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private void report() throws InterruptedException, IOException {
+        changes.close();
+        clients.close();
+        clients.losses().stream().limit(LOSSES_TOLD).forEach(loss -> System.out.println("lost: " + loss));
+        changes.broken().forEach(what -> System.out.println("change: " + what));
+        Clients.Sums sums = clients.sums(endpoints);
+        promises.figure("requests", sums.asked());
+        promises.figure("requests served", sums.served());
+        promises.figure("requests refused, and not run", sums.refused() - sums.refusedYetRun());
+        promises.figure("repeatable requests that ran twice", sums.repeated());
+        promises.under("requests lost", sums.lost(), 1);
+        promises.under("requests that may not be repeated and ran twice", sums.runTwice(), 1);
+        promises.under("requests refused that ran", sums.refusedYetRun(), 1);
+        promises.under("requests served that never ran", sums.servedUnrun(), 1);
+        promises.figure("changes with no clear answer, sent again", changes.unclear());
+        promises.figure("longest ms from a change's first call to its acknowledgement", changes.longestMs());
+        promises.under("changes lost, refused or read back as another", changes.broken().size(), 1);
+        logs();
+    }
+
+    private void logs() throws IOException {
+        long killed = 0;
+        long faults = 0;
+        for (Machine m : machines()) {
+            killed += m.wasKilled() ? 1 : 0;
+            faults += m.logged("107 a fault").size();
+            for (String line : m.logged(" passed over, of a later version")) {
+                System.out.println(m.name() + ": " + line);
+            }
+            for (String line : m.logged("306 peer refused")) {
+                System.out.println(m.name() + ": " + line);
+            }
+        }
+        promises.under("machines whose process did not end within the grace", killed, 1);
+        promises.under("faults logged", faults, 1);
+    }
+
+    private List<Machine> machines() {
+        List<Machine> all = new ArrayList<>(offices);
+        all.addAll(carriers);
+        return all;
+    }
+
+    @Override
+    public void close() throws Exception {
+        changes.close();
+        clients.close();
+        for (Machine m : machines()) {
+            m.kill();
+        }
+        for (StandInApp endpoint : endpoints) {
+            endpoint.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/standin/post/upgrade/UpgradeRehearsal.java
@@ -0,0 +1,37 @@
+package cobaltrack.standin.post.upgrade;
+
+import cobaltrack.standin.Promises;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** {@code rehearse upgrade}: another version of the program beside this one, as processes on loopback. */
+@Command(name = "upgrade", description = "Three offices and three sidecars go from another version to this "
+        + "one, half way, back, and through, under requests and changes.")
+public final class UpgradeRehearsal implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--other-jar", required = true, description = "The other version's program.")
+    private Path otherJar;
+    @Option(names = "--stand-s", description = "How long it stands half way, set back, and through.")
+    private long standS = 10;
+
+    @Override
+    public Integer call() throws Exception {
+        if (!Files.isRegularFile(otherJar)) {
+            throw new ParameterException(spec.commandLine(), "--other-jar: no file " + otherJar);
+        }
+        Promises promises = new Promises(System.out);
+        try (Rollout rollout = new Rollout(promises, Program.of(otherJar), Program.running(),
+                TimeUnit.SECONDS.toMillis(standS))) {
+            rollout.play();
+        }
+        return promises.kept() ? 0 : 1;
+    }
+}
