--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -19,6 +19,7 @@
 import cobaltrack.post.tariff.TariffCheck;
 import cobaltrack.post.tariff.TariffException;
 import cobaltrack.post.tariff.TariffReader;
+import cobaltrack.post.wire.AcceptorRecord;
 import cobaltrack.post.wire.LaterFormatException;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
@@ -145,7 +146,7 @@
         if (entry != null) {
             id = entry.id();
             try {
-                return Letters.memory(entry.memory());
+                return AcceptorRecord.read(entry.memory());
             } catch (LaterFormatException e) {
                 throw new LedgerException(e.getMessage() + "; it is left as it was", e);
             } catch (IOException e) {
@@ -161,7 +162,7 @@
                 ? Decision.founding(seeds.stream().map(s -> s + "#0").sorted().toList()) : null,
                 Ballot.NONE, null);
         // On disk before anything is said under this name.
-        ledger.write(id, Letters.write(memory));
+        ledger.write(id, AcceptorRecord.write(memory));
         return memory;
     }
 
@@ -427,12 +428,12 @@
 
     @Override
     public void sync(Acceptor.Memory memory, String to, Message message) {
-        scribe.write(Letters.write(memory), () -> send(to, message));
+        scribe.write(AcceptorRecord.write(memory), () -> send(to, message));
     }
 
     @Override
     public void decided(Decision decision) {
-        scribe.write(Letters.write(new Acceptor.Memory(decision, Ballot.NONE, null)),
+        scribe.write(AcceptorRecord.write(new Acceptor.Memory(decision, Ballot.NONE, null)),
                 () -> guard(() -> council.stored(now(), decision.slot())));
         decision.electors().forEach(e -> know(Council.address(e)));
         Event.DECIDED.log("slot " + decision.slot() + " version " + Long.toHexString(decision.version())
--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -3,7 +3,6 @@
 import cobaltrack.post.allowance.Use;
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Decision;
-import cobaltrack.post.ballot.Acceptor;
 import cobaltrack.post.ballot.Message;
 import cobaltrack.post.directory.Listing;
 import java.io.IOException;
@@ -26,10 +25,6 @@
 public final class Letters {
     /** Lists longer than this are no letter of ours. */
     private static final int LIST_MOST = 1 << 16;
-    /** The format of an elector's memory. Before it there was 1, which says nothing of formats. */
-    private static final int MEMORY_FORMAT = 2;
-    /** The oldest format whose readers may pass over what this one has added. */
-    private static final int MEMORY_READABLE_FROM = 1;
     private static final Listing.Phase[] PHASES = Listing.Phase.values();
     private static final Letter.Why[] REASONS = Letter.Why.values();
 
@@ -222,49 +217,6 @@
         return REASONS[number];
     }
 
-    /** Writes what an elector remembers. */
-    public static byte[] write(Acceptor.Memory memory) {
-        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
-            if (memory.decided() == null) {
-                p.packNil();
-            } else {
-                decision(p, memory.decided());
-            }
-            ballot(p, memory.promised());
-            vote(p, memory.vote());
-            p.packInt(MEMORY_FORMAT).packInt(MEMORY_READABLE_FROM);
-            return p.toByteArray();
-        } catch (IOException e) {
-            throw new IllegalStateException("writing to memory failed", e);
-        }
-    }
-
-    /**
-     * Reads what an elector remembers; fields that a later program has added are passed over.
-     *
-     * @throws LaterFormatException if a later program has added what must not be passed over
-     * @throws IOException if these bytes are no memory
-     */
-    public static Acceptor.Memory memory(byte[] bytes) throws IOException {
-        try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
-            Decision decided = u.tryUnpackNil() ? null : decision(u);
-            Acceptor.Memory memory = new Acceptor.Memory(decided, ballot(u), vote(u));
-            checkFormat(u);
-            return memory;
-        } catch (RuntimeException e) {
-            throw new IOException("not an elector's memory", e);
-        }
-    }
-
-    // A memory of a program before formats ends here.
-    private static void checkFormat(MessageUnpacker u) throws IOException {
-        int format = u.hasNext() ? u.unpackInt() : 1;
-        int readableFrom = u.hasNext() ? u.unpackInt() : 1;
-        if (readableFrom > MEMORY_FORMAT) {
-            throw new LaterFormatException(format, readableFrom, MEMORY_FORMAT);
-        }
-    }
-
     private static void message(MessageBufferPacker p, Message message) throws IOException {
         if (message instanceof Message.Prepare s) {
             p.packByte((byte) 1).packLong(s.slot());
@@ -315,15 +267,15 @@
         };
     }
 
-    private static void ballot(MessageBufferPacker p, Ballot b) throws IOException {
+    static void ballot(MessageBufferPacker p, Ballot b) throws IOException {
         p.packLong(b.round()).packString(b.by());
     }
 
-    private static Ballot ballot(MessageUnpacker u) throws IOException {
+    static Ballot ballot(MessageUnpacker u) throws IOException {
         return new Ballot(u.unpackLong(), u.unpackString());
     }
 
-    private static void vote(MessageBufferPacker p, Message.Vote vote) throws IOException {
+    static void vote(MessageBufferPacker p, Message.Vote vote) throws IOException {
         if (vote == null) {
             p.packNil();
         } else {
@@ -332,7 +284,7 @@
         }
     }
 
-    private static Message.Vote vote(MessageUnpacker u) throws IOException {
+    static Message.Vote vote(MessageUnpacker u) throws IOException {
         return u.getNextFormat() == MessageFormat.NIL ? nil(u) : new Message.Vote(ballot(u), decision(u));
     }
 
@@ -341,7 +293,7 @@
         return null;
     }
 
-    private static void decision(MessageBufferPacker p, Decision d) throws IOException {
+    static void decision(MessageBufferPacker p, Decision d) throws IOException {
         p.packLong(d.slot()).packLong(d.version());
         bytes(p, d.body());
         p.packInt(d.taken().size());
@@ -351,7 +303,7 @@
         strings(p, d.electors());
     }
 
-    private static Decision decision(MessageUnpacker u) throws IOException {
+    static Decision decision(MessageUnpacker u) throws IOException {
         long slot = u.unpackLong();
         long version = u.unpackLong();
         byte[] body = bytes(u);
--- a/src/main/java/cobaltrack/standin/post/hardening/Disk.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Disk.java
@@ -1,7 +1,7 @@
 package cobaltrack.standin.post.hardening;
 
 import cobaltrack.post.ballot.Acceptor;
-import cobaltrack.post.wire.Letters;
+import cobaltrack.post.wire.AcceptorRecord;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -64,7 +64,7 @@
 
     private static Entry reread(Entry entry) {
         try {
-            return new Entry(entry.id(), Letters.memory(Letters.write(entry.memory())));
+            return new Entry(entry.id(), AcceptorRecord.read(AcceptorRecord.write(entry.memory())));
         } catch (IOException e) {
             throw new IllegalStateException("a memory that was written can't be read", e);
         }
--- a/src/test/java/cobaltrack/post/LettersTest.java
+++ b/src/test/java/cobaltrack/post/LettersTest.java
@@ -10,6 +10,7 @@
 import cobaltrack.post.ballot.Message;
 import cobaltrack.post.directory.Listing;
 import cobaltrack.post.log.Event;
+import cobaltrack.post.wire.AcceptorRecord;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
 import java.io.IOException;
@@ -58,9 +59,9 @@
                 List.of("A", "b"), new byte[] {9}, 0.5, 2)));
         assertEquals(d.status(), 200);
         Acceptor.Memory m = new Acceptor.Memory(DECISION, BALLOT, new Message.Vote(BALLOT, DECISION));
-        assertEquals(Letters.memory(Letters.write(m)), m);
+        assertEquals(AcceptorRecord.read(AcceptorRecord.write(m)), m);
         Acceptor.Memory none = new Acceptor.Memory(null, Ballot.NONE, null);
-        assertEquals(Letters.memory(Letters.write(none)), none);
+        assertEquals(AcceptorRecord.read(AcceptorRecord.write(none)), none);
     }
 
     @Test
--- a/src/test/java/cobaltrack/post/wire/OtherVersionTest.java
+++ b/src/test/java/cobaltrack/post/wire/OtherVersionTest.java
@@ -148,17 +148,17 @@
 
     @Test
     public void memoriesOfOtherFormatsAreReadUnlessTheyForbidIt() throws IOException {
-        Acceptor.Memory read = Letters.memory(memory());
+        Acceptor.Memory read = AcceptorRecord.read(memory());
         assertEquals(read, new Acceptor.Memory(new Decision(7, 12, new byte[] {1, 2},
                 List.of(new Decision.Taken(12, "digest")), List.of("10.0.0.1#0")),
                 new Ballot(3, "10.0.0.1#0"), null));
-        byte[] ours = Letters.write(read);
+        byte[] ours = AcceptorRecord.write(read);
         byte[] before = memory();
         assertEquals(Arrays.copyOf(ours, before.length), before,
                 "ours begins as theirs, who read no further");
-        assertEquals(Letters.memory(memory(9, 1, 4, 5)), read);
+        assertEquals(AcceptorRecord.read(memory(9, 1, 4, 5)), read);
         LaterFormatException refused = expectThrows(LaterFormatException.class,
-                () -> Letters.memory(memory(9, 8)));
+                () -> AcceptorRecord.read(memory(9, 8)));
         assertTrue(refused.getMessage().contains("of format 9 needs a program that knows format 8"),
                 refused.getMessage());
     }
