Cancel what runs for a client that has left, and bound how long a body is awaited

Cause: a request whose client closed its connection was only forgotten: one that waited for a connection still went out (the module does not cancel), and its endpoint worked on to the deadline. An attempt counted against the route's Tries only once its end was told. A body that came in drips was awaited for ever, and its time did not count against DeadlineS.

Ruled out: cancelling through the module's own switch, which also shapes what it learns; breaking off what may not be repeated, which would leave it unclear.

Change: Letter.Cancel tells the sidecar beside the endpoint; it closes the connection of a repeatable request and never writes one that still waits. EndpointAttempts counts an attempt from its sending on. A request's time runs from its head; a body that is not whole by then is refused with 408.

--- a/src/main/java/cobaltrack/post/carrier/Depot.java
+++ b/src/main/java/cobaltrack/post/carrier/Depot.java
@@ -93,67 +93,83 @@
         /** What is sent, with what is left of its time. */
         Letter.Parcel parcel(String endpoint);
 
-        /** Whether it may arrive at one more endpoint, by its route. */
-        boolean mayArrive(int arrivals);
+        /** Its attempts so far. */
+        EndpointAttempts attempts();
 
         /** Whether it may run more than once. */
         boolean repeatable();
 
-        /** It goes out to an endpoint: from now on it may have run, unless {@link #neverRan} says otherwise. */
-        void sent();
-
-        /** One that went out has not run and never will. */
-        void neverRan();
-
         /** An endpoint answered, whatever the answer. */
         void answered(Letter.Delivered answer);
     }
 
-    /** Takes a request; the caller is told its end once. */
-    Engine.Held<Letter.Delivered> take(Ask ask, int sidecars, Shipment shipment,
-            Caller<Letter.Delivered> caller) {
+    /** A request that was taken. */
+    interface Taken {
+        /** Its client has left: it is sent nowhere any more, and what is under way of it is cancelled. */
+        void abandon();
+    }
+
+    /** Takes a request; the caller is told its end once, unless it is abandoned. */
+    Taken take(Ask ask, int sidecars, Shipment shipment, Caller<Letter.Delivered> caller) {
         postage.asked(sidecars);
-        return engine.take(ask, new Delivery(shipment), caller);
+        Delivery delivery = new Delivery(shipment);
+        Engine.Held<Letter.Delivered> held = engine.take(ask, delivery, caller);
+        return () -> {
+            held.abandon();
+            delivery.cancel();
+        };
     }
 
     private final class Delivery implements Carrier<Letter.Delivered> {
         private final Shipment shipment;
-        private int arrivals;
+        private final EndpointAttempts attempts;
+        /** The attempt that is out, of which there is one at most; and who hears of its end. */
+        private Round.Sent out;
+        private Outcomes<Letter.Delivered> outcomes;
 
         private Delivery(Shipment shipment) {
             this.shipment = shipment;
+            this.attempts = shipment.attempts();
         }
 
         @Override
         public Sending send(String endpoint, int attempt, double within, Outcomes<Letter.Delivered> told) {
             String node = nodes.get(endpoint);
-            if (node == null || arrivals > 0 && !(shipment.mayArrive(arrivals) && postage.spend())) {
+            if (node == null || attempts.mayHaveArrived() && !(attempts.mayBeSent() && postage.spend())) {
                 told.ended(Contract.Outcome.NEVER_SENT, null, null);
                 return () -> false;
             }
-            shipment.sent();
-            Sending sending = round.send(node, shipment.parcel(endpoint), shipment.repeatable(),
+            attempts.sent();
+            outcomes = told;
+            Round.Sent sent = round.send(node, shipment.parcel(endpoint), shipment.repeatable(),
                     letter -> came(letter, told));
+            out = sent;
             return () -> {
-                boolean written = sending.giveUp();
+                out = null;
+                boolean written = sent.giveUp();
                 if (!written) {
-                    shipment.neverRan();
+                    attempts.neverWritten();
                 }
                 return written;
             };
         }
 
+        private void cancel() {
+            if (out != null) {
+                out.cancel();
+                out = null;
+                outcomes.ended(Contract.Outcome.CANCELLED, null, null);
+            }
+        }
+
         private void came(Letter letter, Outcomes<Letter.Delivered> told) {
+            out = null;
             Contract.Report report = null;
             if (letter instanceof Letter.Delivered d) {
-                arrivals++;
                 shipment.answered(d);
                 report = report(d.util(), d.perSecond());
             } else if (letter instanceof Letter.Returned r) {
-                arrivals += r.why() == Letter.Why.TURNED_AWAY || !r.why().neverRan ? 1 : 0;
-                if (r.why().neverRan) {
-                    shipment.neverRan();
-                }
+                attempts.returned(r.why());
                 report = report(r.util(), r.perSecond());
             }
             told.ended(Round.outcome(letter), letter instanceof Letter.Delivered d ? d : null, report);
--- a/src/main/java/cobaltrack/post/carrier/Egress.java
+++ b/src/main/java/cobaltrack/post/carrier/Egress.java
@@ -2,7 +2,6 @@
 
 import cobaltrack.engine.Ask;
 import cobaltrack.engine.Caller;
-import cobaltrack.engine.Engine;
 import cobaltrack.engine.Timers;
 import cobaltrack.post.allowance.Allowance;
 import cobaltrack.post.tariff.Routing;
@@ -147,6 +146,11 @@
         return leaving;
     }
 
+    @Override
+    public Timers timers() {
+        return timers;
+    }
+
     @Override
     public void take(HttpRequest head, byte[] body, Window.Turn turn) {
         Routing now = routing.get();
@@ -180,12 +184,30 @@
         }
         String target = way.service(random.nextDouble());
         Depot depot = depots.of(target, Tariff.INGEST.equals(way.route().kind()));
-        double timeout = Math.min(deadline, way.route().deadlineS() * 1000);
+        double timeout = timeout(way, deadline) - turn.readingMs();
+        if (timeout < 1) {
+            later(turn, NOT_NOW, NOT_RUN_MS);
+            return;
+        }
         Integer rank = payer == null ? null : payer.tenant().rank();
         new Exchange(head, body, turn, way, payer, target, timeout,
                 rank == null ? way.route().rank() : rank).go(depot);
     }
 
+    @Override
+    public double mostMs(HttpRequest head) {
+        Routing now = routing.get();
+        Routing.Way way = now == null ? null
+                : now.route(head.headers().get(HttpHeaderNames.HOST), head.uri());
+        double deadline = deadline(head);
+        return way == null || Double.isNaN(deadline) ? Double.POSITIVE_INFINITY : timeout(way, deadline);
+    }
+
+    // How long the request may be held, from when its head was read, in milliseconds.
+    private static double timeout(Routing.Way way, double deadline) {
+        return Math.min(deadline, way.route().deadlineS() * 1000);
+    }
+
     private static double deadline(HttpRequest head) {
         String text = head.headers().get(Headers.DEADLINE);
         if (text == null) {
@@ -220,9 +242,8 @@
         private final int rank;
         private final double timeout;
         private final double endAt;
+        private final EndpointAttempts attempts;
         private Letter.Delivered last;
-        /** Times that it went out and may have run. */
-        private int mayHaveRun;
 
         private Exchange(HttpRequest head, byte[] body, Window.Turn turn, Routing.Way way,
                 Routing.Payer payer, String target, double timeout, int rank) {
@@ -236,6 +257,7 @@
             this.rank = rank;
             this.timeout = timeout;
             this.endAt = timers.now() + timeout;
+            this.attempts = new EndpointAttempts(way.route().tries());
             if (payer != null) {
                 headers.add(Headers.TENANT);
                 headers.add(payer.name());
@@ -250,10 +272,10 @@
             underWay++;
             Ask ask = new Ask(classes.of(way.repeatable(), rank, way.route().targetS() * 1000), -1, timeout,
                     false, 1, body.length);
-            Engine.Held<Letter.Delivered> h = depot.take(ask, Math.max(1, sidecars.getAsInt()), this, this);
+            Depot.Taken taken = depot.take(ask, Math.max(1, sidecars.getAsInt()), this, this);
             turn.onGone(() -> {
                 underWay--;
-                h.abandon();
+                taken.abandon();
             });
         }
 
@@ -264,8 +286,8 @@
         }
 
         @Override
-        public boolean mayArrive(int arrivals) {
-            return arrivals < way.route().tries();
+        public EndpointAttempts attempts() {
+            return attempts;
         }
 
         @Override
@@ -273,16 +295,6 @@
             return way.repeatable();
         }
 
-        @Override
-        public void sent() {
-            mayHaveRun++;
-        }
-
-        @Override
-        public void neverRan() {
-            mayHaveRun--;
-        }
-
         @Override
         public void answered(Letter.Delivered answer) {
             last = answer;
@@ -311,10 +323,10 @@
                 return;
             }
             underWay--;
-            if (mayHaveRun == 0) {
-                later(turn, NOT_NOW, retryAfter);
-            } else {
+            if (attempts.mayHaveRun()) {
                 plain(turn, timers.now() >= endAt - 50 ? LATE : FAILED);
+            } else {
+                later(turn, NOT_NOW, retryAfter);
             }
         }
     }
--- a/src/main/java/cobaltrack/post/carrier/EndpointLine.java
+++ b/src/main/java/cobaltrack/post/carrier/EndpointLine.java
@@ -80,21 +80,34 @@
         this.connector = connector;
     }
 
+    /** A request that was sent, whose client may leave. */
+    @FunctionalInterface
+    public interface Sent {
+        /**
+         * Has it not written if it waits for a connection. Without effect once it has ended.
+         *
+         * @param whileRunning whether its connection is closed if it has been written, which ends it at most
+         *     endpoints
+         */
+        void cancel(boolean whileRunning);
+    }
+
     /**
      * Sends a request, at most once; {@code done} gets the answer, a {@link Letter.Delivered} or
-     * {@link Letter.Returned} with no figures of load, once.
+     * {@link Letter.Returned} with no figures of load, once, also if it is cancelled.
      *
      * @param instance the endpoint's id, which every other endpoint turns away; empty where none is known
      */
-    public void send(Letter.Parcel parcel, String instance, Consumer<Letter> done) {
+    public Sent send(Letter.Parcel parcel, String instance, Consumer<Letter> done) {
         double until = timers.now() + parcel.leftMs();
         String attempt = attempt(parcel);
         Wire wire = idle(attempt);
         if (wire != null) {
             wire.ask(parcel, attempt, until, instance, done);
-            return;
+            return whileRunning -> wire.cancel(parcel, whileRunning);
         }
         Wire made = new Wire();
+        made.parcel = parcel;
         connector.connect(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
@@ -102,11 +115,12 @@
             }
         }).addListener(f -> {
             if (f.isSuccess()) {
-                made.ask(parcel, attempt, until, instance, done);
+                made.ask(parcel, attempt, made.parcel == null ? 0 : until, instance, done);
             } else {
                 done.accept(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, 0, 0));
             }
         });
+        return whileRunning -> made.cancel(parcel, whileRunning);
     }
 
     // The one that was used last of those that are still good, but none that was asked under this id before:
@@ -180,6 +194,15 @@
             channel.close();
         }
 
+        // While it connects it has no one to tell yet, and does without its request from then on.
+        void cancel(Letter.Parcel sent, boolean whileRunning) {
+            if (parcel == sent && done == null) {
+                parcel = null;
+            } else if (parcel == sent && whileRunning) {
+                spoilt(Letter.Why.BROKEN);
+            }
+        }
+
         void ask(Letter.Parcel sent, String id, double until, String instance, Consumer<Letter> whenDone) {
             parcel = sent;
             attempt = id;
--- a/src/main/java/cobaltrack/post/carrier/Round.java
+++ b/src/main/java/cobaltrack/post/carrier/Round.java
@@ -34,6 +34,18 @@
     public interface Local {
         /** Delivers it, and tells what became of it once. */
         void deliver(Letter.Parcel parcel, Consumer<Letter> done);
+
+        /** The client of a request that was delivered has left. */
+        default void cancel(Letter.Cancel cancel) { }
+    }
+
+    /** A request that was sent. */
+    public interface Sent extends Carrier.Sending {
+        /**
+         * Gives it up because its client has left: what has not been written never is, and the other sidecar
+         * is told of what was. One that may be repeated is then ended at its endpoint.
+         */
+        void cancel();
     }
 
     /** A connection to another sidecar that is kept. */
@@ -150,10 +162,12 @@
     }
 
     /** One request's way out. */
-    static final class Out implements Carrier.Sending {
+    static final class Out implements Sent {
         private final Consumer<Letter> done;
         private final boolean repeatable;
         private Runnable forget = () -> { };
+        /** Tells the other sidecar that its client has left. */
+        private Runnable tellCancelled = () -> { };
         private boolean written;
         private boolean over;
 
@@ -177,6 +191,14 @@
             }
             return written;
         }
+
+        @Override
+        public void cancel() {
+            if (!over && giveUp()) {
+                forget.run();
+                tellCancelled.run();
+            }
+        }
     }
 
     /** A request that waits for its path, and until when its answer is of use. */
@@ -291,11 +313,13 @@
      * @param draft with any number
      * @param repeatable whether it may run again, so that it needn't wait for a path that is silent
      */
-    public Carrier.Sending send(String node, Letter.Parcel draft, boolean repeatable, Consumer<Letter> done) {
+    public Sent send(String node, Letter.Parcel draft, boolean repeatable, Consumer<Letter> done) {
         Out o = new Out(done, repeatable);
         long stream = ++streams;
+        Letter.Cancel cancel = new Letter.Cancel(stream, repeatable);
         if (node.equals(self)) {
             o.written = true;
+            o.tellCancelled = () -> local.cancel(cancel);
             local.deliver(numbered(stream, draft, draft.leftMs()), o::end);
             return o;
         }
@@ -305,6 +329,7 @@
             way.out.remove(stream);
             way.waiting.remove(stream);
         };
+        o.tellCancelled = () -> way.path.send(cancel);
         Waiting w = new Waiting(numbered(stream, draft, draft.leftMs()), timers.now() + draft.leftMs());
         if (way.path.state() == Tie.State.UP) {
             way.write(w);
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -58,6 +58,7 @@
     private final String node;
     private final Hatch hatch;
     private final EndpointLine line;
+    private final EndpointRequests requests = new EndpointRequests();
     private final Directory directory = new Directory();
     private final Map<String, Depot> depots = new HashMap<>();
     private final Map<String, Depot> largeDepots = new HashMap<>();
@@ -92,7 +93,17 @@
         this.line = new EndpointLine(loop, EndpointList.address(Card.present(card.self().appAddr(),
                 "Self.AppAddr")));
         Letter.Hello hello = new Letter.Hello(node, false);
-        this.round = new Round(loop, node, this::deliver, hello,
+        this.round = new Round(loop, node, new Round.Local() {
+            @Override
+            public void deliver(Letter.Parcel parcel, Consumer<Letter> done) {
+                Sidecar.this.deliver(node, parcel, done);
+            }
+
+            @Override
+            public void cancel(Letter.Cancel cancel) {
+                requests.cancel(node, cancel);
+            }
+        }, hello,
                 address -> dials.apply(EndpointList.address(address)), this::stale);
         Card.Bounds bounds = card.clauses().bounds();
         this.allowance = new Allowance(timers.now(), bounds.quotaSlack(), bounds.quotaExcess(),
@@ -318,7 +329,7 @@
         }
     }
 
-    private void deliver(Letter.Parcel parcel, Consumer<Letter> done) {
+    private void deliver(Object sender, Letter.Parcel parcel, Consumer<Letter> done) {
         Hatch.Entry entry = hatch.enter(timers.now(), parcel.target(), parcel.rank());
         if (entry != Hatch.Entry.OPEN) {
             Letter no = new Letter.Returned(parcel.stream(), entry == Hatch.Entry.FULL ? Letter.Why.FULL
@@ -328,13 +339,16 @@
             return;
         }
         hatch.began(timers.now());
-        line.send(parcel, hatch.endpoint(), letter -> {
+        requests.begin(sender, parcel.stream());
+        EndpointLine.Sent sent = line.send(parcel, hatch.endpoint(), letter -> {
+            requests.ended(sender, parcel.stream());
             hatch.ended(timers.now(), letter instanceof Letter.Delivered);
             done.accept(letter instanceof Letter.Delivered d ? new Letter.Delivered(d.stream(), d.status(),
                     d.headers(), d.body(), hatch.util(), hatch.perSecond())
                     : new Letter.Returned(parcel.stream(), ((Letter.Returned) letter).why(), hatch.util(),
                             hatch.perSecond()));
         });
+        requests.sent(sender, parcel.stream(), sent);
     }
 
     // --- other sidecars' links to this one
@@ -350,11 +364,13 @@
         if (letter instanceof Letter.Ping ping) {
             link.send(new Letter.Pong(ping.number(), node, -1));
         } else if (letter instanceof Letter.Parcel parcel) {
-            deliver(parcel, answer -> {
+            deliver(link, parcel, answer -> {
                 if (link.open()) {
                     link.send(answer);
                 }
             });
+        } else if (letter instanceof Letter.Cancel cancel) {
+            requests.cancel(link, cancel);
         } else if (letter instanceof Letter.Seek) {
             link.send(new Letter.Offices(desk.addresses()));
         } else if (letter instanceof Letter.Hello hello) {
--- a/src/main/java/cobaltrack/post/carrier/Window.java
+++ b/src/main/java/cobaltrack/post/carrier/Window.java
@@ -1,5 +1,6 @@
 package cobaltrack.post.carrier;
 
+import cobaltrack.engine.Timers;
 import cobaltrack.post.log.Event;
 import cobaltrack.post.tariff.Tariff;
 import io.netty.buffer.ByteBuf;
@@ -41,7 +42,6 @@
     private static final int TOO_LARGE = 413;
     private static final int HEAD_TOO_LARGE = 431;
     private static final int NOT_NOW = 503;
-    private static final double NANOS = 1e6;
 
     /** Takes whole requests. */
     interface Taker {
@@ -59,6 +59,12 @@
 
         /** Whether connections are to end after the answer under way. */
         boolean leaving();
+
+        /** How long a request with this head may be held, in milliseconds; infinite where nothing tells. */
+        double mostMs(HttpRequest head);
+
+        /** The time, and timers on this thread. */
+        Timers timers();
     }
 
     /** One request's place in the order of answers. */
@@ -66,13 +72,21 @@
         private final boolean keep;
         private final boolean head;
         private final int held;
+        /** How long it took from its head to its end, in milliseconds. */
+        private final double readingMs;
         private FullHttpResponse answer;
         private Runnable gone = () -> { };
 
-        private Turn(boolean keep, boolean head, int held) {
+        private Turn(boolean keep, boolean head, int held, double readingMs) {
             this.keep = keep;
             this.head = head;
             this.held = held;
+            this.readingMs = readingMs;
+        }
+
+        /** How long it took to read, from its head to its end, in milliseconds. */
+        double readingMs() {
+            return readingMs;
         }
 
         /** Has this run if the client goes away before the answer. */
@@ -109,10 +123,14 @@
     private boolean ending;
     private boolean gone;
     private boolean read = true;
-    private double since = now();
+    private double since;
+    private double headAt;
+    /** Ends a request whose body is not whole in time; null while none is awaited. */
+    private Timers.Timer bodyTimer;
 
     Window(Taker taker) {
         this.taker = taker;
+        this.since = now();
     }
 
     /** Puts it on a connection. What was read at once is handed in piece by piece: so the bound holds. */
@@ -123,8 +141,8 @@
         ch.pipeline().addLast(new HttpServerCodec(config), new FlowControlHandler(), this);
     }
 
-    private static double now() {
-        return System.nanoTime() / NANOS;
+    private double now() {
+        return taker.timers().now();
     }
 
     @Override
@@ -171,6 +189,7 @@
             return;
         }
         head = r;
+        headAt = since;
         body = Unpooled.buffer(0);
         held = 0;
         awaitsContinue = HttpUtil.is100ContinueExpected(r);
@@ -200,16 +219,41 @@
         body.writeBytes(c.content());
         since = now();
         if (c instanceof LastHttpContent) {
-            HttpRequest whole = head;
-            byte[] bytesAll = ByteBufUtil.getBytes(body);
-            Turn turn = new Turn(HttpUtil.isKeepAlive(whole), "HEAD".equals(whole.method().name()), held);
-            head = null;
-            body = null;
-            held = 0;
-            turns.add(turn);
-            ending |= !turn.keep;
-            reading();
-            taker.take(whole, bytesAll, turn);
+            whole();
+        }
+    }
+
+    // Most requests come whole in one read and need no timer.
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (head != null && bodyTimer == null) {
+            double most = taker.mostMs(head);
+            if (Double.isFinite(most)) {
+                bodyTimer = taker.timers().after(headAt + most - now(), () -> refuse(TIMEOUT));
+            }
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    private void whole() {
+        HttpRequest request = head;
+        byte[] bytes = ByteBufUtil.getBytes(body);
+        Turn turn = new Turn(HttpUtil.isKeepAlive(request), "HEAD".equals(request.method().name()), held,
+                since - headAt);
+        head = null;
+        body = null;
+        held = 0;
+        cancelBodyTimer();
+        turns.add(turn);
+        ending |= !turn.keep;
+        reading();
+        taker.take(request, bytes, turn);
+    }
+
+    private void cancelBodyTimer() {
+        if (bodyTimer != null) {
+            bodyTimer.cancel();
+            bodyTimer = null;
         }
     }
 
@@ -217,9 +261,10 @@
     private void refuse(int status) {
         ending = true;
         head = null;
+        cancelBodyTimer();
         taker.letGo(held);
         held = 0;
-        Turn turn = new Turn(false, false, 0);
+        Turn turn = new Turn(false, false, 0, 0);
         turns.add(turn);
         turn.answer(status, status == NOT_NOW ? List.of("Retry-After", "0.5") : List.of(), new byte[0]);
     }
@@ -275,6 +320,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        cancelBodyTimer();
         taker.letGo(held);
         held = 0;
         for (Turn turn : turns) {
--- a/src/main/java/cobaltrack/post/wire/Letter.java
+++ b/src/main/java/cobaltrack/post/wire/Letter.java
@@ -64,6 +64,15 @@
     record Parcel(long stream, String method, String uri, List<String> headers, byte[] body, int leftMs,
             String target, String endpoint, int rank) implements Letter { }
 
+    /**
+     * The client of a request that was sent on this link has left: if it is not yet at the endpoint, it never
+     * goes there.
+     *
+     * @param stream the request's
+     * @param whileRunning whether it is also to be ended where the endpoint is at work on it
+     */
+    record Cancel(long stream, boolean whileRunning) implements Letter { }
+
     /** The endpoint's answer, whole, and how busy it is. */
     record Delivered(long stream, int status, List<String> headers, byte[] body, double util,
             double perSecond) implements Letter { }
--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -85,6 +85,8 @@
         } else if (letter instanceof Letter.Offices l) {
             p.packByte((byte) 16);
             strings(p, l.addresses());
+        } else if (letter instanceof Letter.Cancel l) {
+            p.packByte((byte) 17).packLong(l.stream()).packBoolean(l.whileRunning());
         }
     }
 
@@ -141,6 +143,7 @@
                 case 14 -> new Letter.Sums(u.unpackInt(), uses(u));
                 case 15 -> new Letter.Seek();
                 case 16 -> new Letter.Offices(strings(u));
+                case 17 -> new Letter.Cancel(u.unpackLong(), u.unpackBoolean());
                 default -> throw new IOException("no letter has the tag " + tag);
             };
         } catch (RuntimeException e) {
--- a/src/main/java/cobaltrack/standin/post/StandInApp.java
+++ b/src/main/java/cobaltrack/standin/post/StandInApp.java
@@ -4,6 +4,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -20,6 +22,8 @@
 public final class StandInApp implements AutoCloseable {
     /** In a path: the request ends only once {@link #release} was called. */
     public static final String SLOW = "/slow";
+    /** In a path: the request runs until its caller closes the connection. */
+    public static final String ENDLESS = "/endless";
     /** In a path: the request runs, and its connection is reset in place of an answer. */
     public static final String RESET = "/reset";
 
@@ -39,6 +43,7 @@
         return t;
     });
     private final Queue<Talk.Message> ran = new ConcurrentLinkedQueue<>();
+    private final Queue<String> cancelled = new ConcurrentLinkedQueue<>();
     private final AtomicLong calls = new AtomicLong();
 
     /** An endpoint that listens; {@code address} and {@code beats} are ADDRESS:PORT. */
@@ -94,6 +99,11 @@
         return ran;
     }
 
+    /** The ids of the requests whose caller closed the connection while they ran; in no order. */
+    public Queue<String> cancelled() {
+        return cancelled;
+    }
+
     private void accept() {
         while (!server.isClosed()) {
             try {
@@ -122,6 +132,11 @@
                 if (m.first().contains(SLOW)) {
                     gate.await();
                 }
+                if (m.first().contains(ENDLESS)) {
+                    untilClosed(talk);
+                    cancelled.add(attempt);
+                    return;
+                }
                 if (m.first().contains(RESET)) {
                     talk.reset();
                     return;
@@ -136,6 +151,22 @@
         }
     }
 
+    // However long that takes: a connection's own wait is shorter.
+    private void untilClosed(Talk talk) throws IOException {
+        while (!server.isClosed()) {
+            try {
+                if (talk.hear() == null) {
+                    return;
+                }
+            } catch (SocketTimeoutException e) {
+                continue;
+            } catch (SocketException e) {
+                // Reset, which closes it as well.
+                return;
+            }
+        }
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/src/test/java/cobaltrack/post/MeshProcessTest.java
+++ b/src/test/java/cobaltrack/post/MeshProcessTest.java
@@ -11,6 +11,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +24,9 @@
 public class MeshProcessTest {
     private static final String FIRST = Walk.tariff("00000001", "svc").replace("\"DeadlineS\":2",
             "\"DeadlineS\":20");
+    /** Far less than what the requests have left, and enough for a busy machine. */
+    private static final double ENDED_MS = 3000;
+    private static final long ARRIVES_NS = 500_000_000;
     private MeshRig mesh;
 
     @BeforeClass
@@ -137,8 +142,53 @@
         });
     }
 
+    @Test(dependsOnMethods = "answersComeInTheOrderOfTheRequests")
+    public void whatRunsForAClientThatLeavesIsEndedWhereItMayBeRepeated() throws Exception {
+        Map<String, Talk> repeatable = new LinkedHashMap<>();
+        for (int i = 0; i < 6; i++) {
+            runsEndlessly("GET /a", repeatable);
+        }
+        Map<String, Talk> once = new LinkedHashMap<>();
+        runsEndlessly("POST /b", once);
+        for (Talk talk : once.values()) {
+            talk.close();
+        }
+        long closed = System.nanoTime();
+        for (Talk talk : repeatable.values()) {
+            talk.close();
+        }
+        MeshRig.await("the endpoints are told", () -> cancelled().containsAll(repeatable.keySet()));
+        double took = (System.nanoTime() - closed) / 1e6;
+        System.out.printf("ended at the endpoints %.0f ms after their clients left%n", took);
+        assertTrue(took < ENDED_MS, "after " + took + " ms");
+        assertFalse(cancelled().containsAll(once.keySet()), "what runs once at most is not broken off");
+    }
+
+    // One that is refused, as may happen after a burst, is sent again.
+    private void runsEndlessly(String route, Map<String, Talk> clients) throws Exception {
+        MeshRig.await("it is at an endpoint", () -> {
+            Map<String, String> headers = mesh.headers();
+            String id = headers.get("Attempt-Id");
+            Talk talk = new Talk(mesh.cards.egress(0));
+            talk.say(route + StandInApp.ENDLESS + " HTTP/1.1", headers, new byte[0]);
+            long end = System.nanoTime() + ARRIVES_NS;
+            while (System.nanoTime() < end) {
+                if (mesh.apps.stream().anyMatch(a -> a.runs(id) > 0)) {
+                    clients.put(id, talk);
+                    return true;
+                }
+            }
+            talk.close();
+            return false;
+        });
+    }
+
+    private List<String> cancelled() {
+        return mesh.apps.stream().flatMap(a -> a.cancelled().stream()).toList();
+    }
+
     @Test(dependsOnMethods = {"operatorsGetClearAnswers", "requestsReachAnEndpointAsTheyWereSent",
-        "whatIsNotAllowedIsTurnedAwayAndNotRun", "answersComeInTheOrderOfTheRequests"})
+        "whatIsNotAllowedIsTurnedAwayAndNotRun", "whatRunsForAClientThatLeavesIsEndedWhereItMayBeRepeated"})
     public void anOfficeLostTakesNothingWithIt() throws Exception {
         mesh.offices.get(0).destroyForcibly().waitFor();
         String second = FIRST.replace("00000001", "00000004").replace("/a/", "/c/");
--- /dev/null
+++ b/src/test/java/cobaltrack/post/carrier/EgressTest.java
@@ -0,0 +1,329 @@
+package cobaltrack.post.carrier;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cobaltrack.plan.Calendar;
+import cobaltrack.post.allowance.Allowance;
+import cobaltrack.post.card.Card;
+import cobaltrack.post.directory.Listing;
+import cobaltrack.post.tariff.Routing;
+import cobaltrack.post.tariff.Tariff;
+import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.Tie;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Requests from a client's connection through the real egress, engine, module and round, by a driven clock:
+ * to how many endpoints they are sent, with what time, when they are answered, and what a client that leaves
+ * leaves behind.
+ */
+public class EgressTest {
+    private static final int NODES = 5;
+    private static final double DEADLINE_MS = 2000;
+    private static final double SECOND_MS = 1000;
+    private static final double CONNECT_MS = 2;
+    private static final String END = "\r\n\r\n";
+
+    /** What was written to another sidecar, and when. */
+    private record Written(Path path, double at, Letter.Parcel parcel) { }
+
+    /** A path to another sidecar that connects after a time and reacts to requests as the test says. */
+    private final class Path implements Round.Path {
+        private final Round.Ear ear;
+        private Tie.State state = Tie.State.DOWN;
+
+        private Path(Round.Ear ear) {
+            this.ear = ear;
+        }
+
+        private void to(Tie.State next) {
+            Tie.State before = state;
+            state = next;
+            ear.changed(next, before);
+        }
+
+        @Override
+        public void dial() {
+            to(Tie.State.DIALLING);
+            calendar.after(connectMs, () -> to(Tie.State.UP));
+        }
+
+        @Override
+        public Tie.State state() {
+            return state;
+        }
+
+        @Override
+        public boolean send(Letter letter) {
+            if (letter instanceof Letter.Parcel parcel) {
+                written.add(new Written(this, calendar.now(), parcel));
+                reaction.accept(this, parcel);
+            } else if (letter instanceof Letter.Cancel cancel) {
+                cancels.add(cancel);
+            }
+            return true;
+        }
+
+        @Override
+        public void close() {
+            to(Tie.State.CLOSED);
+        }
+    }
+
+    private Calendar calendar;
+    private double connectMs;
+    private BiConsumer<Path, Letter.Parcel> reaction;
+    private List<Written> written;
+    private List<Letter.Cancel> cancels;
+    private EmbeddedChannel channel;
+    private StringBuilder heard;
+
+    @BeforeMethod
+    public void start() {
+        calendar = new Calendar();
+        connectMs = CONNECT_MS;
+        reaction = (path, parcel) -> { };
+        written = new ArrayList<>();
+        cancels = new ArrayList<>();
+        heard = new StringBuilder();
+        Classes classes = new Classes();
+        Round round = new Round(calendar, task -> calendar.after(0, task), "here", (parcel, done) -> { },
+                (node, ear) -> new Path(ear), () -> { });
+        Depot depot = new Depot(calendar, classes, card(), NODES, 1, round, null, new Postage(10, 1000));
+        List<Listing> listings = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            listings.add(new Listing("n" + i, 1, 1, "z", "i-" + i, "svc", Listing.Phase.SERVING, 4, 0));
+        }
+        depot.update(listings);
+        Routing routing = new Routing(1, new Tariff("00000001", Map.of(
+                "once", route("/once/", Tariff.IDEMPOTENT, 1),
+                "twice", route("/twice/", Tariff.IDEMPOTENT, 2),
+                "thrice", route("/thrice/", Tariff.IDEMPOTENT, 3),
+                "sign", route("/sign/", Tariff.MUTATING, 2)),
+                Map.of("svc", new Tariff.Service("/health", 100)), new Tariff.Limits(16384, 1000, 3, 15),
+                null));
+        Egress egress = new Egress(null, calendar, () -> routing, (target, large) -> depot, () -> "own",
+                () -> NODES, new Allowance(0, 20, 0.1, 5, 1), classes);
+        channel = new EmbeddedChannel(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                new Window(egress).on(ch);
+            }
+        });
+    }
+
+    private static Tariff.Route route(String prefix, String kind, int tries) {
+        return new Tariff.Route("h", prefix, kind, DEADLINE_MS / 1000, 0.5, 1, null, "svc", tries, true);
+    }
+
+    private static Card card() {
+        return new Card(new Card.Self("here", "127.0.0.1", "z", false, null, null, null, null),
+                new Card.Network(new Card.Bind(null, null, null, null), List.of(7000, 7001), List.of()),
+                new Card.Substrate(1),
+                new Card.Clauses(new Card.Bounds(2.5, 6, 3, 2.5, 0.2, 10, 60, 5, 0.1, 20)));
+    }
+
+    private void say(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    private static String request(String path, String more) {
+        return "POST " + path + "x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n" + more;
+    }
+
+    private static String whole(String path, String more) {
+        return request(path, more) + "Content-Length: 0" + END;
+    }
+
+    private void runTo(double at) {
+        while (calendar.now() < at) {
+            calendar.runTo(Math.min(at, calendar.now() + 1));
+            hear();
+        }
+    }
+
+    private void hear() {
+        for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+            heard.append(b.toString(StandardCharsets.ISO_8859_1));
+            b.release();
+        }
+    }
+
+    /** The time of the answer; fails if there is none until then. */
+    private double answered(double until) {
+        while (heard.isEmpty() && calendar.now() < until) {
+            runTo(calendar.now() + 1);
+        }
+        assertTrue(!heard.isEmpty(), "nothing heard until " + until);
+        return calendar.now();
+    }
+
+    private void resetsAfter(double millis) {
+        reaction = (path, parcel) -> calendar.after(millis, () -> path.to(Tie.State.DOWN));
+    }
+
+    @DataProvider
+    public Object[][] losses() {
+        return new Object[][] {{Tie.State.DOWN, 5.0}, {Tie.State.SUSPECT, 300.0}, {Tie.State.DOWN, 300.0}};
+    }
+
+    @Test(dataProvider = "losses")
+    public void aRequestIsSentToNoMoreEndpointsThanItsRouteAllows(Tie.State to, double after) {
+        List<String> paths = List.of("/once/", "/twice/", "/thrice/");
+        for (int tries = 1; tries <= paths.size(); tries++) {
+            start();
+            reaction = (path, parcel) -> calendar.after(after, () -> path.to(to));
+            say(whole(paths.get(tries - 1), ""));
+            answered(DEADLINE_MS);
+            runTo(2 * DEADLINE_MS);
+            assertEquals(written.size(), tries);
+            assertEquals(written.stream().map(Written::path).distinct().count(), tries);
+            assertTrue(heard.toString().startsWith("HTTP/1.1 502"), heard.toString());
+        }
+    }
+
+    @Test
+    public void whatWasTurnedAwayBesideAnEndpointDoesNotCountAsSentToIt() {
+        reaction = (path, parcel) -> calendar.after(1, () -> {
+            if (written.size() == 1) {
+                path.ear.letter(new Letter.Returned(parcel.stream(), Letter.Why.FULL, 0, 0));
+            } else {
+                path.to(Tie.State.DOWN);
+            }
+        });
+        say(whole("/twice/", ""));
+        runTo(DEADLINE_MS);
+        assertEquals(written.size(), 3);
+    }
+
+    @Test
+    public void whatMayNotBeRepeatedIsNotSentAgainAfterAReset() {
+        resetsAfter(5);
+        say(whole("/sign/", ""));
+        runTo(2 * DEADLINE_MS);
+        assertEquals(written.size(), 1);
+        assertTrue(heard.toString().startsWith("HTTP/1.1 502"), heard.toString());
+    }
+
+    @DataProvider
+    public Object[][] deadlines() {
+        return new Object[][] {{"", DEADLINE_MS}, {"Deadline-Ms: 9000\r\n", DEADLINE_MS},
+                {"Deadline-Ms: 1500\r\n", 1500.0}};
+    }
+
+    @Test(dataProvider = "deadlines")
+    public void eachAttemptHasNoMoreTimeThanIsLeft(String header, double time) {
+        resetsAfter(400);
+        say(whole("/thrice/", header));
+        runTo(DEADLINE_MS);
+        assertEquals(written.size(), 3);
+        for (Written w : written) {
+            assertTrue(w.parcel.leftMs() <= time - w.at, w.parcel.leftMs() + " ms at " + w.at);
+            assertTrue(w.parcel.leftMs() > time - w.at - 50, w.parcel.leftMs() + " ms at " + w.at);
+        }
+    }
+
+    @Test(dataProvider = "deadlines")
+    public void aRequestThatNobodyAnswersHasItsFinalAnswerInTimeAndNoSooner(String header, double time) {
+        for (String path : List.of("/once/", "/thrice/", "/sign/")) {
+            start();
+            say(whole(path, header));
+            double at = answered(time);
+            assertTrue(at > time - 50, "already at " + at);
+            assertTrue(heard.toString().startsWith("HTTP/1.1 504"), heard.toString());
+        }
+    }
+
+    @Test(dataProvider = "deadlines")
+    public void aRequestThatNeverGetsAConnectionHasItsFinalAnswerInTime(String header, double time) {
+        for (String path : List.of("/once/", "/sign/")) {
+            start();
+            connectMs = 10 * DEADLINE_MS;
+            say(whole(path, header));
+            answered(time);
+            assertTrue(heard.toString().startsWith("HTTP/1.1 503"), heard.toString());
+            runTo(11 * DEADLINE_MS);
+            assertEquals(written, List.of(), "it was said that it never runs");
+        }
+    }
+
+    @Test(dataProvider = "deadlines")
+    public void theTimeThatABodyTakesToArriveCounts(String header, double time) {
+        say(request("/sign/", header) + "Content-Length: 2" + END + "x");
+        runTo(SECOND_MS);
+        say("x");
+        answered(time);
+        assertTrue(written.get(0).parcel.leftMs() <= time - SECOND_MS, written.toString());
+        assertTrue(heard.toString().startsWith("HTTP/1.1 504"), heard.toString());
+    }
+
+    @Test(dataProvider = "deadlines")
+    public void aBodyThatNeverEndsIsRefusedInTime(String header, double time) {
+        say(request("/sign/", header) + "Content-Length: 2" + END);
+        assertTrue(answered(time) > time - 50);
+        assertTrue(heard.toString().startsWith("HTTP/1.1 408"), heard.toString());
+        assertEquals(written, List.of());
+    }
+
+    @Test
+    public void nothingIsWrittenForAClientThatHasLeft() {
+        for (String path : List.of("/thrice/", "/sign/")) {
+            start();
+            connectMs = 300;
+            say(whole(path, ""));
+            runTo(100);
+            channel.close();
+            runTo(2 * DEADLINE_MS);
+            assertEquals(written, List.of());
+        }
+    }
+
+    @Test
+    public void nothingIsSentAgainForAClientThatHasLeft() {
+        resetsAfter(300);
+        say(whole("/thrice/", ""));
+        runTo(100);
+        channel.close();
+        runTo(2 * DEADLINE_MS);
+        assertEquals(written.size(), 1);
+    }
+
+    @Test
+    public void whatRunsForAClientThatHasLeftIsCancelledAtOnceWhereItMayBeRepeated() {
+        for (String path : List.of("/thrice/", "/sign/")) {
+            start();
+            say(whole(path, ""));
+            runTo(100);
+            assertEquals(cancels, List.of());
+            channel.close();
+            assertEquals(cancels, List.of(new Letter.Cancel(written.get(0).parcel.stream(),
+                    !path.equals("/sign/"))));
+            runTo(2 * DEADLINE_MS);
+            assertEquals(cancels.size(), 1);
+        }
+    }
+
+    @Test
+    public void nothingIsCancelledOnceItIsAnswered() {
+        reaction = (path, parcel) -> calendar.after(5, () -> path.ear.letter(new Letter.Delivered(
+                parcel.stream(), 200, List.of("Attempt-Id", "a"), new byte[0], 0, 0)));
+        say(whole("/thrice/", ""));
+        answered(100);
+        channel.close();
+        runTo(2 * DEADLINE_MS);
+        assertEquals(cancels, List.of());
+    }
+}
--- a/src/test/java/cobaltrack/post/carrier/EndpointLineTest.java
+++ b/src/test/java/cobaltrack/post/carrier/EndpointLineTest.java
@@ -51,14 +51,14 @@
         return dial;
     }
 
-    private void ask(String id) {
-        ask(id, "POST");
+    private EndpointLine.Sent ask(String id) {
+        return ask(id, "POST");
     }
 
-    private void ask(String id, String method) {
+    private EndpointLine.Sent ask(String id, String method) {
         Letter.Parcel parcel = new Letter.Parcel(1, method, "/x", List.of("Host", "h", "Attempt-Id", id),
                 new byte[0], LEFT_MS, "svc", "i-1", 0);
-        line.send(parcel, "i-1", letter -> told.add(id + " " + (letter instanceof Letter.Delivered d
+        return line.send(parcel, "i-1", letter -> told.add(id + " " + (letter instanceof Letter.Delivered d
                 ? d.status() + " " + new String(d.body(), StandardCharsets.US_ASCII)
                 : ((Letter.Returned) letter).why())));
     }
@@ -271,6 +271,51 @@
         assertEquals(told, List.of("b UNREACHED", "a LATE"));
     }
 
+    @Test
+    public void aCancelledRequestThatRunsIsEndedByAClose() {
+        EndpointLine.Sent a = ask("a");
+        a.cancel(true);
+        assertFalse(connections.get(0).isActive());
+        assertEquals(told, List.of("a BROKEN"));
+        a.cancel(true);
+        assertEquals(told, List.of("a BROKEN"));
+    }
+
+    @Test
+    public void aCancelledRequestThatMayNotBeBrokenOffRunsToItsEnd() {
+        EndpointLine.Sent a = ask("a");
+        a.cancel(false);
+        say(0, served("a"));
+        assertEquals(told, List.of("a 200 of a"));
+    }
+
+    @Test
+    public void aRequestThatIsCancelledWhileItConnectsIsNeverWritten() {
+        for (boolean whileRunning : new boolean[] {true, false}) {
+            start();
+            dialsAnswered = false;
+            EndpointLine.Sent a = ask("a");
+            a.cancel(whileRunning);
+            dials.get(0).setSuccess();
+            assertEquals(told, List.of("a UNREACHED"));
+            assertEquals(heard(0), "");
+            ask("b");
+            say(0, served("b"));
+            assertEquals(told, List.of("a UNREACHED", "b 200 of b"), "the connection serves another");
+        }
+    }
+
+    @Test
+    public void aCancellationThatComesAfterTheAnswerLeavesTheNextAlone() {
+        EndpointLine.Sent a = ask("a");
+        say(0, served("a"));
+        a.cancel(true);
+        ask("b");
+        a.cancel(true);
+        say(0, served("b"));
+        assertEquals(told, List.of("a 200 of a", "b 200 of b"));
+    }
+
     @Test
     public void whatFollowsATunnelIsNobodys() {
         ask("a", "CONNECT");
--- a/src/test/java/cobaltrack/post/carrier/WindowTest.java
+++ b/src/test/java/cobaltrack/post/carrier/WindowTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import cobaltrack.engine.Timers;
+import cobaltrack.plan.Calendar;
 import cobaltrack.post.tariff.Tariff;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -21,6 +23,7 @@
 public class WindowTest {
     private static final int UNDER_WAY = 16;
     private static final String HOST = "Host: h\r\n";
+    private static final double MOST_MS = 2000;
 
     private final class Taking implements Window.Taker {
         @Override
@@ -53,8 +56,19 @@
         public boolean leaving() {
             return leaving;
         }
+
+        @Override
+        public double mostMs(HttpRequest head) {
+            return MOST_MS;
+        }
+
+        @Override
+        public Timers timers() {
+            return calendar;
+        }
     }
 
+    private Calendar calendar;
     private List<String> taken;
     private List<Window.Turn> turns;
     private EmbeddedChannel channel;
@@ -65,6 +79,7 @@
 
     @BeforeMethod
     public void connect() {
+        calendar = new Calendar();
         taken = new ArrayList<>();
         turns = new ArrayList<>();
         held = 0;
@@ -155,6 +170,34 @@
         assertFalse(channel.isActive());
     }
 
+    @Test
+    public void aBodyThatDribblesIsRefusedOnceItsTimeIsUp() {
+        say(post("/a", "", 50, ""));
+        for (int ms = 100; ms < MOST_MS; ms += 100) {
+            calendar.runTo(ms);
+            say("x");
+        }
+        assertEquals(heard(), "");
+        calendar.runTo(MOST_MS);
+        assertTrue(heard().matches("(?s)HTTP/1.1 408.*onnection: close.*"));
+        assertEquals(taken, List.of());
+        assertEquals(held, 0);
+        assertFalse(channel.isActive());
+    }
+
+    @Test
+    public void theTimeThatABodyTookCountsAndTheNextHasItsOwn() {
+        say(post("/a", "", 2, "x"));
+        calendar.runTo(MOST_MS - 500);
+        say("x" + post("/b", "", 2, ""));
+        assertEquals(turns.get(0).readingMs(), MOST_MS - 500);
+        calendar.runTo(2 * MOST_MS - 501);
+        say("xx");
+        assertEquals(turns.get(1).readingMs(), MOST_MS - 1);
+        calendar.runTo(4 * MOST_MS);
+        assertTrue(channel.isActive());
+    }
+
     @Test
     public void whatCannotBeReadMidwayIsNotTaken() {
         say("POST /a HTTP/1.1\r\n" + HOST + "Transfer-Encoding: chunked\r\n\r\n2\r\nxx\r\nzz\r\n"
