--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -19,9 +19,11 @@
 import cobaltrack.post.tariff.TariffCheck;
 import cobaltrack.post.tariff.TariffException;
 import cobaltrack.post.tariff.TariffReader;
+import cobaltrack.post.wire.LaterFormatException;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
 import cobaltrack.post.wire.Link;
+import cobaltrack.post.wire.ProtocolVersion;
 import cobaltrack.post.wire.Tie;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
@@ -144,6 +146,8 @@
             id = entry.id();
             try {
                 return Letters.memory(entry.memory());
+            } catch (LaterFormatException e) {
+                throw new LedgerException(e.getMessage() + "; it is left as it was", e);
             } catch (IOException e) {
                 throw new LedgerException("the ledger's entry is damaged; remove it to join as a new office",
                         e);
@@ -302,6 +306,7 @@
     private void take(Link link, Letter letter) {
         if (letter instanceof Letter.Hello hello) {
             link.peer(hello.id());
+            greetBack(link);
             if (hello.office()) {
                 know(Council.address(hello.id()));
                 // It listens from now on: no need to wait for the next dial.
@@ -333,6 +338,13 @@
         }
     }
 
+    // A program without versions would not know what a greeting on a connection of its own means.
+    private void greetBack(Link link) {
+        if (link.version() > ProtocolVersion.UNVERSIONED) {
+            link.send(new Letter.Hello(id, true));
+        }
+    }
+
     private void notice(Link link, Long has) {
         if (has != null && council.decided() != null && council.decided().version() > 0
                 && council.decided().slot() > has) {
