--- a/src/main/java/cobaltrack/post/wire/ProtocolVersion.java
+++ b/src/main/java/cobaltrack/post/wire/ProtocolVersion.java
@@ -10,7 +10,7 @@
 public record ProtocolVersion(int newest, int oldest) {
     /** Spoken by programs whose greeting names no version. */
     public static final int UNVERSIONED = 1;
-    /** Greetings carry versions; unknown kinds and fields are passed over. */
+    /** Greetings carry versions; unknown kinds and fields are passed over; requests can be cancelled. */
     public static final int TOLERANT = 2;
     /** What this program speaks. */
     public static final ProtocolVersion OURS = new ProtocolVersion(TOLERANT, UNVERSIONED);
--- a/src/test/java/cobaltrack/post/LettersTest.java
+++ b/src/test/java/cobaltrack/post/LettersTest.java
@@ -43,7 +43,7 @@
                 new Letter.Paper(new Message.Query(5, 3)), new Letter.Paper(new Message.State(5, 3, true)),
                 new Letter.Paper(new Message.Join(6)), new Letter.Uses(List.of(new Use("t", 0.5)), true),
                 new Letter.Sums(3, List.of(new Use("t", 0.5))),
-                new Letter.Returned(4, Letter.Why.MOVED, 0.5, 2));
+                new Letter.Returned(4, Letter.Why.MOVED, 0.5, 2), new Letter.Cancel(4, true));
     }
 
     @Test
