Sidecar: an idle service's balancer is caught up in place of woken each 25 ms

Need: each service of a configuration has a balancer that woke the sidecar each 25 ms, asked or not; by docs/CAPACITY.md that is the first thing that breaks a sidecar's budget.

TicklessModule stands between engine and balancer. While attempts are out or a request came in the period before, the balancer is woken as ever, so that it still measures how late its loop is. Else its periods are run later, each at the time that it was asked for, before the next event or at a common end of sleep each 2 s. The decision module is as it was.

Tests: 60 s of bursts and pauses with a changing list give the very same decisions, times and percentages as a balancer woken each period; an idle one is woken 31 times a minute at most in place of 2,400.

--- a/src/main/java/cobaltrack/post/carrier/Depot.java
+++ b/src/main/java/cobaltrack/post/carrier/Depot.java
@@ -54,8 +54,8 @@
         this.near = near;
         this.postage = postage;
         Contract.Settings settings = settings(classes, card.clauses().bounds().drainS(), sidecars);
-        this.engine = new Engine(timers, settings, out -> new Decide(settings, seed, out), list -> { },
-                Event.MODULE::log);
+        this.engine = new Engine(timers, settings, out -> new TicklessModule(out,
+                watched -> new Decide(settings, seed, watched)), list -> { }, Event.MODULE::log);
         engine.start(() -> { }, null);
     }
 
