--- /dev/null
+++ b/src/main/java/cobaltrack/post/carrier/OutdatedLists.java
@@ -0,0 +1,68 @@
+package cobaltrack.post.carrier;
+
+import cobaltrack.post.directory.Directory;
+import cobaltrack.post.directory.Listing;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+
+/**
+ * Notes which services' lists of endpoints a change has made out of date, and has each of them made anew once
+ * for all that changes in one turn of the loop. A listing concerns the service that it names and the one that
+ * its sidecar named before. On the loop's thread.
+ */
+final class OutdatedLists {
+    private final Executor loop;
+    private final Directory directory;
+    private final Consumer<Set<String>> refresh;
+    private final Set<String> services = new LinkedHashSet<>();
+    private boolean scheduled;
+
+    /**
+     * Nothing is out of date yet.
+     *
+     * @param loop runs a task on this thread, after the one that runs
+     * @param directory takes the listings in
+     * @param refresh makes the lists of these services anew
+     */
+    OutdatedLists(Executor loop, Directory directory, Consumer<Set<String>> refresh) {
+        this.loop = loop;
+        this.directory = directory;
+        this.refresh = refresh;
+    }
+
+    /** Takes a listing in; if it is news, the lists that it concerns are made anew. */
+    void merge(Listing listing) {
+        Listing before = directory.of(listing.node());
+        if (!directory.merge(listing)) {
+            return;
+        }
+        services.add(listing.target());
+        if (before != null) {
+            services.add(before.target());
+        }
+        schedule();
+    }
+
+    /** The lists of these services are to be made anew. */
+    void add(Collection<String> outdated) {
+        services.addAll(outdated);
+        schedule();
+    }
+
+    private void schedule() {
+        if (!scheduled) {
+            scheduled = true;
+            loop.execute(this::run);
+        }
+    }
+
+    private void run() {
+        scheduled = false;
+        Set<String> due = Set.copyOf(services);
+        services.clear();
+        refresh.accept(due);
+    }
+}
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -26,10 +26,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 
 /**
  * A carrier: the sidecar of one auxiliary machine. It takes the requests that begin there, carries them to
@@ -65,13 +68,13 @@
     private final Classes classes = new Classes();
     private final Round round;
     private final Egress egress;
+    private final OutdatedLists outdated;
     private final Desk desk;
     private final Allowance allowance;
     private long life = System.currentTimeMillis();
     private long seq;
     private double saidAt;
     private double usesAt;
-    private boolean refresh;
     private boolean ready;
     private boolean leaving;
 
@@ -93,7 +96,8 @@
                 "Self.AppAddr")));
         Letter.Hello hello = new Letter.Hello(node, false);
         this.round = new Round(loop, node, this::deliver, hello,
-                address -> dials.apply(EndpointList.address(address)), this::stale);
+                address -> dials.apply(EndpointList.address(address)), this::reachChanged);
+        this.outdated = new OutdatedLists(loop, directory, this::refresh);
         Card.Bounds bounds = card.clauses().bounds();
         this.allowance = new Allowance(timers.now(), bounds.quotaSlack(), bounds.quotaExcess(),
                 bounds.quotaWindowS(), new SecureRandom().nextLong());
@@ -201,26 +205,23 @@
             known = new Depot(beat, classes, card, directory.present(), new SecureRandom().nextLong(),
                     round, large ? card.self().zone() : null, paid);
             kind.put(target, known);
-            known.update(listed(target));
+            known.update(directory.endpoints(target));
         }
         return known;
     }
 
-    private List<Listing> listed(String target) {
-        return directory.all().stream().filter(l -> l.target().equals(target) && !l.endpoint().isEmpty()
-                && l.phase() != Listing.Phase.GONE).toList();
+    // Which services the node served is not looked up: reach changes seldom.
+    private void reachChanged() {
+        outdated.add(depots.keySet());
+        outdated.add(largeDepots.keySet());
     }
 
-    // The lists are made anew once for all that changes in one turn of the loop.
-    private void stale() {
-        if (!refresh) {
-            refresh = true;
-            loop.execute(() -> {
-                refresh = false;
-                round.keep(directory);
-                depots.forEach((target, depot) -> depot.update(listed(target)));
-                largeDepots.forEach((target, depot) -> depot.update(listed(target)));
-            });
+    private void refresh(Set<String> services) {
+        round.keep(directory);
+        for (String service : services) {
+            List<Listing> endpoints = directory.endpoints(service);
+            Stream.of(depots, largeDepots).map(kind -> kind.get(service)).filter(Objects::nonNull)
+                    .forEach(depot -> depot.update(endpoints));
         }
     }
 
@@ -243,7 +244,6 @@
     // --- what others say
 
     private void posted(List<Listing> listings) {
-        boolean news = false;
         for (Listing listing : listings) {
             if (listing.node().equals(node)) {
                 if (listing.life() > life || listing.life() == life && listing.seq() > seq) {
@@ -253,12 +253,9 @@
                     say(true);
                 }
             } else {
-                news |= directory.merge(listing);
+                outdated.merge(listing);
             }
         }
-        if (news) {
-            stale();
-        }
     }
 
     private Desk desk() {
@@ -280,8 +277,7 @@
             Listing mine = new Listing(node, life, seq, card.self().zone(), hatch.endpoint(), service(),
                     leaving ? Listing.Phase.DRAINING : hatch.phase(), hatch.capacity(),
                     hatch.warmMs(timers.now()));
-            directory.merge(mine);
-            stale();
+            outdated.merge(mine);
         }
         if (changed || timers.now() - saidAt > SAY_MS) {
             saidAt = timers.now();
--- /dev/null
+++ b/src/test/java/cobaltrack/post/carrier/OutdatedListsTest.java
@@ -0,0 +1,83 @@
+package cobaltrack.post.carrier;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cobaltrack.post.directory.Directory;
+import cobaltrack.post.directory.Listing;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** That a change makes anew the lists of the services that it concerns, and no others. */
+public class OutdatedListsTest {
+    private ArrayDeque<Runnable> turn;
+    private List<Set<String>> refreshed;
+    private OutdatedLists lists;
+
+    /** An empty directory. */
+    @BeforeMethod
+    public void begin() {
+        turn = new ArrayDeque<>();
+        refreshed = new ArrayList<>();
+        lists = new OutdatedLists(turn::add, new Directory(), refreshed::add);
+    }
+
+    private static Listing listing(String node, long seq, String service, Listing.Phase phase) {
+        return new Listing(node, 1, seq, "zone", "endpoint-" + node, service, phase, 6, 0);
+    }
+
+    private void endTurn() {
+        while (!turn.isEmpty()) {
+            turn.remove().run();
+        }
+    }
+
+    @Test
+    public void aChangedListingConcernsItsOwnServiceOnly() {
+        lists.merge(listing("a", 1, "one", Listing.Phase.SERVING));
+        lists.merge(listing("b", 1, "two", Listing.Phase.SERVING));
+        endTurn();
+        assertEquals(refreshed, List.of(Set.of("one", "two")));
+        lists.merge(listing("a", 2, "one", Listing.Phase.GONE));
+        endTurn();
+        assertEquals(refreshed.get(1), Set.of("one"));
+    }
+
+    @Test
+    public void anEndpointOfAnotherServiceConcernsBoth() {
+        lists.merge(listing("a", 1, "one", Listing.Phase.SERVING));
+        endTurn();
+        lists.merge(listing("a", 2, "two", Listing.Phase.SERVING));
+        endTurn();
+        assertEquals(refreshed.get(1), Set.of("one", "two"));
+    }
+
+    @Test
+    public void manyChangesOfOneTurnMakeAListAnewOnce() {
+        for (int i = 0; i < 100; i++) {
+            lists.merge(listing("node-" + i, 1, "one", Listing.Phase.SERVING));
+        }
+        endTurn();
+        assertEquals(refreshed, List.of(Set.of("one")));
+    }
+
+    @Test
+    public void whatIsNoNewsMakesNothingAnew() {
+        lists.merge(listing("a", 2, "one", Listing.Phase.SERVING));
+        endTurn();
+        lists.merge(listing("a", 2, "one", Listing.Phase.SERVING));
+        lists.merge(listing("a", 1, "two", Listing.Phase.SERVING));
+        assertTrue(turn.isEmpty());
+    }
+
+    @Test
+    public void whatIsNamedIsMadeAnew() {
+        lists.add(List.of("one", "two"));
+        endTurn();
+        assertEquals(refreshed, List.of(Set.of("one", "two")));
+    }
+}
