Mend a circle of packages that the upgrade rig had made

Change: the command stands in standin beside the others and hands the run an interface for its figures.

--- a/src/main/java/cobaltrack/standin/Rehearse.java
+++ b/src/main/java/cobaltrack/standin/Rehearse.java
@@ -2,7 +2,6 @@
 
 import cobaltrack.decide.Decide;
 import cobaltrack.standin.post.scale.ScaleRehearsal;
-import cobaltrack.standin.post.upgrade.UpgradeRehearsal;
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Locale;
--- a/src/main/java/cobaltrack/standin/post/upgrade/UpgradeRehearsal.java
+++ b/src/main/java/cobaltrack/standin/UpgradeRehearsal.java
@@ -1,6 +1,8 @@
-package cobaltrack.standin.post.upgrade;
+package cobaltrack.standin;
 
-import cobaltrack.standin.Promises;
+import cobaltrack.standin.post.upgrade.Figures;
+import cobaltrack.standin.post.upgrade.Program;
+import cobaltrack.standin.post.upgrade.Rollout;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
@@ -14,7 +16,7 @@
 /** {@code rehearse upgrade}: another version of the program beside this one, as processes on loopback. */
 @Command(name = "upgrade", description = "Three offices and three sidecars go from another version to this "
         + "one, half way, back, and through, under requests and changes.")
-public final class UpgradeRehearsal implements Callable<Integer> {
+final class UpgradeRehearsal implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
     @Option(names = "--other-jar", required = true, description = "The other version's program.")
@@ -28,10 +30,24 @@
             throw new ParameterException(spec.commandLine(), "--other-jar: no file " + otherJar);
         }
         Promises promises = new Promises(System.out);
-        try (Rollout rollout = new Rollout(promises, Program.of(otherJar), Program.running(),
+        try (Rollout rollout = new Rollout(figuresOf(promises), Program.of(otherJar), Program.running(),
                 TimeUnit.SECONDS.toMillis(standS))) {
             rollout.play();
         }
         return promises.kept() ? 0 : 1;
     }
+
+    private static Figures figuresOf(Promises promises) {
+        return new Figures() {
+            @Override
+            public void figure(String name, double value) {
+                promises.figure(name, value);
+            }
+
+            @Override
+            public void under(String name, double value, double bound) {
+                promises.under(name, value, bound);
+            }
+        };
+    }
 }
--- a/src/main/java/cobaltrack/standin/post/upgrade/Program.java
+++ b/src/main/java/cobaltrack/standin/post/upgrade/Program.java
@@ -9,14 +9,14 @@
  * @param name what it is called in the figures
  * @param classPath where its classes are
  */
-record Program(String name, String classPath) {
+public record Program(String name, String classPath) {
     /** The version that runs now. */
-    static Program running() {
+    public static Program running() {
         return new Program("new", System.getProperty("java.class.path"));
     }
 
     /** The version in this file. */
-    static Program of(Path jar) {
+    public static Program of(Path jar) {
         return new Program("old", jar.toAbsolutePath().toString());
     }
 
--- a/src/main/java/cobaltrack/standin/post/upgrade/Rollout.java
+++ b/src/main/java/cobaltrack/standin/post/upgrade/Rollout.java
@@ -1,6 +1,5 @@
 package cobaltrack.standin.post.upgrade;
 
-import cobaltrack.standin.Promises;
 import cobaltrack.standin.post.Cards;
 import cobaltrack.standin.post.StandInApp;
 import cobaltrack.standin.post.Talk;
@@ -18,7 +17,7 @@
  * Three offices and three sidecars as processes on loopback, upgraded one at a time under requests and
  * changes: half way, back, and through. One thread.
  */
-final class Rollout implements AutoCloseable {
+public final class Rollout implements AutoCloseable {
     private static final int NODES = 3;
     private static final int CLIENTS_EACH = 2;
     private static final long HEARTBEAT_MS = 200;
@@ -28,7 +27,7 @@
     private static final double PROMISED_READY_MS = 30_000;
     private static final int LOSSES_TOLD = 10;
 
-    private final Promises promises;
+    private final Figures figures;
     private final Program old;
     private final Program current;
     private final long standMs;
@@ -44,8 +43,8 @@
      *
      * @param standMs how long it stands half way, set back, and through
      */
-    Rollout(Promises promises, Program old, Program current, long standMs) throws IOException {
-        this.promises = promises;
+    public Rollout(Figures figures, Program old, Program current, long standMs) throws IOException {
+        this.figures = figures;
         this.old = old;
         this.current = current;
         this.standMs = standMs;
@@ -65,8 +64,12 @@
         changes = new Changes(control);
     }
 
-    /** Plays it all. */
-    void play() throws Exception {
+    /**
+     * Plays it all.
+     *
+     * @throws IllegalStateException if a machine is not ready again within a minute
+     */
+    public void play() throws Exception {
         begin();
         replace("half way up, ", current, offices.get(0), carriers.get(0), offices.get(1));
         stand("half way up, ");
@@ -126,8 +129,8 @@
             double stopped = (System.nanoTime() - began) / NANOS_PER_MS;
             m.start(program);
             await(m.name() + " is ready again", m::ready);
-            promises.figure(of + m.name() + " to " + program.name() + ", ms to its process's end", stopped);
-            promises.under(of + m.name() + " to " + program.name() + ", ms from SIGTERM to ready",
+            figures.figure(of + m.name() + " to " + program.name() + ", ms to its process's end", stopped);
+            figures.under(of + m.name() + " to " + program.name() + ", ms from SIGTERM to ready",
                     (System.nanoTime() - began) / NANOS_PER_MS, PROMISED_READY_MS);
         }
     }
@@ -144,8 +147,8 @@
             await(egress + " serves version " + version,
                     () -> status(egress, Changes.path(version) + "x") == 200);
         }
-        promises.figure(of + "changes acknowledged so far, each in force everywhere", version);
-        promises.figure(of + "ms until the last one was seen at every office and sidecar",
+        figures.figure(of + "changes acknowledged so far, each in force everywhere", version);
+        figures.figure(of + "ms until the last one was seen at every office and sidecar",
                 (System.nanoTime() - began) / NANOS_PER_MS);
         changes.resume();
     }
@@ -166,17 +169,17 @@
         clients.losses().stream().limit(LOSSES_TOLD).forEach(loss -> System.out.println("lost: " + loss));
         changes.broken().forEach(what -> System.out.println("change: " + what));
         Clients.Sums sums = clients.sums(endpoints);
-        promises.figure("requests", sums.asked());
-        promises.figure("requests served", sums.served());
-        promises.figure("requests refused, and not run", sums.refused() - sums.refusedYetRun());
-        promises.figure("repeatable requests that ran twice", sums.repeated());
-        promises.under("requests lost", sums.lost(), 1);
-        promises.under("requests that may not be repeated and ran twice", sums.runTwice(), 1);
-        promises.under("requests refused that ran", sums.refusedYetRun(), 1);
-        promises.under("requests served that never ran", sums.servedUnrun(), 1);
-        promises.figure("changes with no clear answer, sent again", changes.unclear());
-        promises.figure("longest ms from a change's first call to its acknowledgement", changes.longestMs());
-        promises.under("changes lost, refused or read back as another", changes.broken().size(), 1);
+        figures.figure("requests", sums.asked());
+        figures.figure("requests served", sums.served());
+        figures.figure("requests refused, and not run", sums.refused() - sums.refusedYetRun());
+        figures.figure("repeatable requests that ran twice", sums.repeated());
+        figures.under("requests lost", sums.lost(), 1);
+        figures.under("requests that may not be repeated and ran twice", sums.runTwice(), 1);
+        figures.under("requests refused that ran", sums.refusedYetRun(), 1);
+        figures.under("requests served that never ran", sums.servedUnrun(), 1);
+        figures.figure("changes with no clear answer, sent again", changes.unclear());
+        figures.figure("longest ms from a change's first call to its acknowledgement", changes.longestMs());
+        figures.under("changes lost, refused or read back as another", changes.broken().size(), 1);
         logs();
     }
 
@@ -193,8 +196,8 @@
                 System.out.println(m.name() + ": " + line);
             }
         }
-        promises.under("machines whose process did not end within the grace", killed, 1);
-        promises.under("faults logged", faults, 1);
+        figures.under("machines whose process did not end within the grace", killed, 1);
+        figures.under("faults logged", faults, 1);
     }
 
     private List<Machine> machines() {
