--- a/src/main/java/cobaltrack/post/wire/LetterKind.java
+++ b/src/main/java/cobaltrack/post/wire/LetterKind.java
@@ -17,7 +17,8 @@
     USES(13, true),
     SUMS(14, true),
     SEEK(15, true),
-    OFFICES(16, true);
+    OFFICES(16, true),
+    CANCEL(17, false);
 
     private final int tag;
     private final boolean repeated;
--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -104,6 +104,8 @@
         } else if (letter instanceof Letter.Offices l) {
             p.packByte((byte) 16);
             strings(p, l.addresses());
+        } else if (letter instanceof Letter.Cancel l) {
+            p.packByte((byte) 17).packLong(l.stream()).packBoolean(l.whileRunning());
         }
     }
 
@@ -125,7 +127,7 @@
 
     /** The first protocol version whose readers know this letter's kind. */
     static int since(Letter letter) {
-        return ProtocolVersion.UNVERSIONED;
+        return letter instanceof Letter.Cancel ? ProtocolVersion.TOLERANT : ProtocolVersion.UNVERSIONED;
     }
 
     /**
@@ -180,6 +182,7 @@
             case 14 -> new Letter.Sums(u.unpackInt(), uses(u));
             case 15 -> new Letter.Seek();
             case 16 -> new Letter.Offices(strings(u));
+            case 17 -> new Letter.Cancel(u.unpackLong(), u.unpackBoolean());
             default -> throw new UnknownKindException("letter " + tag);
         };
     }
