Play the bound on a request's endpoints, with three planted faults

Ruled out: a play of its own, for the resets, silences and restarts are here. Change: requests have routes of one and two endpoints and the code's own counter; a request that ran on more is broken. Planted: an attempt counted only when answered, a sidecar beside the endpoint that passes a request on after a reset, the whole time handed to each attempt.

--- a/src/main/java/cobaltrack/standin/post/hardening/RelayPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPlay.java
@@ -10,14 +10,17 @@
 import cobaltrack.plan.Calendar;
 import cobaltrack.post.carrier.Classes;
 import cobaltrack.post.carrier.Depot;
+import cobaltrack.post.carrier.EndpointAttempts;
 import cobaltrack.post.carrier.EndpointLine;
 import cobaltrack.post.carrier.Round;
 import cobaltrack.post.wire.Letter;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -27,7 +30,7 @@
  * under a driven clock: connections are reset and held back, ties are lost and made anew, either sidecar is
  * frozen or restarted, endpoints reset, cut off, spoil, and answer late or twice. Beside it, pipelined calls
  * through the real server of calls. Checks that each answer is its own, that what may not be repeated runs
- * once at most, that "has not run" is not said of what has run and that nothing runs after it, that a time
+ * once at most and nothing on more endpoints than its route allows, that "has not run" is not said of what has run and that nothing runs after it, that a time
  * left is never overstated, and that nothing is written after the caller was answered. The same seed plays
  * the same. One thread.
  */
@@ -45,7 +48,13 @@
         /** A connection that broke after the request was written is told as one that was never made. */
         RESET_NEVER_RAN,
         /** Whatever an endpoint says next is taken for the answer to the request that it was sent last. */
-        IGNORES_IDS
+        IGNORES_IDS,
+        /** An attempt counts against the route's bound only if an answer came of it. */
+        COUNTS_ANSWERED_ONLY,
+        /** The sidecar beside an endpoint that resets a repeatable request passes it on to another one. */
+        PASSES_ON_AFTER_RESET,
+        /** Each attempt is handed the time of the whole request. */
+        HANDS_OUT_WHOLE_TIME
     }
 
     /** What a schedule broke, and what it counted. */
@@ -59,6 +68,8 @@
     private static final int CALLS = 30;
     private static final int FAULTS = 10;
     private static final int FARS = 3;
+    /** Routes allow one endpoint, and so on up to this many, by turns. */
+    private static final int TRIES_MOST = 2;
     private static final String BODY = "of ";
     private static final Classes CLASSES = new Classes();
 
@@ -186,7 +197,7 @@
 
     private void wrote(Letter letter) {
         Letter.Parcel parcel = (Letter.Parcel) letter;
-        Request r = requests.get(parcel.headers().get(1));
+        Request r = requests.get(id(parcel));
         if (r.answered && r.life == life) {
             broke(r.id + " was written after its caller had been answered");
         }
@@ -196,9 +207,17 @@
         }
     }
 
-    private void ran(String id) {
+    private static String id(Letter.Parcel parcel) {
+        return parcel.headers().get(1);
+    }
+
+    private void ran(String id, Far far) {
         Request r = requests.get(id);
         r.runs++;
+        r.endpoints.add(far);
+        if (r.endpoints.size() > r.tries) {
+            broke(id + " ran on " + r.endpoints.size() + " endpoints, " + r.tries + " at most are allowed");
+        }
         count("runs");
         if (r.mutating && r.runs > 1) {
             broke(id + " ran " + r.runs + " times");
@@ -217,7 +236,9 @@
         private final boolean mutating = random.nextInt(3) > 0;
         private final double timeout = 300 + random.nextInt(2500);
         private final double endAt = calendar.now() + timeout;
-        private int arrivals;
+        private final int tries = 1 + requests.size() % TRIES_MOST;
+        private final EndpointAttempts attempts = new EndpointAttempts(tries);
+        private final Set<Far> endpoints = new HashSet<>();
         private int runs;
         private boolean answered;
         private boolean promised;
@@ -233,15 +254,20 @@
 
         @Override
         public Sending send(String endpoint, int attempt, double within, Outcomes<Letter.Delivered> told) {
-            if (arrivals > 1) {
+            if (!attempts.mayBeSent()) {
                 told.ended(Contract.Outcome.NEVER_SENT, null, null);
                 return () -> false;
             }
+            attempts.sent();
+            double left = bug == Bug.HANDS_OUT_WHOLE_TIME ? timeout : endAt - calendar.now();
             Letter.Parcel draft = new Letter.Parcel(0, "POST", "/x", List.of("Attempt-Id", id), new byte[0],
-                    (int) Math.max(1, endAt - calendar.now()), "svc", endpoint, 1);
+                    (int) Math.max(1, left), "svc", endpoint, 1);
             Sending sending = round.send(endpoint, draft, !mutating, letter -> came(letter, told));
             return () -> {
                 boolean written = sending.giveUp();
+                if (!written) {
+                    attempts.neverWritten();
+                }
                 if (!written && bug == Bug.WRITES_AFTER_ANSWER) {
                     near.after(1, () -> round.send(endpoint, draft, false, letter -> { }));
                 }
@@ -250,8 +276,9 @@
         }
 
         private void came(Letter letter, Outcomes<Letter.Delivered> told) {
-            arrivals += letter instanceof Letter.Returned r && r.why().neverRan
-                    && r.why() != Letter.Why.TURNED_AWAY ? 0 : 1;
+            if (letter instanceof Letter.Returned r) {
+                attempts.returned(bug == Bug.COUNTS_ANSWERED_ONLY ? Letter.Why.UNREACHED : r.why());
+            }
             told.ended(Round.outcome(letter), letter instanceof Letter.Delivered d ? d : null, null);
         }
 
@@ -299,7 +326,7 @@
     private final class Far {
         private final RelayProcess process = new RelayProcess(calendar, random.split());
         private final RelayEndpoint endpoint = new RelayEndpoint(calendar, process, random.split(),
-                RelayPlay.this::ran, RelayPlay.this::count, bug == Bug.IGNORES_IDS);
+                id -> ran(id, this), RelayPlay.this::count, bug == Bug.IGNORES_IDS);
         private EndpointLine line = new EndpointLine(process, endpoint::connect);
 
         private void take(Letter letter, Consumer<Letter> answer) {
@@ -308,9 +335,17 @@
                 answer.accept(new Letter.Returned(parcel.stream(), Letter.Why.FULL, 0, 0));
                 return;
             }
-            line.send(parcel, parcel.endpoint(), l -> answer.accept(bug == Bug.RESET_NEVER_RAN
-                    && l instanceof Letter.Returned r && r.why() == Letter.Why.BROKEN
-                    ? new Letter.Returned(r.stream(), Letter.Why.UNREACHED, 0, 0) : l));
+            line.send(parcel, parcel.endpoint(), l -> {
+                boolean reset = l instanceof Letter.Returned r && r.why() == Letter.Why.BROKEN;
+                if (reset && bug == Bug.RESET_NEVER_RAN) {
+                    answer.accept(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, 0, 0));
+                } else if (reset && bug == Bug.PASSES_ON_AFTER_RESET && !requests.get(id(parcel)).mutating) {
+                    Far next = fars.get((fars.indexOf(this) + 1) % FARS);
+                    next.line.send(parcel, parcel.endpoint(), answer);
+                } else {
+                    answer.accept(l);
+                }
+            });
         }
 
         private void restart() {
