--- a/src/main/java/cobaltrack/post/carrier/EndpointRequests.java
+++ b/src/main/java/cobaltrack/post/carrier/EndpointRequests.java
@@ -8,37 +8,32 @@
  * The requests of other sidecars, and of this one, that are under way at the endpoint beside it, so that they
  * can be cancelled. One thread.
  */
-final class EndpointRequests {
+public final class EndpointRequests {
     /** A request's sender, which is a link or this sidecar itself, and its number there. */
     private record Key(Object sender, long stream) { }
 
     private final Map<Key, EndpointLine.Sent> requests = new HashMap<>();
 
     /** A request is about to be sent; it may end before {@link #sent}. */
-    void begin(Object sender, long stream) {
+    public void begin(Object sender, long stream) {
         requests.put(new Key(sender, stream), whileRunning -> { });
     }
 
     /** It was sent. */
-    void sent(Object sender, long stream, EndpointLine.Sent sent) {
+    public void sent(Object sender, long stream, EndpointLine.Sent sent) {
         requests.replace(new Key(sender, stream), sent);
     }
 
     /** It has ended. */
-    void ended(Object sender, long stream) {
+    public void ended(Object sender, long stream) {
         requests.remove(new Key(sender, stream));
     }
 
     /** Its client has left. */
-    void cancel(Object sender, Letter.Cancel cancel) {
+    public void cancel(Object sender, Letter.Cancel cancel) {
         EndpointLine.Sent sent = requests.get(new Key(sender, cancel.stream()));
         if (sent != null) {
             sent.cancel(cancel.whileRunning());
         }
     }
-
-    /** How many are under way. */
-    int size() {
-        return requests.size();
-    }
 }
--- a/src/main/java/cobaltrack/standin/post/hardening/RelayPath.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPath.java
@@ -27,7 +27,7 @@
     private final RelayProcess near;
     private final RelayProcess far;
     private final Round.Ear ear;
-    /** The far end takes a letter and answers it by the consumer. */
+    /** The far end takes a letter and answers it by the consumer, of which each connection has its own. */
     private final BiConsumer<Letter, Consumer<Letter>> taker;
     /** Hears of what was written. */
     private final Consumer<Letter> wrote;
@@ -55,6 +55,8 @@
         private double heldUntil;
         private boolean nearOpen = true;
         private boolean farOpen = true;
+        /** One for all that comes by this connection, so that the far end can tell it from others. */
+        private final Consumer<Letter> answers = this::answer;
 
         private void toFar(Runnable task) {
             farAt = Math.max(Math.max(farAt, heldUntil), calendar.now() + 0.2 + random.nextInt(3));
@@ -69,7 +71,7 @@
         private void send(byte[] written) {
             toFar(() -> {
                 if (farOpen) {
-                    taker.accept(read(written), this::answer);
+                    taker.accept(read(written), answers);
                 }
             });
         }
--- a/src/main/java/cobaltrack/standin/post/hardening/RelayPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPlay.java
@@ -12,6 +12,7 @@
 import cobaltrack.post.carrier.Depot;
 import cobaltrack.post.carrier.EndpointAttempts;
 import cobaltrack.post.carrier.EndpointLine;
+import cobaltrack.post.carrier.EndpointRequests;
 import cobaltrack.post.carrier.Round;
 import cobaltrack.post.wire.Letter;
 import java.nio.charset.StandardCharsets;
@@ -28,11 +29,13 @@
 /**
  * Requests from one sidecar through the real engine, module, ways and lines to three endpoints in trouble,
  * under a driven clock: connections are reset and held back, ties are lost and made anew, either sidecar is
- * frozen or restarted, endpoints reset, cut off, spoil, and answer late or twice. Beside it, pipelined calls
- * through the real server of calls. Checks that each answer is its own, that what may not be repeated runs
- * once at most and nothing on more endpoints than its route allows, that "has not run" is not said of what has run and that nothing runs after it, that a time
- * left is never overstated, and that nothing is written after the caller was answered. The same seed plays
- * the same. One thread.
+ * frozen or restarted, endpoints reset, cut off, spoil, and answer late or twice, and clients leave. Beside
+ * it, pipelined calls through the real server of calls.
+ *
+ * <p>Checks that each answer is its own, that what may not be repeated runs once at most and nothing on more
+ * endpoints than its route allows, that "has not run" is not said of what has run and that nothing runs after
+ * it, that a time left is never overstated, and that nothing is written after the caller was answered or has
+ * left. The same seed plays the same. One thread.
  */
 public final class RelayPlay {
     /** A fault that is planted, to see that it is found. */
@@ -54,7 +57,9 @@
         /** The sidecar beside an endpoint that resets a repeatable request passes it on to another one. */
         PASSES_ON_AFTER_RESET,
         /** Each attempt is handed the time of the whole request. */
-        HANDS_OUT_WHOLE_TIME
+        HANDS_OUT_WHOLE_TIME,
+        /** A client that leaves is only forgotten: what waits for its path goes out all the same. */
+        FORGETS_WHO_LEFT
     }
 
     /** What a schedule broke, and what it counted. */
@@ -70,6 +75,8 @@
     private static final int FARS = 3;
     /** Routes allow one endpoint, and so on up to this many, by turns. */
     private static final int TRIES_MOST = 2;
+    /** The client of one request in so many leaves before its time is up. */
+    private static final int LEAVES = 7;
     private static final String BODY = "of ";
     private static final Classes CLASSES = new Classes();
 
@@ -196,7 +203,10 @@
     // --- the near sidecar
 
     private void wrote(Letter letter) {
-        Letter.Parcel parcel = (Letter.Parcel) letter;
+        if (!(letter instanceof Letter.Parcel parcel)) {
+            count("cancellations");
+            return;
+        }
         Request r = requests.get(id(parcel));
         if (r.answered && r.life == life) {
             broke(r.id + " was written after its caller had been answered");
@@ -242,6 +252,9 @@
         private int runs;
         private boolean answered;
         private boolean promised;
+        /** The attempt that was sent last, and who hears of its end. */
+        private Round.Sent sent;
+        private Outcomes<Letter.Delivered> outcomes;
 
         private Request(String id) {
             this.id = id;
@@ -249,7 +262,23 @@
         }
 
         private void go() {
-            engine.take(new Ask(CLASSES.of(!mutating, 1, 500), -1, timeout, false, 1, 0), this, this);
+            Engine.Held<Letter.Delivered> held = engine.take(new Ask(CLASSES.of(!mutating, 1, 500), -1,
+                    timeout, false, 1, 0), this, this);
+            if (requests.size() % LEAVES == 0) {
+                near.after(random.nextDouble() * timeout, () -> leave(held));
+            }
+        }
+
+        private void leave(Engine.Held<Letter.Delivered> held) {
+            if (answered) {
+                return;
+            }
+            answered("left by their clients");
+            held.abandon();
+            if (sent != null && bug != Bug.FORGETS_WHO_LEFT) {
+                sent.cancel();
+                outcomes.ended(Contract.Outcome.CANCELLED, null, null);
+            }
         }
 
         @Override
@@ -262,9 +291,11 @@
             double left = bug == Bug.HANDS_OUT_WHOLE_TIME ? timeout : endAt - calendar.now();
             Letter.Parcel draft = new Letter.Parcel(0, "POST", "/x", List.of("Attempt-Id", id), new byte[0],
                     (int) Math.max(1, left), "svc", endpoint, 1);
-            Sending sending = round.send(endpoint, draft, !mutating, letter -> came(letter, told));
+            outcomes = told;
+            Round.Sent attempted = round.send(endpoint, draft, !mutating, letter -> came(letter, told));
+            sent = attempted;
             return () -> {
-                boolean written = sending.giveUp();
+                boolean written = attempted.giveUp();
                 if (!written) {
                     attempts.neverWritten();
                 }
@@ -328,14 +359,21 @@
         private final RelayEndpoint endpoint = new RelayEndpoint(calendar, process, random.split(),
                 id -> ran(id, this), RelayPlay.this::count, bug == Bug.IGNORES_IDS);
         private EndpointLine line = new EndpointLine(process, endpoint::connect);
+        private EndpointRequests underWay = new EndpointRequests();
 
         private void take(Letter letter, Consumer<Letter> answer) {
+            if (letter instanceof Letter.Cancel cancel) {
+                underWay.cancel(answer, cancel);
+                return;
+            }
             Letter.Parcel parcel = (Letter.Parcel) letter;
             if (random.nextInt(15) == 0) {
                 answer.accept(new Letter.Returned(parcel.stream(), Letter.Why.FULL, 0, 0));
                 return;
             }
-            line.send(parcel, parcel.endpoint(), l -> {
+            underWay.begin(answer, parcel.stream());
+            EndpointLine.Sent atEndpoint = line.send(parcel, parcel.endpoint(), l -> {
+                underWay.ended(answer, parcel.stream());
                 boolean reset = l instanceof Letter.Returned r && r.why() == Letter.Why.BROKEN;
                 if (reset && bug == Bug.RESET_NEVER_RAN) {
                     answer.accept(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, 0, 0));
@@ -346,12 +384,14 @@
                     answer.accept(l);
                 }
             });
+            underWay.sent(answer, parcel.stream(), atEndpoint);
         }
 
         private void restart() {
             process.restart();
             endpoint.reset();
             line = new EndpointLine(process, endpoint::connect);
+            underWay = new EndpointRequests();
         }
     }
 }
