Silence of a tie ends no request that may be asked of nobody else

Cause: when another sidecar was silent for 0.7 s, each repeatable request on its tie was ended there so that it could be served elsewhere, also where its route's Tries, or the budget of further tries, allowed no other endpoint. Ruled out: waiting for silent ties in general, which costs repeatable requests the endpoint that is well. Change: Round asks when the tie falls silent whether another endpoint may be asked, and Depot tells by the route's Tries and the budget. A tie that breaks ends them as before.

--- a/src/main/java/cobaltrack/post/carrier/Depot.java
+++ b/src/main/java/cobaltrack/post/carrier/Depot.java
@@ -142,7 +142,7 @@
             attempts.sent();
             outcomes = told;
             Round.Sent sent = round.send(node, shipment.parcel(endpoint), shipment.repeatable(),
-                    letter -> came(letter, told));
+                    () -> attempts.mayBeSent() && postage.affords(), letter -> came(letter, told));
             out = sent;
             return () -> {
                 out = null;
--- a/src/main/java/cobaltrack/post/carrier/Postage.java
+++ b/src/main/java/cobaltrack/post/carrier/Postage.java
@@ -23,9 +23,14 @@
         tokens = Math.min(Math.max(1, slack / sidecars), tokens + earn);
     }
 
+    /** Whether a further arrival could be paid for now. */
+    boolean affords() {
+        return tokens >= 1;
+    }
+
     /** Whether a further arrival may be paid for; if so, it is. */
     public boolean spend() {
-        if (tokens < 1) {
+        if (!affords()) {
             return false;
         }
         tokens--;
