--- a/src/main/java/cobaltrack/post/carrier/Egress.java
+++ b/src/main/java/cobaltrack/post/carrier/Egress.java
@@ -247,7 +247,7 @@
         private final double timeout;
         private final double endAt;
         private final EndpointAttempts attempts;
-        private Runnable abandon = () -> { };
+        private Depot.Taken taken = () -> { };
         private Letter.Delivered last;
 
         private Exchange(HttpRequest head, byte[] body, Window.Turn turn, Routing.Way way,
@@ -277,16 +277,15 @@
             exchanges.add(this);
             Ask ask = new Ask(classes.of(way.repeatable(), rank, way.route().targetS() * 1000), -1, timeout,
                     false, 1, body.length);
-            Depot.Taken taken = depot.take(ask, Math.max(1, sidecars.getAsInt()), this, this);
-            abandon = taken::abandon;
+            taken = depot.take(ask, Math.max(1, sidecars.getAsInt()), this, this);
             turn.onGone(() -> {
                 exchanges.remove(this);
-                abandon.run();
+                taken.abandon();
             });
         }
 
         private void breakOff() {
-            abandon.run();
+            taken.abandon();
             end(NOT_RUN_MS);
         }
 
