Sidecar: without demand, reports of it are left out that say what is known

Need: a sidecar without a request told the first control node 2.5 times a second and each other 0.83 times that it is asked for nothing; at five control nodes that is 5.8 of its 9.4 messages a second.

DemandReports decides round by round. With demand nothing changes: the first hears each 400 ms, the others each third time, so any of them can take its place. The end of demand is told to all once; after that only the first is asked, each 1.2 s, so that the sums are fresh (2.5 s) for a first request though one answer is lost. Ruled out: leaving out reports that have changed little, for a control node forgets a sidecar after 3 s; asking no sums at all while idle, by which a first request would meet a tenant's limit without knowing who else asks. What is shared out at a tenant's limit adds up as before: an idle sidecar's own part of the demand is 0.

--- a/src/main/java/cobaltrack/post/carrier/Desk.java
+++ b/src/main/java/cobaltrack/post/carrier/Desk.java
@@ -33,8 +33,6 @@
 final class Desk {
     /** Longer until it is given up than an idle tie goes without a ping. */
     private static final Tie.Pace PACE = new Tie.Pace(300, 900, 3000, 150);
-    /** Offices that are not asked for the sums hear of what is asked for here each so many times. */
-    private static final int USES_TIMES = 3;
     /** Until another office is asked for what one has not sent, in milliseconds. */
     private static final double FETCH_MS = 500;
     private static final int OFFICES_MOST = 16;
@@ -62,7 +60,7 @@
     private Beginning beginning = new Beginning();
     private double fetchAt = Double.NEGATIVE_INFINITY;
     private double seekAt;
-    private int usesTold;
+    private final DemandReports reports = new DemandReports();
     private Tie seeking;
 
     /** Hears what the offices say. */
@@ -113,12 +111,15 @@
         offices.values().forEach(t -> t.send(post));
     }
 
-    /** Tells offices in reach what is asked for here, and asks the first of them for the sums. */
+    /** Tells offices in reach what is asked for here, where it is due, and asks the first for the sums. */
     void uses(List<Use> uses) {
+        DemandReports.Audience audience = reports.next(!uses.isEmpty());
+        if (audience == DemandReports.Audience.NONE) {
+            return;
+        }
         boolean wanted = true;
-        boolean others = ++usesTold % USES_TIMES == 0;
         for (Tie tie : offices.values()) {
-            if (tie.up() && (wanted || others)) {
+            if (tie.up() && (wanted || audience == DemandReports.Audience.ALL)) {
                 tie.send(new Letter.Uses(uses, wanted));
                 wanted = false;
             }
