Timers of a sidecar and its ties share one grid, so that they wake the process together

Need: the sidecar's tick (100 ms), its ties to control nodes (300 ms) and to sidecars (250 ms) and its balancers (25 ms) each fired at moments of their own, and ties only agreed to the millisecond.

TimerGrid holds the process's phase; what fires each 25 ms or a multiple of it fires on its moments, to the nanosecond. Beat takes the phase of the grid. Other processes have other phases, as before. Ruled out: one timer that asks all who want to be called, which would be a second scheduler beside the loop's.

BeatTest holds the phase. With the tick off the grid nothing fails but the measure: the schedule of a loop is not reached by a test without waiting.

--- a/src/main/java/cobaltrack/post/carrier/Beat.java
+++ b/src/main/java/cobaltrack/post/carrier/Beat.java
@@ -4,7 +4,7 @@
 
 /**
  * Timers of which those of about one period fall together: each service has modules of its own, and a
- * sidecar would wake for each of them apart. Spans of a period, a tenth more or less, end on its multiples;
+ * sidecar would wake for each of them apart. Spans of a period, a tenth more or less, end on its moments;
  * all others end when they were to. On the thread of its timers.
  */
 final class Beat implements Timers {
@@ -12,11 +12,22 @@
 
     private final Timers timers;
     private final double period;
+    private final double phase;
 
     /** A beat of so many milliseconds. */
     Beat(Timers timers, double period) {
+        this(timers, period, 0);
+    }
+
+    /**
+     * The same, with another phase.
+     *
+     * @param firstAt one of the beat's moments, in milliseconds on the clock of the timers
+     */
+    Beat(Timers timers, double period, double firstAt) {
         this.timers = timers;
         this.period = period;
+        this.phase = firstAt % period;
     }
 
     @Override
@@ -31,6 +42,6 @@
         }
         double now = timers.now();
         // The nearest, but never sooner than half a period, by which the next one is nearer.
-        return timers.after(Math.rint((now + millis) / period) * period - now, task);
+        return timers.after(Math.rint((now + millis - phase) / period) * period + phase - now, task);
     }
 }
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -17,6 +17,7 @@
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Link;
 import cobaltrack.post.wire.ProtocolVersion;
+import cobaltrack.post.wire.TimerGrid;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
@@ -52,6 +53,7 @@
     private static final double END_S = 0.8;
     private static final int BACKLOG = 512;
     private static final int NONE = 404;
+    private static final double NANOS_IN_MILLI = 1e6;
 
     private final Card card;
     private final EventLoop loop;
@@ -92,7 +94,8 @@
         this.loop = loop;
         this.mapper = mapper;
         this.timers = new LoopTimers(loop, new Clock());
-        this.beat = new Beat(timers, Classes.period());
+        this.beat = new Beat(timers, Classes.period(), timers.now()
+                + untilNext((long) Classes.period()) / NANOS_IN_MILLI);
         this.node = Card.present(card.network().bind().ingress(), "Network.Bind.Ingress");
         this.hatch = new Hatch(card.substrate().heartbeatS() * 1000);
         this.line = new EndpointLine(loop, EndpointList.address(Card.present(card.self().appAddr(),
@@ -163,10 +166,16 @@
         loop.execute(() -> {
             say(true);
             desk.start();
-            loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleAtFixedRate(this::tick, untilNext(TICK_MS), TimeUnit.MILLISECONDS.toNanos(TICK_MS),
+                    TimeUnit.NANOSECONDS);
         });
     }
 
+    // Nanoseconds, on the grid of all of this process's timers.
+    private static long untilNext(long periodMs) {
+        return TimerGrid.untilNext(System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(periodMs));
+    }
+
     /** Other machines may be asked first from now on. */
     public void seeds(List<String> seeds) {
         desk.seeds(seeds);
--- a/src/main/java/cobaltrack/post/wire/Tie.java
+++ b/src/main/java/cobaltrack/post/wire/Tie.java
@@ -64,9 +64,6 @@
     private static final double NANOS = 1e6;
     /** So many times as long between pings where nothing is waited for. */
     private static final int IDLE_TIMES = 6;
-    /** Where this process's ties look at their links: at the same moments, for each wake-up costs; but not at
-     *  those of other processes, whose pings would all come at once. */
-    private static final long PHASE = ThreadLocalRandom.current().nextLong(1 << 20);
     /** Pings whose answers are still told apart. */
     private static final int PINGS_OUT = 16;
 
@@ -178,14 +175,8 @@
             sentAt[(int) (++pings % PINGS_OUT)] = System.nanoTime() / NANOS;
             link.send(new Letter.Ping(pings));
         }
-        timer = loop.schedule(this::beat, untilNext(System.nanoTime() / 1_000_000, pace.ping()),
-                TimeUnit.MILLISECONDS);
-    }
-
-    /** Milliseconds until a tie that looks so often looks again, on one grid for all of this process. */
-    static long untilNext(long nowMs, long every) {
-        long left = every - Math.floorMod(nowMs + PHASE, every);
-        return left < every / 2 ? left + every : left;
+        timer = loop.schedule(this::beat, TimerGrid.untilNext(System.nanoTime(),
+                TimeUnit.MILLISECONDS.toNanos(pace.ping())), TimeUnit.NANOSECONDS);
     }
 
     private final class Ear implements Link.Ear {
--- a/src/test/java/cobaltrack/post/carrier/BeatTest.java
+++ b/src/test/java/cobaltrack/post/carrier/BeatTest.java
@@ -74,6 +74,18 @@
         spans.subList(4, spans.size()).forEach(s -> assertEquals(s, PERIOD, 0.001));
     }
 
+    @Test
+    public void theMomentsAreThoseOfTheGivenPhase() {
+        Driven driven = new Driven();
+        double moment = driven.now() + 13.2;
+        Timers beat = new Beat(driven, PERIOD, moment);
+        List<Double> ends = new ArrayList<>();
+        beat.after(PERIOD, () -> ends.add(driven.now()));
+        driven.until(moment + 10 * PERIOD);
+        assertEquals(ends.size(), 1);
+        assertEquals(Math.IEEEremainder(ends.get(0) - moment, PERIOD), 0, 0.001);
+    }
+
     @Test
     public void otherSpansEndWhenTheyWereTo() {
         Driven driven = new Driven();
