--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -205,8 +205,10 @@
             decision(p, s.decision());
         } else if (message instanceof Message.Query s) {
             p.packByte((byte) 8).packLong(s.nonce()).packLong(s.slot());
+            suspects(p, s.suspects());
         } else if (message instanceof Message.State s) {
             p.packByte((byte) 9).packLong(s.nonce()).packLong(s.slot()).packBoolean(s.voted());
+            opinions(p, s.opinions());
         } else if (message instanceof Message.Join s) {
             p.packByte((byte) 10).packLong(s.slot());
         }
@@ -222,13 +224,49 @@
             case 5 -> new Message.Nack(u.unpackLong(), ballot(u), ballot(u));
             case 6 -> new Message.Lagging(u.unpackLong(), u.unpackLong());
             case 7 -> new Message.Decided(decision(u));
-            case 8 -> new Message.Query(u.unpackLong(), u.unpackLong());
-            case 9 -> new Message.State(u.unpackLong(), u.unpackLong(), u.unpackBoolean());
+            case 8 -> new Message.Query(u.unpackLong(), u.unpackLong(), suspects(u));
+            case 9 -> new Message.State(u.unpackLong(), u.unpackLong(), u.unpackBoolean(), opinions(u));
             case 10 -> new Message.Join(u.unpackLong());
             default -> throw new IOException("no message has the tag " + tag);
         };
     }
 
+    // Suspects and opinions follow the older fields and are left out where there are none: a program from before
+    // them reads the fields that it knows and passes over the rest.
+    private static void suspects(MessageBufferPacker p, List<String> suspects) throws IOException {
+        if (!suspects.isEmpty()) {
+            strings(p, suspects);
+        }
+    }
+
+    private static List<String> suspects(MessageUnpacker u) throws IOException {
+        return u.hasNext() ? strings(u) : List.of();
+    }
+
+    private static void opinions(MessageBufferPacker p, List<Message.Opinion> opinions) throws IOException {
+        if (!opinions.isEmpty()) {
+            p.packInt(opinions.size());
+            for (Message.Opinion opinion : opinions) {
+                p.packString(opinion.voter()).packInt(opinion.reachability().ordinal());
+            }
+        }
+    }
+
+    private static List<Message.Opinion> opinions(MessageUnpacker u) throws IOException {
+        int n = u.hasNext() ? size(u.unpackInt()) : 0;
+        List<Message.Opinion> opinions = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            opinions.add(new Message.Opinion(u.unpackString(), reachability(u.unpackInt())));
+        }
+        return opinions;
+    }
+
+    // A word that only a newer program knows says nothing here.
+    private static Message.Reachability reachability(int number) {
+        Message.Reachability[] known = Message.Reachability.values();
+        return number >= 0 && number < known.length ? known[number] : Message.Reachability.UNSURE;
+    }
+
     private static void ballot(MessageBufferPacker p, Ballot b) throws IOException {
         p.packLong(b.round()).packString(b.by());
     }
--- a/src/test/java/cobaltrack/post/LettersTest.java
+++ b/src/test/java/cobaltrack/post/LettersTest.java
@@ -40,6 +40,10 @@
                 new Letter.Paper(new Message.Nack(8, BALLOT, BALLOT)),
                 new Letter.Paper(new Message.Lagging(8, -1)), new Letter.Paper(new Message.Decided(DECISION)),
                 new Letter.Paper(new Message.Query(5, 3)), new Letter.Paper(new Message.State(5, 3, true)),
+                new Letter.Paper(new Message.Query(5, 3, List.of("10.0.0.1#0", "10.0.0.2#a"))),
+                new Letter.Paper(new Message.State(5, 3, true, List.of(
+                        new Message.Opinion("10.0.0.1#0", Message.Reachability.SILENT),
+                        new Message.Opinion("10.0.0.2#a", Message.Reachability.REACHED)))),
                 new Letter.Paper(new Message.Join(6)), new Letter.Uses(List.of(new Use("t", 0.5)), true),
                 new Letter.Sums(3, List.of(new Use("t", 0.5))),
                 new Letter.Returned(4, Letter.Why.MOVED, 0.5, 2));
@@ -63,6 +67,27 @@
         assertEquals(Letters.memory(Letters.write(none)), none);
     }
 
+    @Test
+    public void suspectsAndOpinionsFollowWhatAnOlderProgramReads() throws IOException {
+        // A program from before them reads its own fields and passes over what follows, and sends none itself.
+        startsAs(new Message.Query(5, 3, List.of("10.0.0.1#0")), new Message.Query(5, 3));
+        startsAs(new Message.State(5, 3, true, List.of(new Message.Opinion("10.0.0.1#0",
+                Message.Reachability.SILENT))), new Message.State(5, 3, true));
+        // A word that only a newer program knows says nothing: the last byte is its number.
+        byte[] newer = Letters.write(new Letter.Paper(new Message.State(5, 3, true, List.of(
+                new Message.Opinion("10.0.0.1#0", Message.Reachability.SILENT)))));
+        newer[newer.length - 1] = 100;
+        assertEquals(Letters.read(newer), new Letter.Paper(new Message.State(5, 3, true, List.of(
+                new Message.Opinion("10.0.0.1#0", Message.Reachability.UNSURE)))));
+    }
+
+    private static void startsAs(Message longer, Message older) {
+        byte[] known = Letters.write(new Letter.Paper(older));
+        byte[] written = Letters.write(new Letter.Paper(longer));
+        assertTrue(written.length > known.length);
+        assertEquals(Arrays.copyOf(written, known.length), known);
+    }
+
     @Test
     public void bytesThatAreNoLetterAreOnlyThat() {
         Random random = new Random(11);
