Split the consensus member by concern

Need: Member held the consensus node, three guards against faults of the library, the state machine, the executor, batching, forwarding and membership changes in one class of 660 lines.

Change: Member takes messages and time in; ConsensusNode wraps the library's node and its restart, NodeExecutor and TimersClock its turns and time, BookStateMachine applies what was agreed on, SnapshotOverlap and LeaderMonitor hold two of the guards, MembershipChanges, CommandBatcher and ForwardedCommands one job each. Messages, timers and random draws keep their order; names of classes, records and public methods stay.

--- /dev/null
+++ b/src/main/java/cobaltrack/copies/raft/NodeExecutor.java
@@ -0,0 +1,44 @@
+package cobaltrack.copies.raft;
+
+import cobaltrack.engine.Timers;
+import io.microraft.executor.RaftNodeExecutor;
+import java.util.concurrent.TimeUnit;
+
+/** Runs the tasks of one consensus node by timers, until it is stopped. On the engine's thread. */
+final class NodeExecutor implements RaftNodeExecutor {
+    private final Timers timers;
+    private boolean stopped;
+
+    /** One that runs tasks by these timers. */
+    NodeExecutor(Timers timers) {
+        this.timers = timers;
+    }
+
+    /** Runs nothing any more, not even what was due before. */
+    void stop() {
+        stopped = true;
+    }
+
+    private Runnable unlessStopped(Runnable task) {
+        return () -> {
+            if (!stopped) {
+                task.run();
+            }
+        };
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        timers.after(0, unlessStopped(task));
+    }
+
+    @Override
+    public void submit(Runnable task) {
+        timers.after(0, unlessStopped(task));
+    }
+
+    @Override
+    public void schedule(Runnable task, long delay, TimeUnit unit) {
+        timers.after(unit.toMillis(delay), unlessStopped(task));
+    }
+}
--- /dev/null
+++ b/src/main/java/cobaltrack/copies/raft/TimersClock.java
@@ -0,0 +1,37 @@
+package cobaltrack.copies.raft;
+
+import cobaltrack.engine.Timers;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+
+/** The clock of the consensus library, which only ever compares times of it. */
+final class TimersClock extends Clock {
+    private final Timers timers;
+
+    /** Tells the time of these timers. */
+    TimersClock(Timers timers) {
+        this.timers = timers;
+    }
+
+    @Override
+    public ZoneId getZone() {
+        return ZoneOffset.UTC;
+    }
+
+    @Override
+    public Clock withZone(ZoneId zone) {
+        return this;
+    }
+
+    @Override
+    public Instant instant() {
+        return Instant.ofEpochMilli(millis());
+    }
+
+    @Override
+    public long millis() {
+        return (long) timers.now();
+    }
+}
