Answer orders that can't have been taken with 4xx, and hold all in one table

An order whose number is older than what is remembered got 503 in every case, for it may have been taken before. It can't have been where its number does not exceed the version that it builds on, nor where its number is the oldest remembered one with other content: 4xx is due there. A new number on the newest and the invalid ones were right before.

What the newest decision says of an order is a pure function now, OrderRuling.of, out of the council's step. Ruled out: remembering more digests, which each decision carries; refusing all that is forgotten, for a repeat may not be refused. What is left: other content under a forgotten number on an older version gets 503.

OrderRulingTest has all pairs of numbers against a full memory.

--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -491,15 +491,9 @@
                     } else {
                         run(now, seat);
                     }
-                } else if (call.body != null && decided().has(call.version, call.digest)) {
-                    end(calls.poll(), Verdict.TAKEN);
-                } else if (call.body != null && !decided().remembers(call.version)) {
-                    // It may have been taken long ago: no refusal is safe, and none is owed.
-                    end(calls.poll(), Verdict.UNCLEAR);
-                } else if (call.body != null && call.builtOn == decided().version()
-                        && call.version > call.builtOn) {
-                    run(now, decided().with(call.version, call.digest, call.body));
-                } else if (call.body == null && !call.reads) {
+                } else if (call.body != null) {
+                    order(now, call);
+                } else if (!call.reads) {
                     run(now, null);
                 } else {
                     ask(now, call);
@@ -518,13 +512,27 @@
             }
             case ASKED -> {
                 calls.poll();
-                end(call, call.builtOn != decided().version() ? Verdict.MISMATCH : Verdict.OLD_VERSION);
+                end(call, ruling(call) == OrderRuling.MISMATCH ? Verdict.MISMATCH : Verdict.OLD_VERSION);
             }
             default -> throw new IllegalStateException("in a ballot that is over");
         }
         return true;
     }
 
+    private void order(double now, Call call) {
+        switch (ruling(call)) {
+            case TAKEN -> end(calls.poll(), Verdict.TAKEN);
+            case FORGOTTEN -> end(calls.poll(), Verdict.UNCLEAR);
+            case NEXT -> run(now, decided().with(call.version, call.digest, call.body));
+            case MISMATCH, OLD_VERSION -> ask(now, call);
+            default -> throw new IllegalStateException("no such ruling");
+        }
+    }
+
+    private OrderRuling ruling(Call call) {
+        return OrderRuling.of(decided(), call.version, call.builtOn, call.digest);
+    }
+
     private void ask(double now, Call call) {
         call.stage = Stage.ASKING;
         answered.clear();
--- a/src/main/java/cobaltrack/post/ballot/Decision.java
+++ b/src/main/java/cobaltrack/post/ballot/Decision.java
@@ -48,9 +48,9 @@
         return taken.contains(new Taken(aVersion, digest));
     }
 
-    /** Whether a version that is not among {@link #taken} surely was not taken: versions only rise. */
+    /** Whether what is not among {@link #taken} under this version surely was not taken: versions only rise. */
     public boolean remembers(long aVersion) {
-        return taken.size() < TAKEN_MOST || aVersion > taken.get(0).version();
+        return taken.size() < TAKEN_MOST || aVersion >= taken.get(0).version();
     }
 
     /** Without what only those that decide need. */
--- /dev/null
+++ b/src/test/java/cobaltrack/post/OrderRulingTest.java
@@ -0,0 +1,52 @@
+package cobaltrack.post;
+
+import static org.testng.Assert.assertEquals;
+
+import cobaltrack.post.ballot.Decision;
+import cobaltrack.post.ballot.OrderRuling;
+import java.util.EnumSet;
+import java.util.Set;
+import org.testng.annotations.Test;
+
+/** Every order, by its version, the version that it builds on and its content, against a full memory. */
+public class OrderRulingTest {
+    private static final int CURRENT = Decision.TAKEN_MOST + 20;
+    private static final int OLDEST_REMEMBERED = CURRENT - Decision.TAKEN_MOST + 1;
+    private static final Set<OrderRuling> REFUSED = EnumSet.of(OrderRuling.MISMATCH, OrderRuling.OLD_VERSION);
+
+    private static Decision newest() {
+        Decision decision = Decision.founding(Councils.FOUNDERS);
+        for (int version = 1; version <= CURRENT; version++) {
+            decision = decision.with(version, "taken " + version, new byte[] {1});
+        }
+        return decision;
+    }
+
+    @Test
+    public void aRepeatIsTakenOrUnclearNeverRefused() {
+        Decision newest = newest();
+        for (int version = 1; version <= CURRENT; version++) {
+            assertEquals(OrderRuling.of(newest, version, version - 1, "taken " + version),
+                    version < OLDEST_REMEMBERED ? OrderRuling.FORGOTTEN : OrderRuling.TAKEN, "of " + version);
+        }
+    }
+
+    @Test
+    public void whatWasNeverTakenIsRefusedWhereverThatIsCertain() {
+        Decision newest = newest();
+        for (int version = 0; version <= CURRENT + 2; version++) {
+            for (int builtOn = 0; builtOn <= CURRENT + 2; builtOn++) {
+                OrderRuling ruling = OrderRuling.of(newest, version, builtOn, "other");
+                String order = version + " on " + builtOn;
+                if (builtOn == CURRENT && version > CURRENT) {
+                    assertEquals(ruling, OrderRuling.NEXT, order);
+                } else if (version < OLDEST_REMEMBERED && version > builtOn) {
+                    assertEquals(ruling, OrderRuling.FORGOTTEN, order);
+                } else {
+                    assertEquals(REFUSED.contains(ruling), true, order + ": " + ruling);
+                    assertEquals(ruling == OrderRuling.OLD_VERSION, builtOn == CURRENT, order);
+                }
+            }
+        }
+    }
+}
