--- a/src/main/java/cobaltrack/post/carrier/Window.java
+++ b/src/main/java/cobaltrack/post/carrier/Window.java
@@ -45,7 +45,6 @@
     private static final int NOT_NOW = 503;
     /** While it leaves, a connection that is so new or was so lately used may still bring a request. */
     private static final double LEAVING_IDLE_S = 0.2;
-    private static final double NANOS = 1e6;
 
     /** Takes whole requests. */
     interface Taker {
--- a/src/test/java/cobaltrack/post/wire/OtherVersionTest.java
+++ b/src/test/java/cobaltrack/post/wire/OtherVersionTest.java
@@ -23,6 +23,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -209,6 +210,13 @@
         }
     }
 
+    // The ping behind these may be unread when the other side closes: then the end is a reset. Silence until the
+    // wait is over is neither.
+    private void assertEnds(byte[]... letters) {
+        IOException end = expectThrows(IOException.class, () -> answerAfter(letters));
+        assertTrue(end instanceof EOFException || end instanceof SocketException, end.toString());
+    }
+
     private static void say(DataOutputStream out, byte[] letter) throws IOException {
         out.writeInt(letter.length);
         out.write(letter);
@@ -229,13 +237,13 @@
     @Test
     public void whatNobodyWouldRepeatEndsTheConnectionIfMalformed() throws IOException {
         byte[] parcel = bytes(PARCEL, p -> p.packString("no number"));
-        assertThrows(EOFException.class, () -> answerAfter(unversionedHello(), parcel));
+        assertEnds(unversionedHello(), parcel);
     }
 
     @Test
     public void aPeerWithWhichNoVersionIsSharedIsRefused() throws IOException {
         int later = ProtocolVersion.OURS.newest() + 1;
-        assertThrows(EOFException.class, () -> answerAfter(hello(later, later)));
+        assertEnds(hello(later, later));
     }
 
     @Test
