Move what letters of several kinds share out of the codec of letters

Lists, bodies, listings and uses go to Fields; nothing is changed in what is written. The rule for optional fields says what an omitted one may not do: a field that is left out must be the last.

--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -1,6 +1,11 @@
 package cobaltrack.post.wire;
 
-import cobaltrack.post.allowance.Use;
+import static cobaltrack.post.wire.Fields.bytes;
+import static cobaltrack.post.wire.Fields.listing;
+import static cobaltrack.post.wire.Fields.size;
+import static cobaltrack.post.wire.Fields.strings;
+import static cobaltrack.post.wire.Fields.uses;
+
 import cobaltrack.post.ballot.Ballot;
 import cobaltrack.post.ballot.Decision;
 import cobaltrack.post.ballot.Message;
@@ -8,7 +13,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageFormat;
 import org.msgpack.core.MessagePack;
@@ -18,14 +22,11 @@
  * Letters as MessagePack: a tag, then the fields in their order. For any thread.
  *
  * <p>Versions: a letter grows by fields at its end only, each with a default that stands where an older
- * program has not sent it; an older reader passes over what it does not know. What stands inside a list or
- * another value can't grow: new fields of a listing go into a list of their own at the letter's end. A new
- * kind is sent only where {@link #since} allows it.
+ * program has not sent it; an older reader passes over what it does not know. A field may be left out only
+ * while it is the last one. What stands inside a list or another value can't grow: new fields of a listing go
+ * into a list of their own at the letter's end. A new kind is sent only where {@link #since} allows it.
  */
 public final class Letters {
-    /** Lists longer than this are no letter of ours. */
-    private static final int LIST_MOST = 1 << 16;
-    private static final Listing.Phase[] PHASES = Listing.Phase.values();
     private static final Letter.Why[] REASONS = Letter.Why.values();
 
     /** Names a kind of letter or ballot message that this version does not know. */
@@ -71,9 +72,7 @@
         } else if (letter instanceof Letter.Post l) {
             p.packByte((byte) 2).packInt(l.listings().size());
             for (Listing x : l.listings()) {
-                p.packString(x.node()).packLong(x.life()).packLong(x.seq()).packString(x.zone());
-                p.packString(x.endpoint()).packString(x.target()).packInt(x.phase().ordinal());
-                p.packInt(x.capacity()).packInt(x.warmMs());
+                listing(p, x);
             }
         } else if (letter instanceof Letter.Ask l) {
             p.packByte((byte) 3).packLong(l.slot());
@@ -109,22 +108,6 @@
         }
     }
 
-    private static void uses(MessageBufferPacker p, List<Use> uses) throws IOException {
-        p.packInt(uses.size());
-        for (Use u : uses) {
-            p.packString(u.tenant()).packFloat((float) u.perSecond());
-        }
-    }
-
-    private static List<Use> uses(MessageUnpacker u) throws IOException {
-        int n = size(u.unpackInt());
-        List<Use> uses = new ArrayList<>();
-        for (int i = 0; i < n; i++) {
-            uses.add(new Use(u.unpackString(), u.unpackFloat()));
-        }
-        return uses;
-    }
-
     /** The first protocol version whose readers know this letter's kind. */
     static int since(Letter letter) {
         return letter instanceof Letter.Cancel ? ProtocolVersion.TOLERANT : ProtocolVersion.UNVERSIONED;
@@ -192,25 +175,6 @@
         return u.hasNext() ? new ProtocolVersion(u.unpackInt(), u.unpackInt()) : ProtocolVersion.NONE_NAMED;
     }
 
-    // One in a phase that this version does not know is passed over: what was known of its node stands.
-    private static Optional<Listing> listing(MessageUnpacker u) throws IOException {
-        String node = u.unpackString();
-        long life = u.unpackLong();
-        long seq = u.unpackLong();
-        String zone = u.unpackString();
-        String endpoint = u.unpackString();
-        String target = u.unpackString();
-        int phase = u.unpackInt();
-        int capacity = u.unpackInt();
-        int warmMs = u.unpackInt();
-        if (phase < 0 || phase >= PHASES.length) {
-            VersionEvents.PROCESS.passedOver("a listing in phase " + phase);
-            return Optional.empty();
-        }
-        return Optional.of(new Listing(node, life, seq, zone, endpoint, target, PHASES[phase], capacity,
-                warmMs));
-    }
-
     // A reason that this version does not know promises nothing: the request may have run.
     private static Letter.Why why(int number) {
         if (number < 0 || number >= REASONS.length) {
@@ -355,35 +319,4 @@
         }
         return new Decision(slot, version, body, taken, strings(u));
     }
-
-    private static void strings(MessageBufferPacker p, List<String> list) throws IOException {
-        p.packInt(list.size());
-        for (String s : list) {
-            p.packString(s);
-        }
-    }
-
-    private static List<String> strings(MessageUnpacker u) throws IOException {
-        int n = size(u.unpackInt());
-        List<String> list = new ArrayList<>();
-        for (int i = 0; i < n; i++) {
-            list.add(u.unpackString());
-        }
-        return list;
-    }
-
-    private static void bytes(MessageBufferPacker p, byte[] b) throws IOException {
-        p.packBinaryHeader(b.length).writePayload(b);
-    }
-
-    private static byte[] bytes(MessageUnpacker u) throws IOException {
-        return u.readPayload(u.unpackBinaryHeader());
-    }
-
-    private static int size(int n) throws IOException {
-        if (n < 0 || n > LIST_MOST) {
-            throw new IOException("a list of " + n);
-        }
-        return n;
-    }
 }
