Control node: consensus acts less often while nothing is under way, listings are repeated each 5 s

Need: a control node woke each 25 ms for a consensus module that had nothing to do, and told each other node all listings of the sidecars that it hears, two of three of them each 2 s, though these tell each node themselves.

SidecarContact holds who was heard of when, which Office no longer does; repetitions each 5 s leave room for a lost one before the 15 s after which a sidecar counts as silent. Ruled out: pings less often (contact with a majority is proven by them), no repetitions (a sidecar that reaches one node only would be listed as gone).

--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -1,5 +1,7 @@
 package cobaltrack.post.office;
 
+import cobaltrack.engine.Clock;
+import cobaltrack.loop.LoopTimers;
 import cobaltrack.membership.EndpointList;
 import cobaltrack.post.allowance.Sum;
 import cobaltrack.post.ballot.Ballot;
@@ -55,7 +57,7 @@
  */
 public final class Office implements Council.Actions, Link.Ear {
     private static final Tie.Pace PACE = new Tie.Pace(300, 900, 1500, 150);
-    private static final long TICK_MS = 25;
+    private static final long LEAVE_POLL_MS = 25;
     /** What sidecars begin with is confirmed by a majority that answered what left within this. */
     private static final double CONFIRMED_MS = 1000;
     /** How long before the kill an office that can't leave in order ends all the same; seconds. */
@@ -63,9 +65,6 @@
     private static final double NANOS = 1e6;
     /** Offices that are known at most, present and past. */
     private static final int OFFICES_MOST = 16;
-    private static final long SHARE_MS = 2000;
-    /** A sidecar of which nothing was heard for so long, anywhere, is listed as gone, in milliseconds. */
-    private static final double SILENT_MS = 15_000;
     private static final int LATER = 503;
     private static final int CONFLICT = 412;
     private static final int BAD = 400;
@@ -82,9 +81,7 @@
     });
     private final TariffReader reader = new TariffReader();
     private final Directory directory = new Directory();
-    private final Map<String, Double> heard = new HashMap<>();
-    /** Of these, when it was from the sidecar itself. */
-    private final Map<String, Double> heardDirect = new HashMap<>();
+    private final SidecarContact contact = new SidecarContact();
     /** By address. */
     private final Map<String, Tie> offices = new LinkedHashMap<>();
     /** Links that sidecars and other offices made, and for sidecars the slot that each has. */
@@ -93,6 +90,7 @@
     private final Set<Link> unconfirmed = new HashSet<>();
     private final Map<Long, Consumer<Answer>> open = new HashMap<>();
     private final Sum sum = new Sum();
+    private final ConsensusTicker ticker;
     private TariffCheck check;
     private Council council;
     private Scribe scribe;
@@ -111,6 +109,8 @@
         this.loop = loop;
         this.mapper = mapper;
         this.dials = dials;
+        this.ticker = new ConsensusTicker(new LoopTimers(loop, new Clock()), System::nanoTime,
+                () -> guard(this::tick), this::busy);
     }
 
     /**
@@ -181,12 +181,13 @@
         double end = now() + (card.clauses().bounds().graceS() - END_S) * 1000;
         loop.execute(() -> guard(() -> {
             Event.LEAVING.log(open.size() + " calls under way");
+            ticker.activity();
             council.leave(now());
             loop.scheduleAtFixedRate(() -> guard(() -> {
                 if (now() > end || council.left(now()) && open.isEmpty()) {
                     ended.countDown();
                 }
-            }), 0, TICK_MS, TimeUnit.MILLISECONDS);
+            }), 0, LEAVE_POLL_MS, TimeUnit.MILLISECONDS);
         }));
         try {
             ended.await();
@@ -201,8 +202,13 @@
         if (council.decided() != null) {
             council.decided().electors().forEach(e -> know(Council.address(e)));
         }
-        loop.scheduleAtFixedRate(() -> guard(this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(() -> guard(this::share), SHARE_MS, SHARE_MS, TimeUnit.MILLISECONDS);
+        ticker.activity();
+        loop.scheduleAtFixedRate(() -> guard(this::share), SidecarContact.REPEAT_MS,
+                SidecarContact.REPEAT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean busy() {
+        return !open.isEmpty() || !unconfirmed.isEmpty() || !council.seated();
     }
 
     private void tick() {
@@ -223,6 +229,7 @@
         boolean confirmed = council.inTouch(now(), CONFIRMED_MS);
         if (!confirmed) {
             unconfirmed.add(link);
+            ticker.activity();
         }
         link.send(new Letter.News(council.decided().forSidecars(), confirmed));
     }
@@ -257,6 +264,7 @@
                 new Letter.Hello(id, true), PACE, new Tie.Owner() {
                     @Override
                     public void changed(Tie t, Tie.State before) {
+                        ticker.activity();
                         if (t.state() == Tie.State.UP && before == Tie.State.DIALLING) {
                             t.send(new Letter.Paper(new Message.Query(0, slot())));
                             t.send(new Letter.Post(List.copyOf(directory.all())));
@@ -330,6 +338,7 @@
         } else if (letter instanceof Letter.Post post) {
             posted(link, post.listings());
         } else if (letter instanceof Letter.Paper paper) {
+            ticker.activity();
             council.received(now(), link.peer(), paper.message());
         } else if (letter instanceof Letter.Uses uses) {
             sum.say(now(), link.peer(), uses.uses());
@@ -364,10 +373,7 @@
                 continue;
             }
             if (listing.phase() != Listing.Phase.GONE) {
-                heard.put(listing.node(), now());
-                if (from.peer().indexOf('#') < 0) {
-                    heardDirect.put(listing.node(), now());
-                }
+                contact.heard(now(), listing.node(), from.peer().indexOf('#') < 0);
             }
         }
         spread(from, news);
@@ -389,19 +395,10 @@
 
     // Offices tell each other of whom they hear, so that one that no sidecar is tied to counts nobody out.
     private void share() {
-        List<Listing> lost = new ArrayList<>();
-        List<Listing> fresh = new ArrayList<>();
-        for (Listing l : directory.all()) {
-            double silent = now() - heard.getOrDefault(l.node(), now());
-            if (l.phase() != Listing.Phase.GONE && silent > SILENT_MS) {
-                lost.add(new Listing(l.node(), l.life(), l.seq() + 1, l.zone(), l.endpoint(), l.target(),
-                        Listing.Phase.GONE, l.capacity(), 0));
-            } else if (now() - heardDirect.getOrDefault(l.node(), Double.NEGATIVE_INFINITY) < SHARE_MS) {
-                fresh.add(l);
-            }
-        }
+        List<Listing> lost = contact.lost(now(), directory);
         lost.forEach(directory::merge);
         spread(null, lost);
+        List<Listing> fresh = contact.fresh(now(), directory);
         if (!fresh.isEmpty()) {
             Letter.Post post = new Letter.Post(fresh);
             offices.values().forEach(tie -> tie.send(post));
@@ -412,6 +409,7 @@
 
     @Override
     public void send(String to, Message message) {
+        ticker.activity();
         if (to == null) {
             offices.values().forEach(tie -> tie.send(new Letter.Paper(message)));
         } else if (to.equals(id)) {
@@ -428,6 +426,7 @@
 
     @Override
     public void sync(Acceptor.Memory memory, String to, Message message) {
+        ticker.activity();
         scribe.write(AcceptorRecord.write(memory), () -> send(to, message));
     }
 
@@ -481,6 +480,7 @@
     // --- what operators order
 
     private void run(Order order, Consumer<Answer> answer) {
+        ticker.activity();
         if (order instanceof Order.Replace replace) {
             clerks.execute(() -> checked(replace, answer));
         } else if (order instanceof Order.Read) {
--- /dev/null
+++ b/src/main/java/cobaltrack/post/office/SidecarContact.java
@@ -0,0 +1,54 @@
+package cobaltrack.post.office;
+
+import cobaltrack.post.directory.Directory;
+import cobaltrack.post.directory.Listing;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * When a control node last heard of each sidecar, from itself or from another control node, and what follows:
+ * which listings it repeats to the other control nodes, and which sidecars it lists as gone. Pure; one
+ * thread; times in milliseconds.
+ */
+final class SidecarContact {
+    /** A sidecar of which nothing was heard for so long, anywhere, is listed as gone, in milliseconds. */
+    static final double SILENT_MS = 15_000;
+    /**
+     * How often control nodes tell each other of whom they hear, in milliseconds. One may be lost, and a
+     * sidecar that only one of them can reach does not count as silent at the others.
+     */
+    static final long REPEAT_MS = 5000;
+
+    private final Map<String, Double> heard = new HashMap<>();
+    /** Of these, when it was from the sidecar itself. */
+    private final Map<String, Double> heardDirect = new HashMap<>();
+
+    /** A sidecar that has not gone was heard of, from itself or from another control node. */
+    void heard(double now, String node, boolean direct) {
+        heard.put(node, now);
+        if (direct) {
+            heardDirect.put(node, now);
+        }
+    }
+
+    /** The listings of sidecars that have fallen silent, as gone. */
+    List<Listing> lost(double now, Directory directory) {
+        List<Listing> lost = new ArrayList<>();
+        for (Listing l : directory.all()) {
+            double silent = now - heard.getOrDefault(l.node(), now);
+            if (l.phase() != Listing.Phase.GONE && silent > SILENT_MS) {
+                lost.add(new Listing(l.node(), l.life(), l.seq() + 1, l.zone(), l.endpoint(), l.target(),
+                        Listing.Phase.GONE, l.capacity(), 0));
+            }
+        }
+        return lost;
+    }
+
+    /** The listings of sidecars that were heard from themselves since the last repetition. */
+    List<Listing> fresh(double now, Directory directory) {
+        return directory.all().stream().filter(l -> now - heardDirect.getOrDefault(l.node(),
+                Double.NEGATIVE_INFINITY) < REPEAT_MS).toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/cobaltrack/post/office/SidecarContactTest.java
@@ -0,0 +1,73 @@
+package cobaltrack.post.office;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import cobaltrack.post.directory.Directory;
+import cobaltrack.post.directory.Listing;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** What a control node concludes from when it heard of sidecars, and what it repeats to the others. */
+public class SidecarContactTest {
+    /** How often a sidecar says its listing again. */
+    private static final double SAY_MS = 3100;
+    private static final String NODE = "10.0.0.1:80";
+
+    private static Listing listing(long seq, Listing.Phase phase) {
+        return new Listing(NODE, 1, seq, "zone", "endpoint", "service", phase, 6, 0);
+    }
+
+    private static Directory directory() {
+        Directory directory = new Directory();
+        directory.merge(listing(1, Listing.Phase.SERVING));
+        return directory;
+    }
+
+    // One control node is said the listing, and the other hears of it from that one alone, which loses each
+    // second repetition.
+    @Test
+    public void aSidecarThatOneControlNodeReachesIsNotSilentAtTheOthers() {
+        Directory directory = directory();
+        SidecarContact near = new SidecarContact();
+        SidecarContact far = new SidecarContact();
+        far.heard(0, NODE, false);
+        int repeated = 0;
+        double said = Double.NEGATIVE_INFINITY;
+        for (int i = 1; i <= 60; i++) {
+            double now = i * SidecarContact.REPEAT_MS;
+            while (said + SAY_MS <= now) {
+                said = Math.max(0, said + SAY_MS);
+                near.heard(said, NODE, true);
+            }
+            List<Listing> fresh = near.fresh(now, directory);
+            assertEquals(fresh.size(), 1, "repeated at " + now);
+            if (i % 2 == 0) {
+                repeated++;
+                assertEquals(far.lost(now, directory), List.of(), "at " + now);
+                far.heard(now, NODE, false);
+            }
+        }
+        assertEquals(repeated, 30);
+        assertEquals(far.fresh(300_000, directory), List.of(), "what another said is not repeated");
+    }
+
+    @Test
+    public void aSilentSidecarIsGoneByANumberThatItCanRefute() {
+        Directory directory = directory();
+        SidecarContact contact = new SidecarContact();
+        contact.heard(1000, NODE, true);
+        assertEquals(contact.lost(1000 + SidecarContact.SILENT_MS, directory), List.of());
+        List<Listing> lost = contact.lost(1001 + SidecarContact.SILENT_MS, directory);
+        assertEquals(lost, List.of(listing(2, Listing.Phase.GONE)));
+        assertTrue(directory.merge(lost.get(0)));
+        assertEquals(contact.lost(99_000, directory), List.of(), "it is said once");
+        assertTrue(directory.merge(listing(3, Listing.Phase.SERVING)));
+    }
+
+    @Test
+    public void oneOfWhomNothingWasEverHeardIsNotLost() {
+        assertEquals(new SidecarContact().lost(1_000_000, directory()), List.of());
+        assertEquals(new SidecarContact().fresh(1_000_000, directory()), List.of());
+    }
+}
