--- a/src/main/java/cobaltrack/post/carrier/Egress.java
+++ b/src/main/java/cobaltrack/post/carrier/Egress.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import java.net.SocketAddress;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -62,10 +63,10 @@
     private final Classes classes;
     private final SplittableRandom random = new SplittableRandom();
     private final Set<Window> windows = new HashSet<>();
-    private Channel listener;
     private long held;
-    private int underWay;
+    private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private boolean leaving;
+    private boolean refusing;
 
     Egress(EventLoop loop, Timers timers, Supplier<Routing> routing,
             Depots depots, Supplier<String> service, IntSupplier sidecars,
@@ -81,7 +82,7 @@
     }
 
     ChannelFuture listen(SocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -92,8 +93,6 @@
                         window.on(ch);
                     }
                 }).bind(address);
-        listener = bound.channel();
-        return bound;
     }
 
     void tick() {
@@ -106,14 +105,19 @@
         tick();
     }
 
-    /** Takes no further connections. */
-    void shut() {
-        listener.close();
+    /** From now on requests are refused: what they began might be cut off. */
+    void refuse() {
+        refusing = true;
+    }
+
+    /** Answers what is still under way with what can be said of it: the process is about to end. */
+    void answerAll() {
+        List.copyOf(exchanges).forEach(Exchange::breakOff);
     }
 
     /** Requests that have not been answered. */
     int underWay() {
-        return underWay;
+        return exchanges.size();
     }
 
     /** Connections of clients. */
@@ -154,7 +158,7 @@
     @Override
     public void take(HttpRequest head, byte[] body, Window.Turn turn) {
         Routing now = routing.get();
-        if (now == null) {
+        if (now == null || refusing) {
             later(turn, NOT_NOW, NO_ROUTES_MS);
             return;
         }
@@ -243,6 +247,7 @@
         private final double timeout;
         private final double endAt;
         private final EndpointAttempts attempts;
+        private Depot.Taken taken = () -> { };
         private Letter.Delivered last;
 
         private Exchange(HttpRequest head, byte[] body, Window.Turn turn, Routing.Way way,
@@ -269,16 +274,21 @@
         }
 
         private void go(Depot depot) {
-            underWay++;
+            exchanges.add(this);
             Ask ask = new Ask(classes.of(way.repeatable(), rank, way.route().targetS() * 1000), -1, timeout,
                     false, 1, body.length);
-            Depot.Taken taken = depot.take(ask, Math.max(1, sidecars.getAsInt()), this, this);
+            taken = depot.take(ask, Math.max(1, sidecars.getAsInt()), this, this);
             turn.onGone(() -> {
-                underWay--;
+                exchanges.remove(this);
                 taken.abandon();
             });
         }
 
+        private void breakOff() {
+            taken.abandon();
+            end(NOT_RUN_MS);
+        }
+
         @Override
         public Letter.Parcel parcel(String endpoint) {
             return new Letter.Parcel(0, method, uri, headers, body,
@@ -302,7 +312,7 @@
 
         @Override
         public void served(Letter.Delivered answer) {
-            underWay--;
+            exchanges.remove(this);
             turn.answer(answer.status(), answer.headers(), answer.body());
         }
 
@@ -322,7 +332,7 @@
                 served(last);
                 return;
             }
-            underWay--;
+            exchanges.remove(this);
             if (attempts.mayHaveRun()) {
                 plain(turn, timers.now() >= endAt - 50 ? LATE : FAILED);
             } else {
