Split a process's place in its group by concern

Need: Seat held the founding of a group, life numbers, the proof that an earlier life lives, replacement of lost members and the routing of messages in one class of 504 lines.

Change: Seat routes messages and holds the present life; GroupFormation holds what a process knows on the way to a life, LifeNumbers the numbers of lives, LivenessChallenges the proofs, ReplacementDriver carries out Replacement's decisions, RestoredLife reads the life that a log holds; Member says itself whether it knows of a later life. Messages, timers and random draws keep their order.

Ruled out: moving Setup, Outside and Status, which are public, before their rename.

--- a/src/main/java/cobaltrack/copies/raft/Member.java
+++ b/src/main/java/cobaltrack/copies/raft/Member.java
@@ -227,6 +227,27 @@
         return node.members();
     }
 
+    /** Whether some life under a name is a member. */
+    boolean knowsName(String name) {
+        return members().stream().anyMatch(other -> other.name().equals(name));
+    }
+
+    /** Whether a life is no member, but a later one under its name is. */
+    boolean knowsLaterLife(String name, long life) {
+        return hasLaterLife(members(), name, life) && !members().contains(new MemberId(name, life));
+    }
+
+    /** Whether by what another knows a later life has this one's seat, or a later change removed this one. */
+    boolean isReplacedIn(Envelope.Standing standing) {
+        return hasLaterLife(standing.members(), id.name(), id.life())
+                || standing.index() > membersIndex() && members().contains(id)
+                && !standing.members().contains(id);
+    }
+
+    private static boolean hasLaterLife(Set<MemberId> all, String name, long life) {
+        return all.stream().anyMatch(other -> other.name().equals(name) && other.life() > life);
+    }
+
     /** Has a command agreed on; the answer comes once, later, or never. */
     public void submit(Command command, Consumer<Reply> answer) {
         MemberId leader = node.leader();
