--- a/src/main/java/cobaltrack/standin/Rehearse.java
+++ b/src/main/java/cobaltrack/standin/Rehearse.java
@@ -21,7 +21,7 @@
         subcommands = {Rehearse.Room.class, Rehearse.Overload.class, Rehearse.Processor.class,
             Rehearse.Alike.class, ConsultSpeed.class, Speed.class, PlanRehearsal.class,
             SignalRehearsal.class, CopiesRehearsal.class, CopiesCostRehearsal.class,
-            HardeningRehearsal.class, ScaleRehearsal.class})
+            HardeningRehearsal.class, ScaleRehearsal.class, UpgradeRehearsal.class})
 public final class Rehearse implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- a/src/test/java/cobaltrack/post/LettersTest.java
+++ b/src/test/java/cobaltrack/post/LettersTest.java
@@ -10,6 +10,7 @@
 import cobaltrack.post.ballot.Message;
 import cobaltrack.post.directory.Listing;
 import cobaltrack.post.log.Event;
+import cobaltrack.post.wire.AcceptorRecord;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
 import java.io.IOException;
@@ -40,9 +41,13 @@
                 new Letter.Paper(new Message.Nack(8, BALLOT, BALLOT)),
                 new Letter.Paper(new Message.Lagging(8, -1)), new Letter.Paper(new Message.Decided(DECISION)),
                 new Letter.Paper(new Message.Query(5, 3)), new Letter.Paper(new Message.State(5, 3, true)),
+                new Letter.Paper(new Message.Query(5, 3, List.of("10.0.0.1#0", "10.0.0.2#a"))),
+                new Letter.Paper(new Message.State(5, 3, true, List.of(
+                        new Message.Opinion("10.0.0.1#0", Message.Reachability.SILENT),
+                        new Message.Opinion("10.0.0.2#a", Message.Reachability.REACHED)))),
                 new Letter.Paper(new Message.Join(6)), new Letter.Uses(List.of(new Use("t", 0.5)), true),
                 new Letter.Sums(3, List.of(new Use("t", 0.5))),
-                new Letter.Returned(4, Letter.Why.MOVED, 0.5, 2));
+                new Letter.Returned(4, Letter.Why.MOVED, 0.5, 2), new Letter.Cancel(4, true));
     }
 
     @Test
@@ -58,9 +63,30 @@
                 List.of("A", "b"), new byte[] {9}, 0.5, 2)));
         assertEquals(d.status(), 200);
         Acceptor.Memory m = new Acceptor.Memory(DECISION, BALLOT, new Message.Vote(BALLOT, DECISION));
-        assertEquals(Letters.memory(Letters.write(m)), m);
+        assertEquals(AcceptorRecord.read(AcceptorRecord.write(m)), m);
         Acceptor.Memory none = new Acceptor.Memory(null, Ballot.NONE, null);
-        assertEquals(Letters.memory(Letters.write(none)), none);
+        assertEquals(AcceptorRecord.read(AcceptorRecord.write(none)), none);
+    }
+
+    @Test
+    public void suspectsAndOpinionsFollowWhatAnOlderProgramReads() throws IOException {
+        // A program from before them reads its own fields and passes over what follows, and sends none itself.
+        startsAs(new Message.Query(5, 3, List.of("10.0.0.1#0")), new Message.Query(5, 3));
+        startsAs(new Message.State(5, 3, true, List.of(new Message.Opinion("10.0.0.1#0",
+                Message.Reachability.SILENT))), new Message.State(5, 3, true));
+        // A word that only a newer program knows says nothing: the last byte is its number.
+        byte[] newer = Letters.write(new Letter.Paper(new Message.State(5, 3, true, List.of(
+                new Message.Opinion("10.0.0.1#0", Message.Reachability.SILENT)))));
+        newer[newer.length - 1] = 100;
+        assertEquals(Letters.read(newer), new Letter.Paper(new Message.State(5, 3, true, List.of(
+                new Message.Opinion("10.0.0.1#0", Message.Reachability.UNSURE)))));
+    }
+
+    private static void startsAs(Message longer, Message older) {
+        byte[] known = Letters.write(new Letter.Paper(older));
+        byte[] written = Letters.write(new Letter.Paper(longer));
+        assertTrue(written.length > known.length);
+        assertEquals(Arrays.copyOf(written, known.length), known);
     }
 
     @Test
