Give changes of voters a fair turn among the orders, bound when proposed

Cause: a change of voters was an entry of the queue of orders and named the slot that was newest as it was queued. In a storm of orders that slot had passed when its turn came, and whoever left or dropped a silent voter waited for an empty queue. Who left then waited for the newest slot on all disks, which moves.

Ruled out: a longer lease on the slot that was named (it would seat on old words); a queue of its own for changes (it would go stale in the same way); waiting at the end for a quorum alone: CouncilSeatTest asks that all voters in contact have it, and stays as it is.

Change: Membership tells the due change from the newest decision each time, and MembershipTurn lets one pass after at most one order (OPERATIONS_BETWEEN_CHANGES). Learners keeps the newcomers' newest words: one gets a vote if it has on disk what was newest half a second ago, or what this office itself learned with a gap; where nothing is decided for half a second, the newest exactly. Safety does not rest on that slot: nothing is decided after a change but by a quorum of the new voters that has it on disk. Who leaves waits for the slot that removed it, on a quorum and on all in contact, and then takes on no new call.

--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -39,6 +39,8 @@
     private static final double OPEN_VOTE_LIMIT = 400;
     /** How often an office without a vote asks for one, in milliseconds. */
     private static final double JOIN_INTERVAL = 250;
+    /** How often it asks at most, as what it has on disk gets newer, in milliseconds. */
+    private static final double JOIN_INTERVAL_LEAST = 100;
 
     private final String self;
     private final Acceptor acceptor;
@@ -49,12 +51,17 @@
     private final QuorumRead quorumRead = new QuorumRead();
     private final ConsensusRound round;
     private final Membership membership;
+    private final MembershipTurn membershipTurn = new MembershipTurn();
+    /** What the ballot under way is for; null for a change of voters. */
+    private PendingOperation balloted;
     /** Since when a vote of this office is open; NaN while none is. */
     private double votedAt;
     private double joinAt;
+    private double joinedAt = Double.NEGATIVE_INFINITY;
     private boolean awake;
     /** Since when no quorum is in contact; NaN while one is. */
     private double withoutQuorumSince = Double.NEGATIVE_INFINITY;
+    private boolean withoutQuorum;
     private long storedSlot;
 
     /**
@@ -72,7 +79,10 @@
         this.round = new ConsensusRound(self + "/" + Long.toHexString(random.nextLong()), random);
         this.membership = new Membership(self, contact, new FailureDetector(self, contact));
         this.votedAt = memory.vote() == null ? Double.NaN : Double.NEGATIVE_INFINITY;
-        this.storedSlot = memory.decided() == null ? -1 : memory.decided().slot();
+        this.storedSlot = decidedSlot();
+        if (decided() != null) {
+            membership.learned(Double.NEGATIVE_INFINITY, decided());
+        }
     }
 
     /** Where an id's office can be found: the address in it. */
@@ -117,7 +127,7 @@
             storedSlot = slot;
             if (!seated()) {
                 // What it waited for to ask for a vote.
-                joinAt = now;
+                joinAt = Math.min(joinAt, Math.max(now, joinedAt + JOIN_INTERVAL_LEAST));
             }
         }
     }
@@ -146,18 +156,13 @@
      */
     public void leave(double now) {
         wake(now);
-        membership.leave();
+        membership.leave(decided());
         advance(now);
     }
 
-    /** Whether it may end: it is out, or need not be, and each elector in contact has the newest on disk. */
+    /** Whether it may end: it is out, or need not be, and a quorum and all in contact store why. */
     public boolean left(double now) {
-        if (decided() == null) {
-            return true;
-        }
-        return !membership.mustHandOver(now, decided()) && decided().electors().stream()
-                .allMatch(voter -> voter.equals(self) || !contact.reached(now, CONTACT_LIMIT, voter)
-                        || contact.stored(voter) >= decided().slot());
+        return decided() == null || membership.mayEnd(now, decided(), storedSlot);
     }
 
     /** An operator sends a configuration built on another. */
@@ -172,7 +177,10 @@
 
     private void submit(double now, PendingOperation operation) {
         wake(now);
-        if (isWithoutQuorum(now) || !queue.offer(now, operation)) {
+        watchQuorum(now);
+        // One that may end takes on nothing new: whoever asks goes on to an office that stays.
+        boolean ending = membership.isLeaving() && left(now);
+        if (withoutQuorum || ending || !queue.offer(now, operation)) {
             end(operation, Verdict.UNCLEAR);
             return;
         }
@@ -189,13 +197,13 @@
     }
 
     // Whether no quorum has been in contact for so long that no operation is worth the wait.
-    private boolean isWithoutQuorum(double now) {
+    private void watchQuorum(double now) {
         if (decided() == null || inTouch(now, CONTACT_LIMIT)) {
             withoutQuorumSince = Double.NaN;
         } else if (Double.isNaN(withoutQuorumSince) || withoutQuorumSince == Double.NEGATIVE_INFINITY) {
             withoutQuorumSince = now;
         }
-        return now - withoutQuorumSince > WITHOUT_QUORUM_LIMIT;
+        withoutQuorum = now - withoutQuorumSince > WITHOUT_QUORUM_LIMIT;
     }
 
     /** A message came, from this office itself too. */
@@ -262,55 +270,54 @@
             quorumRead.reset();
             actions.decided(decision);
             contact.keep(now, decision.electors());
+            membership.learned(now, decision);
         }
     }
 
-    // A learner first: only one that has the newest decision on disk is worth a vote.
     private void join(double now, String from, long slot) {
-        if (decided() == null || decided().electors().contains(from) || queue.adds(from)) {
+        if (decided() == null || decided().electors().contains(from)) {
             return;
         }
         membership.requested(now, from, slot);
         if (slot < decided().slot()) {
             actions.send(from, new Message.Decided(decided()));
-        } else if (slot == decided().slot()) {
-            submit(now, new PendingOperation.AddVoter(from, slot));
         }
     }
 
     /** Time passes; to be called some tens of times a second. */
     public void tick(double now) {
         wake(now);
-        boolean withoutQuorum = isWithoutQuorum(now);
-        endOverdue(now, withoutQuorum);
+        watchQuorum(now);
+        endOverdue(now);
         if (!seated()) {
             askForVote(now);
         } else if (!withoutQuorum) {
-            maintain(now);
+            finishOpenVote(now);
         }
         advance(now);
     }
 
-    private void endOverdue(double now, boolean all) {
+    private void endOverdue(double now) {
         PendingOperation head = queue.head();
-        List<PendingOperation> overdue = all ? queue.removeAll() : queue.removeExpired(now);
-        overdue.forEach(operation -> end(operation, Verdict.UNCLEAR));
+        List<PendingOperation> overdue = withoutQuorum ? queue.removeAll() : queue.removeExpired(now);
+        overdue.forEach(operation -> {
+            membershipTurn.operationEnded();
+            end(operation, Verdict.UNCLEAR);
+        });
         if (queue.head() != head) {
-            round.cancel();
             quorumRead.reset();
         }
+        if (withoutQuorum || balloted != null && balloted != queue.head()) {
+            round.cancel();
+        }
     }
 
-    // What nobody asks for: a vote that nobody came back for may be decided, and nobody knows.
-    private void maintain(double now) {
+    // A vote that nobody came back for: it may be decided, and nobody knows.
+    private void finishOpenVote(double now) {
         if (queue.isEmpty() && now - votedAt > OPEN_VOTE_LIMIT * (1 + random.nextDouble())) {
             votedAt = now;
             submit(now, new PendingOperation.FinishVote());
         }
-        PendingOperation change = queue.isEmpty() ? membership.due(now, decided()) : null;
-        if (change != null) {
-            submit(now, change);
-        }
     }
 
     // To all that it knows of: who is asked by name is the driver's to know while there is no decision.
@@ -319,29 +326,38 @@
             return;
         }
         joinAt = now + JOIN_INTERVAL * (0.75 + 0.5 * random.nextDouble());
-        long slot = decidedSlot();
-        if (slot >= 0 && storedSlot == slot && !membership.isLeaving()) {
-            decided().electors().forEach(voter -> actions.send(voter, new Message.Join(slot)));
+        if (storedSlot >= 0 && !membership.isLeaving()) {
+            joinedAt = now;
+            decided().electors().forEach(voter -> actions.send(voter, new Message.Join(storedSlot)));
         }
-        actions.send(null, new Message.Query(0, slot));
+        actions.send(null, new Message.Query(0, decidedSlot()));
     }
 
-    // Carries the first operation as far as it goes now.
+    // Carries what is under way, or else what is next, as far as it goes now.
     private void advance(double now) {
         boolean progressed = true;
-        while (progressed && !queue.isEmpty() && decided() != null && round.mayAct(now)) {
-            progressed = round.isActive() ? advanceRound(now) : advance(now, queue.head());
+        while (progressed && decided() != null && round.mayAct(now)) {
+            progressed = round.isActive() ? advanceRound(now) : beginNext(now);
         }
     }
 
+    // False while it waits, or nothing is to be done.
+    private boolean beginNext(double now) {
+        boolean betweenOperations = quorumRead.state() == QuorumRead.State.IDLE;
+        if (betweenOperations && (queue.isEmpty() || membershipTurn.isNext())) {
+            VoterChange change = seated() && !withoutQuorum ? membership.due(now, decided()) : null;
+            if (change != null) {
+                propose(now, null, decided().with(change.applyTo(decided().electors())));
+                return true;
+            }
+        }
+        return !queue.isEmpty() && advance(now, queue.head());
+    }
+
     // False while it waits.
     private boolean advance(double now, PendingOperation operation) {
-        if (operation instanceof PendingOperation.AddVoter add) {
-            proposeVoters(now, membership.add(now, decided(), add));
-        } else if (operation instanceof PendingOperation.RemoveVoter remove) {
-            proposeVoters(now, membership.remove(now, decided(), remove));
-        } else if (operation instanceof PendingOperation.FinishVote) {
-            propose(now, null);
+        if (operation instanceof PendingOperation.FinishVote) {
+            propose(now, operation, null);
         } else if (operation instanceof PendingOperation.Replace replace
                 && quorumRead.state() == QuorumRead.State.IDLE) {
             advance(now, replace);
@@ -358,7 +374,7 @@
             // It may have been taken long ago: no refusal is safe, and none is owed.
             finishHead(Verdict.UNCLEAR);
         } else if (replace.builtOn() == decided().version() && replace.version() > replace.builtOn()) {
-            propose(now, decided().with(replace.version(), replace.digest(), replace.body()));
+            propose(now, replace, decided().with(replace.version(), replace.digest(), replace.body()));
         } else {
             quorumRead.begin(now, nextNonce());
         }
@@ -375,7 +391,7 @@
                     return false;
                 }
                 if (quorumRead.isVoteOpen()) {
-                    propose(now, null);
+                    propose(now, operation, null);
                 }
             }
             case CONFIRMED -> finishHead(refusal(operation));
@@ -394,15 +410,8 @@
         return random.nextLong() | 1;
     }
 
-    private void proposeVoters(double now, Decision next) {
-        if (next == null) {
-            removeHead();
-        } else {
-            propose(now, next);
-        }
-    }
-
-    private void propose(double now, Decision wanted) {
+    private void propose(double now, PendingOperation operation, Decision wanted) {
+        balloted = operation;
         round.begin(now, decided(), wanted, acceptor.memory().promised());
     }
 
@@ -420,7 +429,7 @@
                 return false;
             }
             case NOTHING_TO_FINISH -> {
-                if (queue.head() instanceof PendingOperation.FinishVote) {
+                if (balloted instanceof PendingOperation.FinishVote) {
                     votedAt = Double.NaN;
                     removeHead();
                 }
@@ -433,10 +442,13 @@
     }
 
     private void won(double now, Decision decision) {
+        if (!decision.electors().equals(decided().electors())) {
+            membershipTurn.changed();
+        }
         learn(now, decision);
         decision.electors().stream().filter(voter -> !voter.equals(self))
                 .forEach(voter -> actions.send(voter, new Message.Decided(decision)));
-        if (queue.head() instanceof PendingOperation.FinishVote) {
+        if (balloted instanceof PendingOperation.FinishVote) {
             removeHead();
         }
     }
@@ -449,6 +461,7 @@
 
     private void removeHead() {
         queue.removeHead();
+        membershipTurn.operationEnded();
         quorumRead.reset();
     }
 
--- a/src/main/java/cobaltrack/post/ballot/Membership.java
+++ b/src/main/java/cobaltrack/post/ballot/Membership.java
@@ -1,28 +1,27 @@
 package cobaltrack.post.ballot;
 
-import java.util.ArrayList;
 import java.util.List;
 
 /**
  * Which voters the next decision has: one voter more, less or exchanged for another at a time, so that the
- * quorums before and after share a member. Reads contact and the failure detector, sends nothing. Not safe
- * for several threads; times in milliseconds on this office's steady clock.
+ * quorums before and after share a member. What is due is told anew from the newest decision, the newest
+ * words of learners and the failure detector each time it is asked for, and binds nobody until it is
+ * proposed. Sends nothing. Not safe for several threads; times in milliseconds on this office's steady clock.
  */
 final class Membership {
     /** So many voters are not made fewer: two would keep what is agreed on no third disk. */
     private static final int VOTERS_LEAST = 3;
     /** A voter whose answered question left so many milliseconds ago may be out of reach now. */
     private static final double CONTACT_LIMIT = 1000;
-    /** A learner's request is valid for so many milliseconds. */
-    private static final double REQUEST_LIMIT = 1000;
 
     private final String self;
     private final Contact contact;
     private final FailureDetector failures;
+    private final Learners learners = new Learners();
     private boolean leaving;
-    private String learner = "";
-    private long learnerSlot;
-    private double requestedAt = Double.NEGATIVE_INFINITY;
+    /** The slot that must outlast this office's end. */
+    private long departureSlot = -1;
+    private boolean votes;
 
     Membership(String self, Contact contact, FailureDetector failures) {
         this.self = self;
@@ -37,8 +36,9 @@
     }
 
     /** This office is to give up its vote. */
-    void leave() {
+    void leave(Decision decided) {
         leaving = true;
+        departureSlot = decided == null ? -1 : decided.slot();
     }
 
     /** Whether {@link #leave} was called. */
@@ -46,67 +46,71 @@
         return leaving;
     }
 
-    /** An office without a vote asks for one, and has this slot on disk. */
-    void requested(double now, String from, long slot) {
-        requestedAt = now;
-        learner = from;
-        learnerSlot = slot;
+    /** This office has learned a decision. */
+    void learned(double now, Decision decision) {
+        learners.learned(now, decision.slot());
+        boolean stays = decision.electors().contains(self);
+        if (votes && !stays) {
+            departureSlot = decision.slot();
+        }
+        votes = stays;
     }
 
-    /** Whether this office is still to give up its vote. */
-    boolean mustHandOver(double now, Decision decided) {
-        return decided.electors().contains(self) && (mayShrink(decided) || hasLearner(now, decided));
+    /** An office without a vote asks for one, and has this slot on disk. */
+    void requested(double now, String learner, long slot) {
+        learners.requested(now, learner, slot);
     }
 
     /**
-     * The operation that is due without anyone's request, or null. With an even number of voters a silent
-     * one is removed: the rest has the same quorum less one. So are two of an odd number, one after the
-     * other. One that leaves is exchanged for a learner, or removed whatever the number.
+     * Whether this office, told to leave, may end: it has no vote, or need not give it up, and what removed
+     * it (or was the newest as it was told to leave) is on the disks of a quorum, and of all voters in
+     * contact. What is decided later is on a quorum's disks without this office's help, so in a stream of
+     * decisions it waits for none that comes after.
      */
-    PendingOperation due(double now, Decision decided) {
-        if (leaving && hasLearner(now, decided)) {
-            return new PendingOperation.AddVoter(learner, learnerSlot);
-        }
-        int voters = decided.electors().size();
-        int silentLeast = voters % 2 == 0 ? 1 : 2;
-        boolean removes = leaving || failures.silent(now, decided.electors()).size() >= silentLeast;
-        return mayShrink(decided) && removes ? new PendingOperation.RemoveVoter(decided.slot()) : null;
+    boolean mayEnd(double now, Decision decided, long storedSlot) {
+        List<String> voters = decided.electors();
+        boolean handsOver = voters.contains(self) && (mayShrink(decided) || learners.anyWaits(now, voters));
+        long holders = voters.stream().filter(voter -> holdsDepartureSlot(voter, storedSlot)).count();
+        return !handsOver && holders >= decided.quorum() && voters.stream().allMatch(voter ->
+                holdsDepartureSlot(voter, storedSlot) || !isReached(now, voter));
     }
 
-    /** The next decision, in which the learner has a vote; null where it may not have one now. */
-    Decision add(double now, Decision decided, PendingOperation.AddVoter operation) {
-        String added = operation.learner();
-        if (operation.slot() != decided.slot() || decided.electors().contains(added)) {
-            return null;
+    private boolean holdsDepartureSlot(String voter, long ownSlot) {
+        return (voter.equals(self) ? ownSlot : contact.stored(voter)) >= departureSlot;
+    }
+
+    /** The change that is due now, or null. */
+    VoterChange due(double now, Decision decided) {
+        for (String learner : learners.caughtUp(now, decided.electors())) {
+            VoterChange change = voteFor(now, decided, learner);
+            if (change != null) {
+                return change;
+            }
         }
-        List<String> voters = new ArrayList<>(decided.electors());
-        String replaced = replacedBy(now, decided, added);
+        return removal(now, decided);
+    }
+
+    // One at the same address has lost its disk, and with it its vote. A vote beside one that may be dead
+    // would leave no room for the next loss.
+    private VoterChange voteFor(double now, Decision decided, String learner) {
+        String replaced = decided.electors().stream()
+                .filter(each -> address(each).equals(address(learner))).findFirst()
+                .orElseGet(() -> leavingOrSilent(now, decided));
         if (replaced != null) {
-            voters.set(voters.indexOf(replaced), added);
-        } else if (allReached(now, decided)) {
-            voters.add(added);
-        } else {
-            // A vote beside one that may be dead would leave no room for the next loss.
-            return null;
+            return new VoterChange.Exchange(replaced, learner);
         }
-        return decided.with(voters);
+        return allReached(now, decided) ? new VoterChange.Add(learner) : null;
     }
 
-    /** The next decision, without a voter that leaves or is silent; null where none is to be removed. */
-    Decision remove(double now, Decision decided, PendingOperation.RemoveVoter operation) {
-        String removed = leavingOrSilent(now, decided);
-        if (operation.slot() != decided.slot() || removed == null || !mayShrink(decided)) {
+    // With an even number of voters a silent one is removed: the rest has the same quorum less one. So are
+    // two of an odd number, one after the other. One that leaves goes out whatever the number.
+    private VoterChange removal(double now, Decision decided) {
+        if (!mayShrink(decided)) {
             return null;
         }
-        List<String> voters = new ArrayList<>(decided.electors());
-        voters.remove(removed);
-        return decided.with(voters);
-    }
-
-    // One at the same address has lost its disk, and with it its vote.
-    private String replacedBy(double now, Decision decided, String added) {
-        return decided.electors().stream().filter(voter -> address(voter).equals(address(added))).findFirst()
-                .orElseGet(() -> leavingOrSilent(now, decided));
+        int silentLeast = decided.electors().size() % 2 == 0 ? 1 : 2;
+        boolean removes = leaving || failures.silent(now, decided.electors()).size() >= silentLeast;
+        return removes ? new VoterChange.Remove(leavingOrSilent(now, decided)) : null;
     }
 
     private String leavingOrSilent(double now, Decision decided) {
@@ -120,13 +124,11 @@
         return decided.electors().size() > VOTERS_LEAST;
     }
 
-    // Whether a learner has asked lately, and has no vote yet.
-    private boolean hasLearner(double now, Decision decided) {
-        return now - requestedAt < REQUEST_LIMIT && !decided.electors().contains(learner);
+    private boolean allReached(double now, Decision decided) {
+        return decided.electors().stream().allMatch(voter -> isReached(now, voter));
     }
 
-    private boolean allReached(double now, Decision decided) {
-        return decided.electors().stream()
-                .allMatch(voter -> voter.equals(self) || contact.reached(now, CONTACT_LIMIT, voter));
+    private boolean isReached(double now, String voter) {
+        return voter.equals(self) || contact.reached(now, CONTACT_LIMIT, voter);
     }
 }
--- a/src/main/java/cobaltrack/post/ballot/OperationQueue.java
+++ b/src/main/java/cobaltrack/post/ballot/OperationQueue.java
@@ -62,10 +62,4 @@
     boolean isEmpty() {
         return entries.isEmpty();
     }
-
-    /** Whether a vote for this learner waits. */
-    boolean adds(String learner) {
-        return entries.stream().anyMatch(entry -> entry.operation() instanceof PendingOperation.AddVoter add
-                && add.learner().equals(learner));
-    }
 }
--- a/src/main/java/cobaltrack/post/ballot/PendingOperation.java
+++ b/src/main/java/cobaltrack/post/ballot/PendingOperation.java
@@ -17,21 +17,6 @@
     /** A linearizable read, by the caller's number. */
     record Read(long call) implements PendingOperation { }
 
-    /**
-     * Gives a learner a vote.
-     *
-     * @param learner its id
-     * @param slot the newest decision on its disk, which must be the newest decision of all
-     */
-    record AddVoter(String learner, long slot) implements PendingOperation { }
-
-    /**
-     * Takes a vote away.
-     *
-     * @param slot the newest decision as this was queued
-     */
-    record RemoveVoter(long slot) implements PendingOperation { }
-
     /** Brings a vote that was never told decided to its end. */
     record FinishVote() implements PendingOperation { }
 }
--- a/src/main/java/cobaltrack/standin/HardeningRehearsal.java
+++ b/src/main/java/cobaltrack/standin/HardeningRehearsal.java
@@ -2,6 +2,7 @@
 
 import cobaltrack.standin.post.hardening.Bug;
 import cobaltrack.standin.post.hardening.Hunt;
+import cobaltrack.standin.post.hardening.MembershipPlay;
 import cobaltrack.standin.post.hardening.Outcome;
 import cobaltrack.standin.post.hardening.Point;
 import cobaltrack.standin.post.hardening.RelayPlay;
@@ -32,6 +33,8 @@
     /** What a planted fault may take to be found, in schedules. */
     private static final int FOUND_WITHIN = 1000;
     private static final int ANSWERS = 5;
+    /** Orders under way while changes of voters are measured. */
+    private static final int[] UNDER_WAY = {1, 4, 8};
     private static final double TELLS_SOON = 1000;
     private static final double ENDS_SOON = 2500;
     private static final double CONVERGE = 2500;
@@ -58,6 +61,9 @@
     @Option(names = "--planted", description = "Plants each fault of these points, and tells after how many "
             + "schedules it is found.")
     private boolean planted;
+    @Option(names = "--membership", description = "How long changes of voters take under 1, 4 and 8 orders "
+            + "under way without a pause, in milliseconds and in changes decided meanwhile.")
+    private boolean membership;
     @Option(names = "--trace", description = "Tells what the schedule of the seed does, line by line.")
     private boolean trace;
     @Option(names = "--distance", description = "With point 3 and --trace: between a machine's return and "
@@ -66,10 +72,14 @@
 
     @Override
     public Integer call() throws InterruptedException {
+        Promises promises = new Promises(System.out);
+        if (membership) {
+            membership(promises);
+            return promises.kept() ? 0 : 1;
+        }
         if (all == point > 0) {
             throw new ParameterException(spec.commandLine(), "one of --all and --point is needed");
         }
-        Promises promises = new Promises(System.out);
         if (all || point == ANSWERS) {
             answers(promises);
         }
@@ -128,6 +138,19 @@
         promises.under(of + "schedules with a broken promise", broken, 1);
     }
 
+    private void membership(Promises promises) throws InterruptedException {
+        for (int underWay : UNDER_WAY) {
+            Hunt hunt = Hunt.of(seed, schedules, threads,
+                    s -> MembershipPlay.play(s, bug, Trace.NONE, underWay));
+            hunt.samples().forEach((name, samples) -> System.out.printf(Locale.ROOT,
+                    "| %s | %d | %.0f | %.0f | %d |%n", name, samples.size(), samples.part(0.5),
+                    samples.part(1), samples.worstSeed()));
+            tell(hunt);
+            promises.under("membership, " + underWay + " under way, schedules with a broken promise",
+                    hunt.broken().size(), 1);
+        }
+    }
+
     private void find(Promises promises, Point p, Bug planted) {
         int took = 0;
         Outcome o;
--- a/src/main/java/cobaltrack/standin/post/hardening/Faults.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Faults.java
@@ -205,21 +205,22 @@
             core.tell(old.address() + " is told to leave");
             double toldAt = core.now();
             old.leave();
-            await(old, toldAt + GRACE);
+            await(old, toldAt, toldAt + GRACE);
             measure(young, old, startedAt, toldAt, strikes);
         });
     }
 
-    private void await(Machine old, double until) {
+    private void await(Machine old, double toldAt, double until) {
         if (core.at(old.address()) != old) {
             return;
         }
         if (old.left() || core.now() >= until) {
             core.checker().count(old.left() ? "members that left by agreement"
                     : "members that left when their time was up");
+            core.checker().sample("a member that was told to leave, ms to its end", core.now() - toldAt);
             core.remove(old);
         } else {
-            core.agenda().in(LOOK, () -> await(old, until));
+            core.agenda().in(LOOK, () -> await(old, toldAt, until));
         }
     }
 
--- a/src/test/java/cobaltrack/post/CouncilSeatTest.java
+++ b/src/test/java/cobaltrack/post/CouncilSeatTest.java
@@ -123,6 +123,59 @@
         assertFalse(b.left(c.now), "c has told that its disk has an older decision");
     }
 
+    @Test
+    public void aRemovalWaitsForOneOrderAtMostHoweverManyWait() {
+        Councils c = new Councils();
+        c.start("d#1", null);
+        c.pass(1500);
+        long before = c.all.get("b#0").decided().slot();
+        for (int version = 1; version <= 8; version++) {
+            c.all.get("b#0").replace(c.now, version, version, version - 1, "d" + version, new byte[] {1});
+        }
+        c.all.get("b#0").leave(c.now);
+        c.deliver();
+        assertEquals(c.verdicts.size(), 8);
+        List<String> voters = List.of("a#0", "c#0", "d#1");
+        assertEquals(c.decisions.get(before + 2).electors(), voters, "the order under way, then the removal");
+        assertEquals(c.decisions.lastEntry().getValue().electors(), voters);
+    }
+
+    @Test
+    public void whoLeavesEndsWhileDecisionsFollowEachOther() {
+        Councils c = new Councils();
+        c.start("d#1", null);
+        c.pass(1500);
+        Council b = c.all.get("b#0");
+        b.leave(c.now);
+        c.deliver();
+        int version = 0;
+        do {
+            c.pass(25);
+            version++;
+            assertEquals(c.replace("a#0", version, version - 1, "d" + version), Council.Verdict.TAKEN);
+            // It knows of this before any of the others has told it what is on its disk.
+            b.received(c.now, "a#0", new Message.Decided(c.decisions.lastEntry().getValue()));
+        } while (!b.left(c.now) && version < 20);
+        assertTrue(b.left(c.now), "it waits for slots that are decided without it");
+        assertEquals(c.replace("b#0", version + 1, version, "next"), Council.Verdict.UNCLEAR,
+                "one that may end takes on nothing new");
+    }
+
+    @Test
+    public void whoIsRemovedWaitsUntilAQuorumHasThatOnDisk() {
+        Councils c = new Councils(List.of("a#0", "b#0", "c#0", "d#0", "e#0"));
+        c.stall("c#0");
+        c.stall("d#0");
+        Council b = c.all.get("b#0");
+        b.leave(c.now);
+        c.pass(100);
+        assertEquals(c.electors(), List.of("a#0", "c#0", "d#0", "e#0"));
+        c.cutOff.add("c#0");
+        c.cutOff.add("d#0");
+        c.pass(2000);
+        assertFalse(b.left(c.now), "two of four have it on disk, and the others are out of contact");
+    }
+
     @Test
     public void oneOfThreeKeepsItsSeatWhenItEnds() {
         Councils c = new Councils();
--- a/src/test/java/cobaltrack/post/Councils.java
+++ b/src/test/java/cobaltrack/post/Councils.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 /** Real councils that hear and answer each other at once, but for those that a test cuts off. */
@@ -22,6 +23,8 @@
 
     final List<Council.Verdict> verdicts = new ArrayList<>();
     final Map<String, Council> all = new LinkedHashMap<>();
+    /** By slot, what any of them has learned. */
+    final TreeMap<Long, Decision> decisions = new TreeMap<>();
     /** Messages that are lost. */
     Predicate<Message> lost = message -> false;
     /** Offices that no packet reaches or leaves. */
@@ -90,6 +93,7 @@
 
         @Override
         public void decided(Decision decision) {
+            decisions.put(decision.slot(), decision);
             mail.add(() -> {
                 if (!stalled.containsKey(id) && all.containsKey(id)) {
                     all.get(id).stored(now, decision.slot());
--- a/src/test/java/cobaltrack/standin/post/hardening/HardeningTest.java
+++ b/src/test/java/cobaltrack/standin/post/hardening/HardeningTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -48,6 +49,47 @@
         assertTrue(hunt.counts().get("orders acknowledged") > 60 * 300, hunt.counts().toString());
     }
 
+    @DataProvider
+    public Object[][] seedsOfChangesUnderOrders() {
+        return new Object[][] {
+            // One told to leave kept its vote to its end: its removal waited for a moment without orders.
+            {942640L},
+            // One that was removed after 1 s ended 4.3 s after SIGTERM: it waited for the newest slot.
+            {303800L},
+            // A planned replacement took 4,095 ms: the removal waited for 2.8 s, as in the first.
+            {926450L},
+        };
+    }
+
+    @Test(dataProvider = "seedsOfChangesUnderOrders")
+    public void votersChangeWhileOrdersComeWithoutAPause(long seed) {
+        Outcome outcome = Point.SEATS.play(seed, Bug.NONE, Trace.NONE);
+        assertEquals(outcome.broken(), List.of());
+        assertEquals(outcome.counts().get("members that left when their time was up"), null);
+        outcome.samples().forEach((name, values) -> {
+            if (name.startsWith("a planned replacement, ms from the new one's start")) {
+                values.forEach(took -> assertTrue(took < 4000, name + ": " + took));
+            } else if (name.equals("a member that was told to leave, ms to its end")) {
+                values.forEach(took -> assertTrue(took < 2500, name + ": " + took));
+            }
+        });
+    }
+
+    @Test
+    public void aChangeOfVotersTakesItsTurnAmongTheOrders() throws InterruptedException {
+        for (int underWay : new int[] {1, 4, 8}) {
+            Hunt hunt = Hunt.of(1, 60, THREADS,
+                    seed -> MembershipPlay.play(seed, Bug.NONE, Trace.NONE, underWay));
+            assertEquals(hunt.broken(), Map.of(), "by seed");
+            hunt.samples().forEach((name, samples) -> {
+                double bound = name.endsWith("changes decided meanwhile") ? 15
+                        : name.contains("process's end") ? 4000 : 3000;
+                assertTrue(!name.contains("under way") || samples.part(1) < bound,
+                        name + ": " + samples.part(1) + " in seed " + samples.worstSeed());
+            });
+        }
+    }
+
     @Test
     public void theSameSeedPlaysTheSame() {
         for (Point p : Point.values()) {
