Rig: orders without a pause in one of four schedules of point 3

Change: five of each twenty seeds, all multiples of ten among them, so that the known seeds keep their storms.

--- a/src/main/java/cobaltrack/standin/post/hardening/SeatsPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/SeatsPlay.java
@@ -1,6 +1,7 @@
 package cobaltrack.standin.post.hardening;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * Point 3: one loss after the other, at a distance after the machine's return, three electors with one loss
@@ -14,8 +15,10 @@
     private static final double LOOK = 25;
     private static final double PATIENCE = 8000;
     private static final int LARGE = 5;
-    /** In one schedule of so many, orders come without a pause, so many at a time. */
-    private static final int STORMS = 10;
+    /** In a quarter of the schedules, those of these seeds, orders come without a pause. */
+    private static final int STORM_PERIOD = 20;
+    private static final Set<Long> STORM_SEEDS = Set.of(0L, 4L, 7L, 10L, 13L);
+    /** So many orders at a time in these. */
     private static final int UNDER_WAY = 4;
     private static final double NO_PAUSE = 20;
 
@@ -29,7 +32,7 @@
     private boolean inTheDark;
 
     private SeatsPlay(long seed, Bug bug, Trace trace, double distance) {
-        storms = seed % STORMS == 0;
+        storms = STORM_SEEDS.contains(seed % STORM_PERIOD);
         int size = seed % 3 == 0 ? LARGE : 3;
         core = new Core(seed, bug, trace, size);
         operators = new Operators(core, 0.02, new byte[0]);
