--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -47,6 +47,7 @@
     private final SplittableRandom random;
     private final Actions actions;
     private final Contact contact = new Contact();
+    private final FailureDetector failures;
     private final OperationQueue queue = new OperationQueue();
     private final QuorumRead quorumRead = new QuorumRead();
     private final ConsensusRound round;
@@ -77,7 +78,8 @@
         this.actions = actions;
         // Names this life's ballots: what an earlier life called, this one may not remember.
         this.round = new ConsensusRound(self + "/" + Long.toHexString(random.nextLong()), random);
-        this.membership = new Membership(self, contact, new FailureDetector(self, contact));
+        this.failures = new FailureDetector(self, contact);
+        this.membership = new Membership(self, contact, failures);
         this.votedAt = memory.vote() == null ? Double.NaN : Double.NEGATIVE_INFINITY;
         this.storedSlot = decidedSlot();
         if (decided() != null) {
@@ -191,7 +193,7 @@
     private void wake(double now) {
         contact.wake(now);
         if (!awake && decided() != null) {
-            contact.keep(now, decided().electors());
+            keep(now, decided().electors());
         }
         awake = true;
     }
@@ -214,13 +216,14 @@
         } else if (message instanceof Message.Accept accept) {
             accept(now, from, accept);
         } else if (message instanceof Message.Query query) {
-            answer(from, query);
+            answer(now, from, query);
         } else if (message instanceof Message.Decided news) {
             learn(now, news.decision());
         } else if (message instanceof Message.Join join) {
             join(now, from, join.slot());
         } else if (message instanceof Message.State state) {
             quorumRead.answered(from, state, decided());
+            failures.answered(now, from, state);
         } else if (message instanceof Message.Lagging lagging) {
             if (lagging.have() < decidedSlot()) {
                 actions.send(from, new Message.Decided(decided()));
@@ -252,7 +255,7 @@
         }
     }
 
-    private void answer(String from, Message.Query query) {
+    private void answer(double now, String from, Message.Query query) {
         if (decided() == null) {
             return;
         }
@@ -260,7 +263,8 @@
             actions.send(from, new Message.Decided(decided()));
         }
         boolean voted = acceptor.memory().vote() != null;
-        actions.send(from, new Message.State(query.nonce(), decided().slot(), voted));
+        actions.send(from, new Message.State(query.nonce(), decided().slot(), voted,
+                failures.opinions(now, query.suspects())));
     }
 
     private void learn(double now, Decision decision) {
@@ -269,11 +273,16 @@
             round.cancel();
             quorumRead.reset();
             actions.decided(decision);
-            contact.keep(now, decision.electors());
+            keep(now, decision.electors());
             membership.learned(now, decision);
         }
     }
 
+    private void keep(double now, List<String> voters) {
+        contact.keep(now, voters);
+        failures.keep(voters);
+    }
+
     private void join(double now, String from, long slot) {
         if (decided() == null || decided().electors().contains(from)) {
             return;
@@ -293,6 +302,7 @@
             askForVote(now);
         } else if (!withoutQuorum) {
             finishOpenVote(now);
+            askAboutSilent(now);
         }
         advance(now);
     }
@@ -320,6 +330,16 @@
         }
     }
 
+    // A second opinion on whoever is silent here, from the voters that are not.
+    private void askAboutSilent(double now) {
+        List<String> voters = decided().electors();
+        SuspicionTracker.Question question = failures.question(now, voters, this::nextNonce);
+        if (question != null) {
+            Message.Query query = new Message.Query(question.nonce(), decided().slot(), question.suspects());
+            failures.witnesses(now, voters).forEach(voter -> actions.send(voter, query));
+        }
+    }
+
     // To all that it knows of: who is asked by name is the driver's to know while there is no decision.
     private void askForVote(double now) {
         if (now < joinAt) {
--- a/src/main/java/cobaltrack/post/ballot/Membership.java
+++ b/src/main/java/cobaltrack/post/ballot/Membership.java
@@ -90,34 +90,34 @@
         return removal(now, decided);
     }
 
-    // One at the same address has lost its disk, and with it its vote. A vote beside one that may be dead
-    // would leave no room for the next loss.
+    // One at the same address has lost its disk, and with it its vote: that needs no second opinion, nor does
+    // one's own leaving. A vote beside one that may be dead would leave no room for the next loss.
     private VoterChange voteFor(double now, Decision decided, String learner) {
         String replaced = decided.electors().stream()
                 .filter(each -> address(each).equals(address(learner))).findFirst()
-                .orElseGet(() -> leavingOrSilent(now, decided));
+                .orElseGet(() -> leavingOrFailed(now, decided));
         if (replaced != null) {
             return new VoterChange.Exchange(replaced, learner);
         }
         return allReached(now, decided) ? new VoterChange.Add(learner) : null;
     }
 
-    // With an even number of voters a silent one is removed: the rest has the same quorum less one. So are
-    // two of an odd number, one after the other. One that leaves goes out whatever the number.
+    // With an even number of voters one that has failed is removed: the rest has the same quorum less one. So
+    // are two of an odd number, one after the other. One that leaves goes out whatever the number.
     private VoterChange removal(double now, Decision decided) {
         if (!mayShrink(decided)) {
             return null;
         }
-        int silentLeast = decided.electors().size() % 2 == 0 ? 1 : 2;
-        boolean removes = leaving || failures.silent(now, decided.electors()).size() >= silentLeast;
-        return removes ? new VoterChange.Remove(leavingOrSilent(now, decided)) : null;
+        int failedLeast = decided.electors().size() % 2 == 0 ? 1 : 2;
+        boolean removes = leaving || failures.failed(now, decided.electors()).size() >= failedLeast;
+        return removes ? new VoterChange.Remove(leavingOrFailed(now, decided)) : null;
     }
 
-    private String leavingOrSilent(double now, Decision decided) {
+    private String leavingOrFailed(double now, Decision decided) {
         if (leaving && decided.electors().contains(self)) {
             return self;
         }
-        return failures.silent(now, decided.electors()).stream().findFirst().orElse(null);
+        return failures.failed(now, decided.electors()).stream().findFirst().orElse(null);
     }
 
     private boolean mayShrink(Decision decided) {
--- a/src/main/java/cobaltrack/post/carrier/Egress.java
+++ b/src/main/java/cobaltrack/post/carrier/Egress.java
@@ -2,7 +2,6 @@
 
 import cobaltrack.engine.Ask;
 import cobaltrack.engine.Caller;
-import cobaltrack.engine.Engine;
 import cobaltrack.engine.Timers;
 import cobaltrack.post.allowance.Allowance;
 import cobaltrack.post.tariff.Routing;
@@ -19,6 +18,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import java.net.SocketAddress;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -63,10 +63,10 @@
     private final Classes classes;
     private final SplittableRandom random = new SplittableRandom();
     private final Set<Window> windows = new HashSet<>();
-    private Channel listener;
     private long held;
-    private int underWay;
+    private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private boolean leaving;
+    private boolean refusing;
 
     Egress(EventLoop loop, Timers timers, Supplier<Routing> routing,
             Depots depots, Supplier<String> service, IntSupplier sidecars,
@@ -82,7 +82,7 @@
     }
 
     ChannelFuture listen(SocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -93,8 +93,6 @@
                         window.on(ch);
                     }
                 }).bind(address);
-        listener = bound.channel();
-        return bound;
     }
 
     void tick() {
@@ -107,14 +105,19 @@
         tick();
     }
 
-    /** Takes no further connections. */
-    void shut() {
-        listener.close();
+    /** From now on requests are refused: what they began might be cut off. */
+    void refuse() {
+        refusing = true;
+    }
+
+    /** Answers what is still under way with what can be said of it: the process is about to end. */
+    void answerAll() {
+        List.copyOf(exchanges).forEach(Exchange::breakOff);
     }
 
     /** Requests that have not been answered. */
     int underWay() {
-        return underWay;
+        return exchanges.size();
     }
 
     /** Connections of clients. */
@@ -147,10 +150,15 @@
         return leaving;
     }
 
+    @Override
+    public Timers timers() {
+        return timers;
+    }
+
     @Override
     public void take(HttpRequest head, byte[] body, Window.Turn turn) {
         Routing now = routing.get();
-        if (now == null) {
+        if (now == null || refusing) {
             later(turn, NOT_NOW, NO_ROUTES_MS);
             return;
         }
@@ -180,12 +188,30 @@
         }
         String target = way.service(random.nextDouble());
         Depot depot = depots.of(target, Tariff.INGEST.equals(way.route().kind()));
-        double timeout = Math.min(deadline, way.route().deadlineS() * 1000);
+        double timeout = timeout(way, deadline) - turn.readingMs();
+        if (timeout < 1) {
+            later(turn, NOT_NOW, NOT_RUN_MS);
+            return;
+        }
         Integer rank = payer == null ? null : payer.tenant().rank();
         new Exchange(head, body, turn, way, payer, target, timeout,
                 rank == null ? way.route().rank() : rank).go(depot);
     }
 
+    @Override
+    public double mostMs(HttpRequest head) {
+        Routing now = routing.get();
+        Routing.Way way = now == null ? null
+                : now.route(head.headers().get(HttpHeaderNames.HOST), head.uri());
+        double deadline = deadline(head);
+        return way == null || Double.isNaN(deadline) ? Double.POSITIVE_INFINITY : timeout(way, deadline);
+    }
+
+    // How long the request may be held, from when its head was read, in milliseconds.
+    private static double timeout(Routing.Way way, double deadline) {
+        return Math.min(deadline, way.route().deadlineS() * 1000);
+    }
+
     private static double deadline(HttpRequest head) {
         String text = head.headers().get(Headers.DEADLINE);
         if (text == null) {
@@ -220,9 +246,9 @@
         private final int rank;
         private final double timeout;
         private final double endAt;
+        private final EndpointAttempts attempts;
+        private Depot.Taken taken = () -> { };
         private Letter.Delivered last;
-        /** Times that it went out and may have run. */
-        private int mayHaveRun;
 
         private Exchange(HttpRequest head, byte[] body, Window.Turn turn, Routing.Way way,
                 Routing.Payer payer, String target, double timeout, int rank) {
@@ -236,6 +262,7 @@
             this.rank = rank;
             this.timeout = timeout;
             this.endAt = timers.now() + timeout;
+            this.attempts = new EndpointAttempts(way.route().tries());
             if (payer != null) {
                 headers.add(Headers.TENANT);
                 headers.add(payer.name());
@@ -247,16 +274,21 @@
         }
 
         private void go(Depot depot) {
-            underWay++;
+            exchanges.add(this);
             Ask ask = new Ask(classes.of(way.repeatable(), rank, way.route().targetS() * 1000), -1, timeout,
                     false, 1, body.length);
-            Engine.Held<Letter.Delivered> h = depot.take(ask, Math.max(1, sidecars.getAsInt()), this, this);
+            taken = depot.take(ask, Math.max(1, sidecars.getAsInt()), this, this);
             turn.onGone(() -> {
-                underWay--;
-                h.abandon();
+                exchanges.remove(this);
+                taken.abandon();
             });
         }
 
+        private void breakOff() {
+            taken.abandon();
+            end(NOT_RUN_MS);
+        }
+
         @Override
         public Letter.Parcel parcel(String endpoint) {
             return new Letter.Parcel(0, method, uri, headers, body,
@@ -264,8 +296,8 @@
         }
 
         @Override
-        public boolean mayArrive(int arrivals) {
-            return arrivals < way.route().tries();
+        public EndpointAttempts attempts() {
+            return attempts;
         }
 
         @Override
@@ -273,16 +305,6 @@
             return way.repeatable();
         }
 
-        @Override
-        public void sent() {
-            mayHaveRun++;
-        }
-
-        @Override
-        public void neverRan() {
-            mayHaveRun--;
-        }
-
         @Override
         public void answered(Letter.Delivered answer) {
             last = answer;
@@ -290,7 +312,7 @@
 
         @Override
         public void served(Letter.Delivered answer) {
-            underWay--;
+            exchanges.remove(this);
             turn.answer(answer.status(), answer.headers(), answer.body());
         }
 
@@ -310,11 +332,11 @@
                 served(last);
                 return;
             }
-            underWay--;
-            if (mayHaveRun == 0) {
-                later(turn, NOT_NOW, retryAfter);
-            } else {
+            exchanges.remove(this);
+            if (attempts.mayHaveRun()) {
                 plain(turn, timers.now() >= endAt - 50 ? LATE : FAILED);
+            } else {
+                later(turn, NOT_NOW, retryAfter);
             }
         }
     }
--- a/src/main/java/cobaltrack/post/carrier/EndpointLine.java
+++ b/src/main/java/cobaltrack/post/carrier/EndpointLine.java
@@ -80,21 +80,34 @@
         this.connector = connector;
     }
 
+    /** A request that was sent, whose client may leave. */
+    @FunctionalInterface
+    public interface Sent {
+        /**
+         * Has it not written if it waits for a connection. Without effect once it has ended.
+         *
+         * @param whileRunning whether its connection is closed if it has been written, which ends it at most
+         *     endpoints
+         */
+        void cancel(boolean whileRunning);
+    }
+
     /**
      * Sends a request, at most once; {@code done} gets the answer, a {@link Letter.Delivered} or
-     * {@link Letter.Returned} with no figures of load, once.
+     * {@link Letter.Returned} with no figures of load, once, also if it is cancelled.
      *
      * @param instance the endpoint's id, which every other endpoint turns away; empty where none is known
      */
-    public void send(Letter.Parcel parcel, String instance, Consumer<Letter> done) {
+    public Sent send(Letter.Parcel parcel, String instance, Consumer<Letter> done) {
         double until = timers.now() + parcel.leftMs();
         String attempt = attempt(parcel);
         Wire wire = idle(attempt);
         if (wire != null) {
             wire.ask(parcel, attempt, until, instance, done);
-            return;
+            return whileRunning -> wire.cancel(parcel, whileRunning);
         }
         Wire made = new Wire();
+        made.parcel = parcel;
         connector.connect(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
@@ -102,11 +115,12 @@
             }
         }).addListener(f -> {
             if (f.isSuccess()) {
-                made.ask(parcel, attempt, until, instance, done);
+                made.ask(parcel, attempt, made.parcel == null ? 0 : until, instance, done);
             } else {
                 done.accept(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, 0, 0));
             }
         });
+        return whileRunning -> made.cancel(parcel, whileRunning);
     }
 
     // The one that was used last of those that are still good, but none that was asked under this id before:
@@ -162,6 +176,7 @@
         private HttpResponse head;
         private boolean ours;
         private boolean interim;
+        private boolean writing;
         private ByteBuf body;
         private double idleSince;
         private final Set<String> asked = new LinkedHashSet<>();
@@ -180,6 +195,15 @@
             channel.close();
         }
 
+        // While it connects it has no one to tell yet, and does without its request from then on.
+        void cancel(Letter.Parcel sent, boolean whileRunning) {
+            if (parcel == sent && done == null) {
+                parcel = null;
+            } else if (parcel == sent && whileRunning) {
+                spoilt(Letter.Why.BROKEN);
+            }
+        }
+
         void ask(Letter.Parcel sent, String id, double until, String instance, Consumer<Letter> whenDone) {
             parcel = sent;
             attempt = id;
@@ -190,8 +214,7 @@
                 boolean sound = channel != null && channel.isActive();
                 end(Letter.Why.UNREACHED);
                 if (sound) {
-                    idleSince = timers.now();
-                    idle.addLast(this);
+                    reusable();
                 }
                 return;
             }
@@ -206,7 +229,19 @@
                 return;
             }
             timer = timers.after(left + SLACK_MS, () -> spoilt(Letter.Why.LATE));
-            channel.writeAndFlush(request, channel.voidPromise());
+            writing = true;
+            channel.writeAndFlush(request).addListener(f -> written(f.isSuccess()));
+        }
+
+        // An endpoint may have answered before this, and reads the rest of a long body only later.
+        private void written(boolean whole) {
+            writing = false;
+            if (!whole) {
+                spoilt(Letter.Why.BROKEN);
+            } else if (parcel == null && channel.isActive()) {
+                timer.cancel();
+                reusable();
+            }
         }
 
         private FullHttpRequest written(Letter.Parcel sent, double left, String instance) {
@@ -260,9 +295,8 @@
             head = r;
             ours = done != null && attempt != null && attempt.equals(r.headers().get(Headers.ATTEMPT));
             body = Unpooled.buffer(256);
-            boolean framed = HttpUtil.isContentLengthSet(r) ^ HttpUtil.isTransferEncodingChunked(r);
-            if (!framed && r.status().code() != 204 && r.status().code() != 304) {
-                // Its end could not be told from a break.
+            if (!AnswerCheck.isFramed(r)) {
+                // Its end could not be told, or its body is not the endpoint's.
                 spoilt(Letter.Why.BROKEN);
             }
         }
@@ -290,8 +324,8 @@
                 return;
             }
             boolean keep = HttpUtil.isKeepAlive(answer) && !HttpMethod.CONNECT.name().equals(parcel.method());
-            keepAlive(answer);
-            Letter.Why why = judge(answer);
+            idleMs = AnswerCheck.idleMs(answer, idleMs, IDLE_MS);
+            Letter.Why why = AnswerCheck.reject(answer);
             Consumer<Letter> tell = done;
             Letter.Parcel told = parcel;
             rest(keep);
@@ -303,33 +337,6 @@
             }
         }
 
-        // Null where it is an answer for the client.
-        private Letter.Why judge(HttpResponse answer) {
-            int status = answer.status().code();
-            if (answer.headers().contains(Headers.NOT_EXECUTED) || status == 421) {
-                return status == 421 ? Letter.Why.MOVED : Letter.Why.TURNED_AWAY;
-            }
-            boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
-            if (success && (!answer.headers().contains(Headers.SEAL)
-                    || answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
-                return Letter.Why.BROKEN;
-            }
-            return status == 429 || status == 503 || status == 408 ? Letter.Why.BROKEN : null;
-        }
-
-        private void keepAlive(HttpResponse answer) {
-            String value = answer.headers().get("Keep-Alive");
-            int at = value == null ? -1 : value.indexOf("timeout=");
-            if (at >= 0) {
-                try {
-                    String seconds = value.substring(at + 8).split("[^0-9]")[0];
-                    idleMs = Math.max(1, Integer.parseInt(seconds)) * 1000.0;
-                } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
-                    idleMs = IDLE_MS;
-                }
-            }
-        }
-
         private void rest(boolean keep) {
             timer.cancel();
             done = null;
@@ -338,6 +345,15 @@
                 channel.close();
                 return;
             }
+            if (writing) {
+                // The rest of its body is due before anything else.
+                timer = timers.after(idleMs * IDLE_PART, this::close);
+            } else {
+                reusable();
+            }
+        }
+
+        private void reusable() {
             idleSince = timers.now();
             idle.addLast(this);
         }
@@ -368,9 +384,10 @@
             end(Letter.Why.BROKEN);
         }
 
+        // Before the connection is told to be closed: after a reset no answer ends with its connection.
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            spoilt(Letter.Why.BROKEN);
         }
     }
 }
--- a/src/main/java/cobaltrack/post/office/Office.java
+++ b/src/main/java/cobaltrack/post/office/Office.java
@@ -19,9 +19,12 @@
 import cobaltrack.post.tariff.TariffCheck;
 import cobaltrack.post.tariff.TariffException;
 import cobaltrack.post.tariff.TariffReader;
+import cobaltrack.post.wire.AcceptorRecord;
+import cobaltrack.post.wire.LaterFormatException;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
 import cobaltrack.post.wire.Link;
+import cobaltrack.post.wire.ProtocolVersion;
 import cobaltrack.post.wire.Tie;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
@@ -143,7 +146,9 @@
         if (entry != null) {
             id = entry.id();
             try {
-                return Letters.memory(entry.memory());
+                return AcceptorRecord.read(entry.memory());
+            } catch (LaterFormatException e) {
+                throw new LedgerException(e.getMessage() + "; it is left as it was", e);
             } catch (IOException e) {
                 throw new LedgerException("the ledger's entry is damaged; remove it to join as a new office",
                         e);
@@ -157,7 +162,7 @@
                 ? Decision.founding(seeds.stream().map(s -> s + "#0").sorted().toList()) : null,
                 Ballot.NONE, null);
         // On disk before anything is said under this name.
-        ledger.write(id, Letters.write(memory));
+        ledger.write(id, AcceptorRecord.write(memory));
         return memory;
     }
 
@@ -302,6 +307,7 @@
     private void take(Link link, Letter letter) {
         if (letter instanceof Letter.Hello hello) {
             link.peer(hello.id());
+            greetBack(link);
             if (hello.office()) {
                 know(Council.address(hello.id()));
                 // It listens from now on: no need to wait for the next dial.
@@ -333,6 +339,13 @@
         }
     }
 
+    // A program without versions would not know what a greeting on a connection of its own means.
+    private void greetBack(Link link) {
+        if (link.version() > ProtocolVersion.UNVERSIONED) {
+            link.send(new Letter.Hello(id, true));
+        }
+    }
+
     private void notice(Link link, Long has) {
         if (has != null && council.decided() != null && council.decided().version() > 0
                 && council.decided().slot() > has) {
@@ -415,12 +428,12 @@
 
     @Override
     public void sync(Acceptor.Memory memory, String to, Message message) {
-        scribe.write(Letters.write(memory), () -> send(to, message));
+        scribe.write(AcceptorRecord.write(memory), () -> send(to, message));
     }
 
     @Override
     public void decided(Decision decision) {
-        scribe.write(Letters.write(new Acceptor.Memory(decision, Ballot.NONE, null)),
+        scribe.write(AcceptorRecord.write(new Acceptor.Memory(decision, Ballot.NONE, null)),
                 () -> guard(() -> council.stored(now(), decision.slot())));
         decision.electors().forEach(e -> know(Council.address(e)));
         Event.DECIDED.log("slot " + decision.slot() + " version " + Long.toHexString(decision.version())
--- a/src/main/java/cobaltrack/standin/post/hardening/Faults.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Faults.java
@@ -1,5 +1,6 @@
 package cobaltrack.standin.post.hardening;
 
+import cobaltrack.post.ballot.Decision;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,6 +51,8 @@
     private static final double HANDOVER_MOST = 2000;
     /** Between two looks, in milliseconds. */
     private static final double LOOK = 25;
+    /** A successor without a seat for so long is not waited for, in milliseconds. */
+    private static final double UNSEATED = 20_000;
     /** Every process of the core may end at once and is back within this, in milliseconds. */
     private static final double POWER_BACK = 1000;
 
@@ -63,6 +66,7 @@
     private final Map<String, Double> young = new HashMap<>();
     private int newcomers;
     private int strikes;
+    private int occupied;
 
     /**
      * Losses.
@@ -78,7 +82,17 @@
 
     /** Whether one more may be lost now. */
     boolean may() {
-        return lostUntil.values().stream().filter(t -> t > core.now()).count() < budget;
+        return losses() < budget;
+    }
+
+    /** So many losses of the budget are taken by trouble that is no machine's own, as a cut pair's is. */
+    void occupy(int losses) {
+        occupied = losses;
+    }
+
+    /** How many machines count as lost now. */
+    int losses() {
+        return (int) lostUntil.values().stream().filter(t -> t > core.now()).count();
     }
 
     /** Whether nothing is lost. */
@@ -150,8 +164,9 @@
             }
             case REPLACED -> {
                 core.remove(m);
+                double removedAt = core.now();
                 core.agenda().in(Math.min(lasts, RESTART_MOST), () -> {
-                    newcomer();
+                    measureSeat(newcomer(), m, removedAt, core.now());
                     back(m.address());
                 });
             }
@@ -231,6 +246,23 @@
         }
     }
 
+    // An unplanned replacement: until the successor has a seat and the one that is gone has none.
+    private void measureSeat(Machine young, Machine old, double removedAt, double startedAt) {
+        Decision newest = core.checker().newest();
+        boolean done = newest != null && newest.electors().contains(young.id())
+                && !newest.electors().contains(old.id());
+        if (done) {
+            core.checker().sample("an unplanned replacement, ms from the loss to the new voters",
+                    core.now() - removedAt);
+            core.checker().sample("an unplanned replacement, ms from the new one's start to the new voters",
+                    core.now() - startedAt);
+        } else if (core.at(young.address()) != young || core.now() - startedAt > UNSEATED) {
+            core.checker().count("unplanned replacements that were overtaken");
+        } else {
+            core.agenda().in(LOOK, () -> measureSeat(young, old, removedAt, startedAt));
+        }
+    }
+
     private void measure(Replacement r, String state, BooleanSupplier reached) {
         if (strikes != r.struck() || lostUntil.containsValue(Double.POSITIVE_INFINITY)) {
             core.checker().count("planned replacements that another loss overtook before " + state);
@@ -250,22 +282,24 @@
         core.agenda().in(LOOK, () -> measure(r, state, reached));
     }
 
-    // Any of the electors may go, as many as the budget says, and the rest decides and knows all.
+    // Any of the electors may go, as many as the budget still has room for, and the rest decides and knows
+    // all.
     private boolean bears() {
         List<String> electors = core.checker().newest().electors();
         long slot = core.checker().newest().slot();
         long able = electors.stream().filter(e -> holds(e, slot)).count();
-        return able - budget >= electors.size() / 2 + 1;
+        return able - (budget - occupied) >= electors.size() / 2 + 1;
     }
 
-    // Any of the electors may go, as many as the budget says: a quorum is left that knows who votes, and one
-    // of it has the newest on disk. Where decisions follow each other fast, all disks never hold the newest
-    // at the same moment, and nobody needs them to.
+    // Any of the electors may go, as many as the budget has room for: a quorum is left that knows who votes,
+    // and one of it has the newest on disk. Where decisions follow each other fast, all disks hardly ever hold
+    // the newest at the same moment, and nobody needs them to.
     private boolean anyRestKnows() {
         List<String> electors = core.checker().newest().electors();
         long informed = electors.stream().filter(e -> holds(e, core.checker().votersSlot())).count();
         long current = electors.stream().filter(e -> holds(e, core.checker().newest().slot())).count();
-        return informed - budget >= electors.size() / 2 + 1 && current > budget;
+        int losses = budget - occupied;
+        return informed - losses >= electors.size() / 2 + 1 && current > losses;
     }
 
     private boolean holds(String elector, long slot) {
