--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -16,6 +16,7 @@
 import cobaltrack.post.tariff.Routing;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Link;
+import cobaltrack.post.wire.ProtocolVersion;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
@@ -26,10 +27,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 
 /**
  * A carrier: the sidecar of one auxiliary machine. It takes the requests that begin there, carries them to
@@ -56,8 +60,10 @@
     /** On which the services' modules act together. */
     private final Timers beat;
     private final String node;
+    private final Letter.Hello greeting;
     private final Hatch hatch;
     private final EndpointLine line;
+    private final EndpointRequests requests = new EndpointRequests();
     private final Directory directory = new Directory();
     private final Map<String, Depot> depots = new HashMap<>();
     private final Map<String, Depot> largeDepots = new HashMap<>();
@@ -65,13 +71,13 @@
     private final Classes classes = new Classes();
     private final Round round;
     private final Egress egress;
+    private final OutdatedLists outdated;
     private final Desk desk;
     private final Allowance allowance;
     private long life = System.currentTimeMillis();
     private long seq;
     private double saidAt;
     private double usesAt;
-    private boolean refresh;
     private boolean ready;
     private boolean leaving;
 
@@ -91,13 +97,23 @@
         this.hatch = new Hatch(card.substrate().heartbeatS() * 1000);
         this.line = new EndpointLine(loop, EndpointList.address(Card.present(card.self().appAddr(),
                 "Self.AppAddr")));
-        Letter.Hello hello = new Letter.Hello(node, false);
-        this.round = new Round(loop, node, this::deliver, hello,
-                address -> dials.apply(EndpointList.address(address)), this::stale);
+        this.greeting = new Letter.Hello(node, false);
+        this.round = new Round(loop, node, new Round.Local() {
+            @Override
+            public void deliver(Letter.Parcel parcel, Consumer<Letter> done) {
+                Sidecar.this.deliver(node, parcel, done);
+            }
+
+            @Override
+            public void cancel(Letter.Cancel cancel) {
+                requests.cancel(node, cancel);
+            }
+        }, greeting, address -> dials.apply(EndpointList.address(address)), this::reachChanged);
+        this.outdated = new OutdatedLists(loop, directory, this::refresh);
         Card.Bounds bounds = card.clauses().bounds();
         this.allowance = new Allowance(timers.now(), bounds.quotaSlack(), bounds.quotaExcess(),
                 bounds.quotaWindowS(), new SecureRandom().nextLong());
-        this.desk = new Desk(loop, card, hello, dials, new Desk.Owner() {
+        this.desk = new Desk(loop, card, greeting, dials, new Desk.Owner() {
             @Override
             public void posted(List<Listing> listings) {
                 Sidecar.this.posted(listings);
@@ -201,26 +217,23 @@
             known = new Depot(beat, classes, card, directory.present(), new SecureRandom().nextLong(),
                     round, large ? card.self().zone() : null, paid);
             kind.put(target, known);
-            known.update(listed(target));
+            known.update(directory.endpoints(target));
         }
         return known;
     }
 
-    private List<Listing> listed(String target) {
-        return directory.all().stream().filter(l -> l.target().equals(target) && !l.endpoint().isEmpty()
-                && l.phase() != Listing.Phase.GONE).toList();
+    // Which services the node served is not looked up: reach changes seldom.
+    private void reachChanged() {
+        outdated.add(depots.keySet());
+        outdated.add(largeDepots.keySet());
     }
 
-    // The lists are made anew once for all that changes in one turn of the loop.
-    private void stale() {
-        if (!refresh) {
-            refresh = true;
-            loop.execute(() -> {
-                refresh = false;
-                round.keep(directory);
-                depots.forEach((target, depot) -> depot.update(listed(target)));
-                largeDepots.forEach((target, depot) -> depot.update(listed(target)));
-            });
+    private void refresh(Set<String> services) {
+        round.keep(directory);
+        for (String service : services) {
+            List<Listing> endpoints = directory.endpoints(service);
+            Stream.of(depots, largeDepots).map(kind -> kind.get(service)).filter(Objects::nonNull)
+                    .forEach(depot -> depot.update(endpoints));
         }
     }
 
@@ -243,7 +256,6 @@
     // --- what others say
 
     private void posted(List<Listing> listings) {
-        boolean news = false;
         for (Listing listing : listings) {
             if (listing.node().equals(node)) {
                 if (listing.life() > life || listing.life() == life && listing.seq() > seq) {
@@ -253,12 +265,9 @@
                     say(true);
                 }
             } else {
-                news |= directory.merge(listing);
+                outdated.merge(listing);
             }
         }
-        if (news) {
-            stale();
-        }
     }
 
     private Desk desk() {
@@ -280,8 +289,7 @@
             Listing mine = new Listing(node, life, seq, card.self().zone(), hatch.endpoint(), service(),
                     leaving ? Listing.Phase.DRAINING : hatch.phase(), hatch.capacity(),
                     hatch.warmMs(timers.now()));
-            directory.merge(mine);
-            stale();
+            outdated.merge(mine);
         }
         if (changed || timers.now() - saidAt > SAY_MS) {
             saidAt = timers.now();
@@ -318,7 +326,7 @@
         }
     }
 
-    private void deliver(Letter.Parcel parcel, Consumer<Letter> done) {
+    private void deliver(Object sender, Letter.Parcel parcel, Consumer<Letter> done) {
         Hatch.Entry entry = hatch.enter(timers.now(), parcel.target(), parcel.rank());
         if (entry != Hatch.Entry.OPEN) {
             Letter no = new Letter.Returned(parcel.stream(), entry == Hatch.Entry.FULL ? Letter.Why.FULL
@@ -328,13 +336,16 @@
             return;
         }
         hatch.began(timers.now());
-        line.send(parcel, hatch.endpoint(), letter -> {
+        requests.begin(sender, parcel.stream());
+        EndpointLine.Sent sent = line.send(parcel, hatch.endpoint(), letter -> {
+            requests.ended(sender, parcel.stream());
             hatch.ended(timers.now(), letter instanceof Letter.Delivered);
             done.accept(letter instanceof Letter.Delivered d ? new Letter.Delivered(d.stream(), d.status(),
                     d.headers(), d.body(), hatch.util(), hatch.perSecond())
                     : new Letter.Returned(parcel.stream(), ((Letter.Returned) letter).why(), hatch.util(),
                             hatch.perSecond()));
         });
+        requests.sent(sender, parcel.stream(), sent);
     }
 
     // --- other sidecars' links to this one
@@ -350,15 +361,21 @@
         if (letter instanceof Letter.Ping ping) {
             link.send(new Letter.Pong(ping.number(), node, -1));
         } else if (letter instanceof Letter.Parcel parcel) {
-            deliver(parcel, answer -> {
+            deliver(link, parcel, answer -> {
                 if (link.open()) {
                     link.send(answer);
                 }
             });
+        } else if (letter instanceof Letter.Cancel cancel) {
+            requests.cancel(link, cancel);
         } else if (letter instanceof Letter.Seek) {
             link.send(new Letter.Offices(desk.addresses()));
         } else if (letter instanceof Letter.Hello hello) {
             link.peer(hello.id());
+            // A program without versions would not know what a greeting on a connection of its own means.
+            if (link.version() > ProtocolVersion.UNVERSIONED) {
+                link.send(greeting);
+            }
         }
     }
 
--- a/src/main/java/cobaltrack/standin/post/hardening/Faults.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/Faults.java
@@ -275,7 +275,7 @@
         core.agenda().in(LOOK, () -> measure(young, old, startedAt, toldAt, struck));
     }
 
-    // Any of the electors may go, as many as the budget still has room for, and the rest decides and knows all.
+    // Any of the electors may go, as many as the budget has room for, and the rest decides and knows all.
     private boolean bears() {
         List<String> electors = core.checker().newest().electors();
         long slot = core.checker().newest().slot();
--- a/src/test/java/cobaltrack/post/LettersTest.java
+++ b/src/test/java/cobaltrack/post/LettersTest.java
@@ -10,6 +10,7 @@
 import cobaltrack.post.ballot.Message;
 import cobaltrack.post.directory.Listing;
 import cobaltrack.post.log.Event;
+import cobaltrack.post.wire.AcceptorRecord;
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
 import java.io.IOException;
@@ -46,7 +47,7 @@
                         new Message.Opinion("10.0.0.2#a", Message.Reachability.REACHED)))),
                 new Letter.Paper(new Message.Join(6)), new Letter.Uses(List.of(new Use("t", 0.5)), true),
                 new Letter.Sums(3, List.of(new Use("t", 0.5))),
-                new Letter.Returned(4, Letter.Why.MOVED, 0.5, 2));
+                new Letter.Returned(4, Letter.Why.MOVED, 0.5, 2), new Letter.Cancel(4, true));
     }
 
     @Test
@@ -62,14 +63,14 @@
                 List.of("A", "b"), new byte[] {9}, 0.5, 2)));
         assertEquals(d.status(), 200);
         Acceptor.Memory m = new Acceptor.Memory(DECISION, BALLOT, new Message.Vote(BALLOT, DECISION));
-        assertEquals(Letters.memory(Letters.write(m)), m);
+        assertEquals(AcceptorRecord.read(AcceptorRecord.write(m)), m);
         Acceptor.Memory none = new Acceptor.Memory(null, Ballot.NONE, null);
-        assertEquals(Letters.memory(Letters.write(none)), none);
+        assertEquals(AcceptorRecord.read(AcceptorRecord.write(none)), none);
     }
 
     @Test
     public void suspectsAndOpinionsFollowWhatAnOlderProgramReads() throws IOException {
-        // A program from before them reads its own fields and passes over what follows, and sends none itself.
+        // A program from before them reads its own fields, passes over what follows, and sends none itself.
         startsAs(new Message.Query(5, 3, List.of("10.0.0.1#0")), new Message.Query(5, 3));
         startsAs(new Message.State(5, 3, true, List.of(new Message.Opinion("10.0.0.1#0",
                 Message.Reachability.SILENT))), new Message.State(5, 3, true));
