--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -17,6 +17,7 @@
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Link;
 import cobaltrack.post.wire.ProtocolVersion;
+import cobaltrack.post.wire.TimerGrid;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
@@ -29,7 +30,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
@@ -47,11 +47,9 @@
     private static final double USES_MS = 350;
     /** Services that modules are kept for. */
     private static final int DEPOTS_MOST = 256;
-    /** After SIGTERM: until when connections are kept, and how long before the kill all ends; seconds. */
-    private static final double KEEP_S = 2.6;
-    private static final double END_S = 0.8;
     private static final int BACKLOG = 512;
     private static final int NONE = 404;
+    private static final double NANOS_IN_MILLI = 1e6;
 
     private final Card card;
     private final EventLoop loop;
@@ -92,7 +90,8 @@
         this.loop = loop;
         this.mapper = mapper;
         this.timers = new LoopTimers(loop, new Clock());
-        this.beat = new Beat(timers, Classes.period());
+        this.beat = new Beat(timers, Classes.period(), timers.now()
+                + untilNext((long) Classes.period()) / NANOS_IN_MILLI);
         this.node = Card.present(card.network().bind().ingress(), "Network.Bind.Ingress");
         this.hatch = new Hatch(card.substrate().heartbeatS() * 1000);
         this.line = new EndpointLine(loop, EndpointList.address(Card.present(card.self().appAddr(),
@@ -163,10 +162,16 @@
         loop.execute(() -> {
             say(true);
             desk.start();
-            loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleAtFixedRate(this::tick, untilNext(TICK_MS), TimeUnit.MILLISECONDS.toNanos(TICK_MS),
+                    TimeUnit.NANOSECONDS);
         });
     }
 
+    // Nanoseconds, on the grid of all of this process's timers.
+    private static long untilNext(long periodMs) {
+        return TimerGrid.untilNext(System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(periodMs));
+    }
+
     /** Other machines may be asked first from now on. */
     public void seeds(List<String> seeds) {
         desk.seeds(seeds);
@@ -174,23 +179,15 @@
 
     /** Leaves: runs while the process ends on SIGTERM, on a thread of its own. */
     public void leave() {
-        CountDownLatch ended = new CountDownLatch(1);
-        double end = timers.now() + (card.clauses().bounds().graceS() - END_S) * 1000;
+        Shutdown shutdown = new Shutdown(loop, card.clauses().bounds().graceS(), egress, hatch::held);
         loop.execute(() -> {
             leaving = true;
             Event.LEAVING.log(egress.underWay() + " requests under way");
             say(true);
-            loop.schedule(egress::leave, (long) (KEEP_S * 1000), TimeUnit.MILLISECONDS);
-            double closes = timers.now() + KEEP_S * 1000;
-            loop.scheduleAtFixedRate(() -> {
-                boolean idle = egress.underWay() == 0 && hatch.held() == 0 && egress.connections() == 0;
-                if (timers.now() > closes && idle || timers.now() > end) {
-                    ended.countDown();
-                }
-            }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+            shutdown.begin();
         });
         try {
-            ended.await();
+            shutdown.await();
             Event.ENDED.log(node);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
