--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -301,8 +301,8 @@
         if (!seated()) {
             askForVote(now);
         } else if (!withoutQuorum) {
-            finishOpenVote(now);
             askAboutSilent(now);
+            finishOpenVote(now);
         }
         advance(now);
     }
--- a/src/test/java/cobaltrack/post/LettersTest.java
+++ b/src/test/java/cobaltrack/post/LettersTest.java
@@ -70,7 +70,7 @@
 
     @Test
     public void suspectsAndOpinionsFollowWhatAnOlderProgramReads() throws IOException {
-        // A program from before them reads its own fields and passes over what follows, and sends none itself.
+        // A program from before them reads its own fields, passes over what follows, and sends none itself.
         startsAs(new Message.Query(5, 3, List.of("10.0.0.1#0")), new Message.Query(5, 3));
         startsAs(new Message.State(5, 3, true, List.of(new Message.Opinion("10.0.0.1#0",
                 Message.Reachability.SILENT))), new Message.State(5, 3, true));
