Show clients' idle time, bodies that use up their time, and 503 before any route

Change: a test for each; the egress leaves a request without time to the engine, which refuses it, in place of a refusal of its own. In the rig what was written to an endpoint's connection that closes unheard is released.

--- a/src/main/java/cobaltrack/post/carrier/Egress.java
+++ b/src/main/java/cobaltrack/post/carrier/Egress.java
@@ -188,11 +188,7 @@
         }
         String target = way.service(random.nextDouble());
         Depot depot = depots.of(target, Tariff.INGEST.equals(way.route().kind()));
-        double timeout = timeout(way, deadline) - turn.readingMs();
-        if (timeout < 1) {
-            later(turn, NOT_NOW, NOT_RUN_MS);
-            return;
-        }
+        double timeout = Math.max(1, timeout(way, deadline) - turn.readingMs());
         Integer rank = payer == null ? null : payer.tenant().rank();
         new Exchange(head, body, turn, way, payer, target, timeout,
                 rank == null ? way.route().rank() : rank).go(depot);
--- a/src/main/java/cobaltrack/standin/post/hardening/RelayEndpoint.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayEndpoint.java
@@ -70,7 +70,7 @@
 
     /** Time passes: hears what was written since. */
     void hear() {
-        connections.removeIf(c -> !c.channel.isActive());
+        connections.removeIf(Connection::ended);
         List.copyOf(connections).forEach(Connection::hear);
     }
 
@@ -93,6 +93,15 @@
             this.channel = channel;
         }
 
+        // What was written to one that was closed before it was heard is dropped.
+        private boolean ended() {
+            boolean ended = !channel.isActive();
+            if (ended) {
+                channel.releaseOutbound();
+            }
+            return ended;
+        }
+
         private void hear() {
             for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
                 in.append(b.toString(StandardCharsets.ISO_8859_1));
--- a/src/test/java/cobaltrack/post/carrier/EgressTest.java
+++ b/src/test/java/cobaltrack/post/carrier/EgressTest.java
@@ -84,6 +84,7 @@
     }
 
     private Calendar calendar;
+    private Routing routing;
     private double connectMs;
     private BiConsumer<Path, Letter.Parcel> reaction;
     private List<Written> written;
@@ -108,7 +109,7 @@
             listings.add(new Listing("n" + i, 1, 1, "z", "i-" + i, "svc", Listing.Phase.SERVING, 4, 0));
         }
         depot.update(listings);
-        Routing routing = new Routing(1, new Tariff("00000001", Map.of(
+        routing = new Routing(1, new Tariff("00000001", Map.of(
                 "once", route("/once/", Tariff.IDEMPOTENT, 1),
                 "twice", route("/twice/", Tariff.IDEMPOTENT, 2),
                 "thrice", route("/thrice/", Tariff.IDEMPOTENT, 3),
@@ -294,6 +295,26 @@
         assertEquals(written, List.of());
     }
 
+    @Test
+    public void whereNoConfigurationIsKnownClientsAreToldToComeBack() {
+        routing = null;
+        say(whole("/sign/", ""));
+        answered(1);
+        String answer = heard.toString();
+        assertTrue(answer.matches("(?s)HTTP/1.1 503.*Retry-After: 0\\.\\d+\r\n.*"), answer);
+    }
+
+    @Test
+    public void whatWasGivenNoTimeByItsBodyIsNotSent() {
+        say(request("/sign/", "Deadline-Ms: 500\r\n") + "Content-Length: 2" + END + "x");
+        calendar.runTo(499.5);
+        say("x");
+        answered(500);
+        assertTrue(heard.toString().startsWith("HTTP/1.1 503"), heard.toString());
+        runTo(DEADLINE_MS);
+        assertEquals(written, List.of());
+    }
+
     @Test
     public void nothingIsWrittenForAClientThatHasLeft() {
         for (String path : List.of("/thrice/", "/sign/")) {
--- a/src/test/java/cobaltrack/post/carrier/WindowTest.java
+++ b/src/test/java/cobaltrack/post/carrier/WindowTest.java
@@ -24,6 +24,7 @@
     private static final int UNDER_WAY = 16;
     private static final String HOST = "Host: h\r\n";
     private static final double MOST_MS = 2000;
+    private static final double IDLE_MS = 15_000;
 
     private final class Taking implements Window.Taker {
         @Override
@@ -69,6 +70,7 @@
     }
 
     private Calendar calendar;
+    private Window window;
     private List<String> taken;
     private List<Window.Turn> turns;
     private EmbeddedChannel channel;
@@ -89,7 +91,8 @@
         channel = new EmbeddedChannel(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
-                new Window(new Taking()).on(ch);
+                window = new Window(new Taking());
+                window.on(ch);
             }
         });
     }
@@ -170,6 +173,20 @@
         assertFalse(channel.isActive());
     }
 
+    @Test
+    public void aConnectionIsUsableUntilItsIdleTimeIsOver() {
+        for (int i = 0; i < 3; i++) {
+            say(get("/a"));
+            answer(i, "");
+            calendar.runTo(calendar.now() + IDLE_MS * 4 / 5);
+            window.tick();
+            assertTrue(channel.isActive());
+        }
+        calendar.runTo(calendar.now() + IDLE_MS / 5 + 1);
+        window.tick();
+        assertFalse(channel.isActive());
+    }
+
     @Test
     public void aBodyThatDribblesIsRefusedOnceItsTimeIsUp() {
         say(post("/a", "", 50, ""));
