--- a/src/main/java/cobaltrack/post/wire/Link.java
+++ b/src/main/java/cobaltrack/post/wire/Link.java
@@ -61,7 +61,7 @@
         }
     }
 
-    /** Sends a letter that is written already. */
+    /** Sends a letter that is written already, of a kind that every version knows. */
     public void send(byte[] written) {
         ByteBuf length = Unpooled.buffer(LENGTH_BYTES).writeInt(written.length);
         channel.writeAndFlush(Unpooled.wrappedBuffer(length, Unpooled.wrappedBuffer(written)),
