Start offices and carriers of the relayed test rig in one place

Change: RelayedRig has startOffices, startCarriers, awaitReadable and FOUNDERS; the tests call them. No assertion, wait or fault changed; what is started, in which order and how long it is waited for is the same.

--- a/src/test/java/cobaltrack/post/AtMostOnceTest.java
+++ b/src/test/java/cobaltrack/post/AtMostOnceTest.java
@@ -44,18 +44,12 @@
     @BeforeClass
     public void start() throws Exception {
         rig = new RelayedRig();
-        for (int i = 0; i < 3; i++) {
-            rig.office(i, true);
-        }
-        for (int i = 0; i < 3; i++) {
-            rig.runs(i);
-        }
-        rig.carrier(0, 0, 1, 2);
-        rig.carrier(1, 0, 1, 2);
+        rig.startOffices();
+        rig.startCarriers();
         // Only the second carrier has an endpoint, so that all requests at the first take the tie.
         far = new StandInApp("i-1", "svc", rig.cards.app(1), rig.cards.beats(1));
         far.beatEvery(BEAT_MS);
-        rig.change(0, 1, START_MS, 0, 1, 2);
+        rig.change(0, 1, START_MS, RelayedRig.FOUNDERS);
         RelayedRig.await("both carriers serve", START_MS, () -> served(0) && served(1));
     }
 
@@ -267,7 +261,7 @@
             if (!killed && RelayedRig.now() > until - STORM_MS / 2) {
                 killed = true;
                 rig.kill("c1");
-                rig.carrier(1, 0, 1, 2);
+                rig.carrier(1, RelayedRig.FOUNDERS);
             }
             LockSupport.parkNanos((100 + random.nextInt(300)) * 1_000_000L);
             if (random.nextInt(3) == 0) {
--- a/src/test/java/cobaltrack/post/CutOffOfficeTest.java
+++ b/src/test/java/cobaltrack/post/CutOffOfficeTest.java
@@ -43,21 +43,14 @@
     @BeforeClass
     public void start() throws Exception {
         rig = new RelayedRig();
-        for (int i = 0; i < 3; i++) {
-            rig.office(i, true);
-        }
-        for (int i = 0; i < 3; i++) {
-            rig.runs(i);
-        }
-        rig.carrier(0, 0, 1, 2);
-        rig.carrier(1, 0, 1, 2);
-        rig.change(0, ++version, START_MS, 0, 1, 2);
+        rig.startOffices();
+        rig.startCarriers();
+        rig.change(0, ++version, START_MS, RelayedRig.FOUNDERS);
         for (int i = 0; i < 2; i++) {
             int carrier = i;
             RelayedRig.await("carrier " + i + " has it", START_MS, () -> rig.serves(carrier, version));
         }
-        RelayedRig.await("each office has it", START_MS, () -> rig.read(0).status() == 200
-                && rig.read(1).status() == 200 && rig.read(2).status() == 200);
+        rig.awaitReadable();
     }
 
     @AfterClass(alwaysRun = true)
@@ -187,7 +180,7 @@
         rig.between("c1", "o1", Mode.CUT, Mode.CUT);
         rig.between("c1", "o2", Mode.CUT, Mode.CUT);
         long before = reached();
-        rig.carrier(1, 0, 1, 2);
+        rig.carrier(1, RelayedRig.FOUNDERS);
         RelayedRig.await("it reaches the office", START_MS, () -> reached() > before);
         double began = RelayedRig.now();
         RelayedRig.await("it is ready all the same", START_MS, () -> rig.ready(1));
--- a/src/test/java/cobaltrack/post/RelayedRig.java
+++ b/src/test/java/cobaltrack/post/RelayedRig.java
@@ -32,6 +32,8 @@
 final class RelayedRig implements AutoCloseable {
     static final int OFFICES = 5;
     static final int CARRIERS = 2;
+    /** The offices that found the electorate. */
+    static final int[] FOUNDERS = {0, 1, 2};
     private static final double START_MS = 30_000;
     private static final long PAUSE_NS = 5_000_000;
     private static final double NANOS = 1e6;
@@ -89,6 +91,23 @@
         start("office", "o" + i, cards.office(i, disk(i).toString(), bootstrap));
     }
 
+    /** Starts the offices that found the electorate, and waits until each runs. */
+    void startOffices() throws Exception {
+        for (int i : FOUNDERS) {
+            office(i, true);
+        }
+        for (int i : FOUNDERS) {
+            runs(i);
+        }
+    }
+
+    /** Starts all carriers, with the founding offices as their seeds. */
+    void startCarriers() throws IOException {
+        for (int i = 0; i < CARRIERS; i++) {
+            carrier(i, FOUNDERS);
+        }
+    }
+
     /** A carrier whose seeds are these offices, in this order. */
     void carrier(int i, int... seeds) throws IOException {
         List<String> lines = cards.carrier(i, "svc");
@@ -208,6 +227,18 @@
         return Talk.ask(cards.control(office), "POST /whinlead/rpc?call=config.read", Map.of(), new byte[0]);
     }
 
+    /** Waits until each founding office reads out a configuration. */
+    void awaitReadable() throws Exception {
+        await("each office has it", START_MS, () -> {
+            for (int office : FOUNDERS) {
+                if (read(office).status() != 200) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
     boolean ready(int carrier) throws IOException {
         return Talk.ask(cards.readiness(carrier), "GET /whinlead/readiness", Map.of(), new byte[0]).status()
                 == 200;
--- a/src/test/java/cobaltrack/post/ReplacedOfficeTest.java
+++ b/src/test/java/cobaltrack/post/ReplacedOfficeTest.java
@@ -22,15 +22,9 @@
     public void start() throws Exception {
         rig = new RelayedRig();
         version = 0;
-        for (int i = 0; i < 3; i++) {
-            rig.office(i, true);
-        }
-        for (int i = 0; i < 3; i++) {
-            rig.runs(i);
-        }
-        rig.change(version, ++version, START_MS, 0, 1, 2);
-        RelayedRig.await("each office has it", START_MS, () -> rig.read(0).status() == 200
-                && rig.read(1).status() == 200 && rig.read(2).status() == 200);
+        rig.startOffices();
+        rig.change(version, ++version, START_MS, RelayedRig.FOUNDERS);
+        rig.awaitReadable();
     }
 
     @AfterMethod(alwaysRun = true)
