Refuse what comes while a sidecar that has left is about to end

Cause: once nothing was under way a leaving sidecar was let end, but a request that came in the moment until the process was gone was still passed on, and cut off (LOST). Change: Shutdown refuses requests from the moment that the process may end.

--- a/src/main/java/cobaltrack/post/carrier/Shutdown.java
+++ b/src/main/java/cobaltrack/post/carrier/Shutdown.java
@@ -51,7 +51,7 @@
         });
         after(refuseS, egress::refuse);
         after(answerS, egress::answerAll);
-        after(answerS + FLUSH_S, ended::countDown);
+        after(answerS + FLUSH_S, this::finish);
     }
 
     private void after(double seconds, Runnable task) {
@@ -60,12 +60,18 @@
 
     private void look() {
         if (egress.underWay() == 0 && atEndpoint.getAsInt() == 0 && egress.connections() == 0) {
-            ended.countDown();
+            finish();
         } else {
             timers.after(LOOK_MS, this::look);
         }
     }
 
+    // The process takes a moment to end, in which nothing may be begun.
+    private void finish() {
+        egress.refuse();
+        ended.countDown();
+    }
+
     /** Whether it may end. For any thread. */
     boolean hasEnded() {
         return ended.getCount() == 0;
--- a/src/test/java/cobaltrack/standin/post/hardening/AnswerPlayTest.java
+++ b/src/test/java/cobaltrack/standin/post/hardening/AnswerPlayTest.java
@@ -20,6 +20,13 @@
         }
     }
 
+    @Test
+    public void whatComesAsTheProcessEndsIsRefusedAndNotCutOff() {
+        for (long seed : new long[] {2900, 3411, 102_746}) {
+            assertEquals(AnswerPlay.play(seed, AnswerBug.NONE).broken(), List.of(), "seed " + seed);
+        }
+    }
+
     @Test
     public void theSameSeedPlaysTheSame() {
         assertEquals(AnswerPlay.play(7, AnswerBug.NONE), AnswerPlay.play(7, AnswerBug.NONE));
