--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -388,15 +388,13 @@
     }
 
     private void advance(double now, PendingOperation.Replace replace) {
-        if (decided().has(replace.version(), replace.digest())) {
-            finishHead(Verdict.TAKEN);
-        } else if (!decided().remembers(replace.version())) {
-            // It may have been taken long ago: no refusal is safe, and none is owed.
-            finishHead(Verdict.UNCLEAR);
-        } else if (replace.builtOn() == decided().version() && replace.version() > replace.builtOn()) {
-            propose(now, replace, decided().with(replace.version(), replace.digest(), replace.body()));
-        } else {
-            quorumRead.begin(now, nextNonce());
+        switch (ruling(replace)) {
+            case TAKEN -> finishHead(Verdict.TAKEN);
+            case FORGOTTEN -> finishHead(Verdict.UNCLEAR);
+            case NEXT -> propose(now, replace,
+                    decided().with(replace.version(), replace.digest(), replace.body()));
+            case MISMATCH, OLD_VERSION -> quorumRead.begin(now, nextNonce());
+            default -> throw new IllegalStateException("no such ruling");
         }
     }
 
@@ -421,9 +419,13 @@
     }
 
     private Verdict refusal(PendingOperation operation) {
-        boolean builtOnNewest = operation instanceof PendingOperation.Replace replace
-                && replace.builtOn() == decided().version();
-        return builtOnNewest ? Verdict.OLD_VERSION : Verdict.MISMATCH;
+        boolean isOld = operation instanceof PendingOperation.Replace replace
+                && ruling(replace) == OrderRuling.OLD_VERSION;
+        return isOld ? Verdict.OLD_VERSION : Verdict.MISMATCH;
+    }
+
+    private OrderRuling ruling(PendingOperation.Replace replace) {
+        return OrderRuling.of(decided(), replace.version(), replace.builtOn(), replace.digest());
     }
 
     private long nextNonce() {
