Hold processes to a route's DeadlineS where a client would wait longer

Cause: the final answer at DeadlineS was shown under a driven clock only. Change: on processes, a request with 8 s at a route of 2 s whose endpoint never answers has its 504 within half a second of the route's time and no sooner.

--- a/src/test/java/cobaltrack/post/AtMostOnceTest.java
+++ b/src/test/java/cobaltrack/post/AtMostOnceTest.java
@@ -39,6 +39,9 @@
     private static final double QUIET_MS = 500;
     /** Endpoints to which a request of the other routes may be sent. */
     private static final int TRIES = 2;
+    /** How long a request by the route {@code /once/} may last, and how far from that its answer may come. */
+    private static final double ROUTE_MS = 2000;
+    private static final double LATE_MS = 500;
     private RelayedRig rig;
     private StandInApp far;
     private StandInApp near;
@@ -123,6 +126,19 @@
         RelayedRig.await("both serve again", START_MS, () -> served(0) && served(1));
     }
 
+    @Test
+    public void aRequestThatOutlastsItsRouteIsAnsweredInTime() throws Exception {
+        for (int carrier = 0; carrier < 2; carrier++) {
+            double began = RelayedRig.now();
+            Talk.Message m = send(carrier, "GET /once" + StandInApp.SLOW, 8000).get();
+            double took = RelayedRig.now() - began;
+            System.out.printf("at carrier %d, route of %.0f ms: answered %d after %.0f ms%n", carrier,
+                    ROUTE_MS, m.status(), took);
+            says(m, 504);
+            assertTrue(took > ROUTE_MS - LATE_MS && took < ROUTE_MS + LATE_MS, "after " + took + " ms");
+        }
+    }
+
     @Test
     public void anEndpointThatResetsRanItOnceAndNobodySaysOtherwise() throws Exception {
         for (int carrier = 0; carrier < 2; carrier++) {
@@ -139,7 +155,8 @@
         }
     }
 
-    @Test
+    // It lets slow requests end, so it comes after the one that must not.
+    @Test(dependsOnMethods = "aRequestThatOutlastsItsRouteIsAnsweredInTime", alwaysRun = true)
     public void aTieResetWithARequestUnderWay() throws Exception {
         Sent s = send(0, "POST /b/slow", 10_000);
         RelayedRig.await("it runs", START_MS, () -> far.runs(s.id()) == 1);
--- a/src/test/java/cobaltrack/post/RelayedRig.java
+++ b/src/test/java/cobaltrack/post/RelayedRig.java
@@ -33,7 +33,7 @@
     static final int OFFICES = 5;
     static final int CARRIERS = 2;
     private static final double START_MS = 30_000;
-    /** A route of repeatable requests that may be sent to one endpoint. */
+    /** A route of repeatable requests that may be sent to one endpoint, and last two seconds. */
     private static final String ONCE = "\"r-0\":{\"Authority\":\"post.example\","
             + "\"PathPrefix\":\"/once/\",\"Kind\":\"idempotent\",\"DeadlineS\":2,"
             + "\"TargetS\":0.5,\"Rank\":1,\"Target\":\"svc\",\"Tries\":1,\"Public\":false},";
@@ -203,8 +203,8 @@
      */
     static String tariff(int version) {
         return Walk.tariff(epoch(version), "svc").replace("/a/", "/v" + version + "/")
-                .replace("\"Routes\":{", "\"Routes\":{" + ONCE)
-                .replace("\"DeadlineS\":2", "\"DeadlineS\":20");
+                .replace("\"DeadlineS\":2", "\"DeadlineS\":20")
+                .replace("\"Routes\":{", "\"Routes\":{" + ONCE);
     }
 
     Talk.Message replace(int office, int builtOn, String body) throws IOException {
