Rig: after a whole upgrade, all machines back to the other version

Need: the way back was run from half way only.

Change: `rehearse upgrade` ends with all six machines set back, and a stand.

--- a/src/main/java/cobaltrack/standin/UpgradeRehearsal.java
+++ b/src/main/java/cobaltrack/standin/UpgradeRehearsal.java
@@ -15,13 +15,13 @@
 
 /** {@code rehearse upgrade}: another version of the program beside this one, as processes on loopback. */
 @Command(name = "upgrade", description = "Three offices and three sidecars go from another version to this "
-        + "one, half way, back, and through, under requests and changes.")
+        + "one, half way, back, through, and all back, under requests and changes.")
 final class UpgradeRehearsal implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
     @Option(names = "--other-jar", required = true, description = "The other version's program.")
     private Path otherJar;
-    @Option(names = "--stand-s", description = "How long it stands half way, set back, and through.")
+    @Option(names = "--stand-s", description = "How long it stands after each way, in seconds.")
     private long standS = 10;
 
     @Override
--- a/src/main/java/cobaltrack/standin/post/upgrade/Rollout.java
+++ b/src/main/java/cobaltrack/standin/post/upgrade/Rollout.java
@@ -15,7 +15,7 @@
 
 /**
  * Three offices and three sidecars as processes on loopback, upgraded one at a time under requests and
- * changes: half way, back, and through. One thread.
+ * changes: half way, back, through, and all back. One thread.
  */
 public final class Rollout implements AutoCloseable {
     private static final int NODES = 3;
@@ -41,7 +41,7 @@
     /**
      * A fleet that is not started.
      *
-     * @param standMs how long it stands half way, set back, and through
+     * @param standMs how long it stands after each way
      */
     public Rollout(Figures figures, Program old, Program current, long standMs) throws IOException {
         this.figures = figures;
@@ -75,12 +75,18 @@
         stand("half way up, ");
         replace("back, ", old, offices.get(1), carriers.get(0), offices.get(0));
         stand("back, ");
-        replace("through, ", current, offices.get(0), carriers.get(0), offices.get(1), carriers.get(1),
-                offices.get(2), carriers.get(2));
+        replace("through, ", current, inPairs());
         stand("through, ");
+        replace("all back, ", old, inPairs());
+        stand("all back, ");
         report();
     }
 
+    private Machine[] inPairs() {
+        return new Machine[] {offices.get(0), carriers.get(0), offices.get(1), carriers.get(1),
+            offices.get(2), carriers.get(2)};
+    }
+
     private void begin() throws Exception {
         for (Machine m : offices) {
             m.start(old);
