Rig: say of an upgrade's changes only what is looked at

Need: the figure said that each acknowledged change was in force everywhere. Looked at is the last one at the end of each stand, at all offices and sidecars; of those before it, that the next was taken as built on them, and that a read after each acknowledgement gave it.

--- a/src/main/java/cobaltrack/standin/post/upgrade/Rollout.java
+++ b/src/main/java/cobaltrack/standin/post/upgrade/Rollout.java
@@ -153,7 +153,7 @@
             await(egress + " serves version " + version,
                     () -> status(egress, Changes.path(version) + "x") == 200);
         }
-        figures.figure(of + "changes acknowledged so far, each in force everywhere", version);
+        figures.figure(of + "changes acknowledged so far, the last one in force everywhere", version);
         figures.figure(of + "ms until the last one was seen at every office and sidecar",
                 (System.nanoTime() - began) / NANOS_PER_MS);
         changes.resume();
