--- a/src/main/java/cobaltrack/post/ballot/Council.java
+++ b/src/main/java/cobaltrack/post/ballot/Council.java
@@ -39,6 +39,8 @@
     private static final double OPEN_VOTE_LIMIT = 400;
     /** How often an office without a vote asks for one, in milliseconds. */
     private static final double JOIN_INTERVAL = 250;
+    /** How often it asks at most, as what it has on disk gets newer, in milliseconds. */
+    private static final double JOIN_INTERVAL_LEAST = 100;
 
     private final String self;
     private final Acceptor acceptor;
@@ -50,12 +52,17 @@
     private final QuorumRead quorumRead = new QuorumRead();
     private final ConsensusRound round;
     private final Membership membership;
+    private final MembershipTurn membershipTurn = new MembershipTurn();
+    /** What the ballot under way is for; null for a change of voters. */
+    private PendingOperation balloted;
     /** Since when a vote of this office is open; NaN while none is. */
     private double votedAt;
     private double joinAt;
+    private double joinedAt = Double.NEGATIVE_INFINITY;
     private boolean awake;
     /** Since when no quorum is in contact; NaN while one is. */
     private double withoutQuorumSince = Double.NEGATIVE_INFINITY;
+    private boolean withoutQuorum;
     private long storedSlot;
 
     /**
@@ -74,7 +81,10 @@
         this.failures = new FailureDetector(self, contact);
         this.membership = new Membership(self, contact, failures);
         this.votedAt = memory.vote() == null ? Double.NaN : Double.NEGATIVE_INFINITY;
-        this.storedSlot = memory.decided() == null ? -1 : memory.decided().slot();
+        this.storedSlot = decidedSlot();
+        if (decided() != null) {
+            membership.learned(Double.NEGATIVE_INFINITY, decided());
+        }
     }
 
     /** Where an id's office can be found: the address in it. */
@@ -119,7 +129,7 @@
             storedSlot = slot;
             if (!seated()) {
                 // What it waited for to ask for a vote.
-                joinAt = now;
+                joinAt = Math.min(joinAt, Math.max(now, joinedAt + JOIN_INTERVAL_LEAST));
             }
         }
     }
@@ -148,18 +158,13 @@
      */
     public void leave(double now) {
         wake(now);
-        membership.leave();
+        membership.leave(decided());
         advance(now);
     }
 
-    /** Whether it may end: it is out, or need not be, and each elector in contact has the newest on disk. */
+    /** Whether it may end: it is out, or need not be, and a quorum and all in contact store why. */
     public boolean left(double now) {
-        if (decided() == null) {
-            return true;
-        }
-        return !membership.mustHandOver(now, decided()) && decided().electors().stream()
-                .allMatch(voter -> voter.equals(self) || !contact.reached(now, CONTACT_LIMIT, voter)
-                        || contact.stored(voter) >= decided().slot());
+        return decided() == null || membership.mayEnd(now, decided(), storedSlot);
     }
 
     /** An operator sends a configuration built on another. */
@@ -174,7 +179,10 @@
 
     private void submit(double now, PendingOperation operation) {
         wake(now);
-        if (isWithoutQuorum(now) || !queue.offer(now, operation)) {
+        watchQuorum(now);
+        // One that may end takes on nothing new: whoever asks goes on to an office that stays.
+        boolean ending = membership.isLeaving() && left(now);
+        if (withoutQuorum || ending || !queue.offer(now, operation)) {
             end(operation, Verdict.UNCLEAR);
             return;
         }
@@ -191,13 +199,13 @@
     }
 
     // Whether no quorum has been in contact for so long that no operation is worth the wait.
-    private boolean isWithoutQuorum(double now) {
+    private void watchQuorum(double now) {
         if (decided() == null || inTouch(now, CONTACT_LIMIT)) {
             withoutQuorumSince = Double.NaN;
         } else if (Double.isNaN(withoutQuorumSince) || withoutQuorumSince == Double.NEGATIVE_INFINITY) {
             withoutQuorumSince = now;
         }
-        return now - withoutQuorumSince > WITHOUT_QUORUM_LIMIT;
+        withoutQuorum = now - withoutQuorumSince > WITHOUT_QUORUM_LIMIT;
     }
 
     /** A message came, from this office itself too. */
@@ -266,6 +274,7 @@
             quorumRead.reset();
             actions.decided(decision);
             keep(now, decision.electors());
+            membership.learned(now, decision);
         }
     }
 
@@ -274,53 +283,51 @@
         failures.keep(voters);
     }
 
-    // A learner first: only one that has the newest decision on disk is worth a vote.
     private void join(double now, String from, long slot) {
-        if (decided() == null || decided().electors().contains(from) || queue.adds(from)) {
+        if (decided() == null || decided().electors().contains(from)) {
             return;
         }
         membership.requested(now, from, slot);
         if (slot < decided().slot()) {
             actions.send(from, new Message.Decided(decided()));
-        } else if (slot == decided().slot()) {
-            submit(now, new PendingOperation.AddVoter(from, slot));
         }
     }
 
     /** Time passes; to be called some tens of times a second. */
     public void tick(double now) {
         wake(now);
-        boolean withoutQuorum = isWithoutQuorum(now);
-        endOverdue(now, withoutQuorum);
+        watchQuorum(now);
+        endOverdue(now);
         if (!seated()) {
             askForVote(now);
         } else if (!withoutQuorum) {
-            maintain(now);
+            askAboutSilent(now);
+            finishOpenVote(now);
         }
         advance(now);
     }
 
-    private void endOverdue(double now, boolean all) {
+    private void endOverdue(double now) {
         PendingOperation head = queue.head();
-        List<PendingOperation> overdue = all ? queue.removeAll() : queue.removeExpired(now);
-        overdue.forEach(operation -> end(operation, Verdict.UNCLEAR));
+        List<PendingOperation> overdue = withoutQuorum ? queue.removeAll() : queue.removeExpired(now);
+        overdue.forEach(operation -> {
+            membershipTurn.operationEnded();
+            end(operation, Verdict.UNCLEAR);
+        });
         if (queue.head() != head) {
-            round.cancel();
             quorumRead.reset();
         }
+        if (withoutQuorum || balloted != null && balloted != queue.head()) {
+            round.cancel();
+        }
     }
 
-    // What nobody asks for: a vote that nobody came back for may be decided, and nobody knows.
-    private void maintain(double now) {
+    // A vote that nobody came back for: it may be decided, and nobody knows.
+    private void finishOpenVote(double now) {
         if (queue.isEmpty() && now - votedAt > OPEN_VOTE_LIMIT * (1 + random.nextDouble())) {
             votedAt = now;
             submit(now, new PendingOperation.FinishVote());
         }
-        askAboutSilent(now);
-        PendingOperation change = queue.isEmpty() ? membership.due(now, decided()) : null;
-        if (change != null) {
-            submit(now, change);
-        }
     }
 
     // A second opinion on whoever is silent here, from the voters that are not.
@@ -339,29 +346,38 @@
             return;
         }
         joinAt = now + JOIN_INTERVAL * (0.75 + 0.5 * random.nextDouble());
-        long slot = decidedSlot();
-        if (slot >= 0 && storedSlot == slot && !membership.isLeaving()) {
-            decided().electors().forEach(voter -> actions.send(voter, new Message.Join(slot)));
+        if (storedSlot >= 0 && !membership.isLeaving()) {
+            joinedAt = now;
+            decided().electors().forEach(voter -> actions.send(voter, new Message.Join(storedSlot)));
         }
-        actions.send(null, new Message.Query(0, slot));
+        actions.send(null, new Message.Query(0, decidedSlot()));
     }
 
-    // Carries the first operation as far as it goes now.
+    // Carries what is under way, or else what is next, as far as it goes now.
     private void advance(double now) {
         boolean progressed = true;
-        while (progressed && !queue.isEmpty() && decided() != null && round.mayAct(now)) {
-            progressed = round.isActive() ? advanceRound(now) : advance(now, queue.head());
+        while (progressed && decided() != null && round.mayAct(now)) {
+            progressed = round.isActive() ? advanceRound(now) : beginNext(now);
         }
     }
 
+    // False while it waits, or nothing is to be done.
+    private boolean beginNext(double now) {
+        boolean betweenOperations = quorumRead.state() == QuorumRead.State.IDLE;
+        if (betweenOperations && (queue.isEmpty() || membershipTurn.isNext())) {
+            VoterChange change = seated() && !withoutQuorum ? membership.due(now, decided()) : null;
+            if (change != null) {
+                propose(now, null, decided().with(change.applyTo(decided().electors())));
+                return true;
+            }
+        }
+        return !queue.isEmpty() && advance(now, queue.head());
+    }
+
     // False while it waits.
     private boolean advance(double now, PendingOperation operation) {
-        if (operation instanceof PendingOperation.AddVoter add) {
-            proposeVoters(now, membership.add(now, decided(), add));
-        } else if (operation instanceof PendingOperation.RemoveVoter remove) {
-            proposeVoters(now, membership.remove(now, decided(), remove));
-        } else if (operation instanceof PendingOperation.FinishVote) {
-            propose(now, null);
+        if (operation instanceof PendingOperation.FinishVote) {
+            propose(now, operation, null);
         } else if (operation instanceof PendingOperation.Replace replace
                 && quorumRead.state() == QuorumRead.State.IDLE) {
             advance(now, replace);
@@ -375,7 +391,8 @@
         switch (ruling(replace)) {
             case TAKEN -> finishHead(Verdict.TAKEN);
             case FORGOTTEN -> finishHead(Verdict.UNCLEAR);
-            case NEXT -> propose(now, decided().with(replace.version(), replace.digest(), replace.body()));
+            case NEXT -> propose(now, replace,
+                    decided().with(replace.version(), replace.digest(), replace.body()));
             case MISMATCH, OLD_VERSION -> quorumRead.begin(now, nextNonce());
             default -> throw new IllegalStateException("no such ruling");
         }
@@ -392,7 +409,7 @@
                     return false;
                 }
                 if (quorumRead.isVoteOpen()) {
-                    propose(now, null);
+                    propose(now, operation, null);
                 }
             }
             case CONFIRMED -> finishHead(refusal(operation));
@@ -415,15 +432,8 @@
         return random.nextLong() | 1;
     }
 
-    private void proposeVoters(double now, Decision next) {
-        if (next == null) {
-            removeHead();
-        } else {
-            propose(now, next);
-        }
-    }
-
-    private void propose(double now, Decision wanted) {
+    private void propose(double now, PendingOperation operation, Decision wanted) {
+        balloted = operation;
         round.begin(now, decided(), wanted, acceptor.memory().promised());
     }
 
@@ -441,7 +451,7 @@
                 return false;
             }
             case NOTHING_TO_FINISH -> {
-                if (queue.head() instanceof PendingOperation.FinishVote) {
+                if (balloted instanceof PendingOperation.FinishVote) {
                     votedAt = Double.NaN;
                     removeHead();
                 }
@@ -454,10 +464,13 @@
     }
 
     private void won(double now, Decision decision) {
+        if (!decision.electors().equals(decided().electors())) {
+            membershipTurn.changed();
+        }
         learn(now, decision);
         decision.electors().stream().filter(voter -> !voter.equals(self))
                 .forEach(voter -> actions.send(voter, new Message.Decided(decision)));
-        if (queue.head() instanceof PendingOperation.FinishVote) {
+        if (balloted instanceof PendingOperation.FinishVote) {
             removeHead();
         }
     }
@@ -470,6 +483,7 @@
 
     private void removeHead() {
         queue.removeHead();
+        membershipTurn.operationEnded();
         quorumRead.reset();
     }
 
