Begin no forwarded request whose time went by on its way

A request that a cut held back, or that a frozen sidecar found in its socket, was run with the time left that it named, though its caller had long had a 504: the far side can't tell how long the bytes waited.

Each forwarded request, and each ping between sidecars, now carries the sender's steady clock (a last field that older versions neither write nor read). TransitClock keeps, for each connection, the least difference between the two clocks over some ten seconds of arrivals; what exceeds it is waiting and is taken off the time left. ForwardedTime decides; with nothing left the answer is UNREACHED, and it is true that it never runs. A stamped ping goes ahead of all else on a new connection, so that what follows has something to be compared with. The backlog of a connection that was made while this process stood still for over 0.5 s is not begun.

Ruled out: synchronised clocks; a least difference for good, which a suspended machine would turn into waiting for ever; a window by time alone, which forgets in a long cut; holding requests until a round trip is known.

The rig's processes have clocks of their own and pings; a request that begins over 650 ms after its time, on a connection whose first message came at once, breaks a schedule.

Tests of what it touches pass: TransitClock, ForwardedTime, RelayPlay, Letters, Round, RoundSocket, EndpointLine, DataPlane, Packages.

--- a/src/main/java/cobaltrack/post/ballot/Decision.java
+++ b/src/main/java/cobaltrack/post/ballot/Decision.java
@@ -48,7 +48,7 @@
         return taken.contains(new Taken(aVersion, digest));
     }
 
-    /** Whether what is not among {@link #taken} under this version surely was not taken: versions only rise. */
+    /** Whether what is not {@link #taken} under this version surely never was: versions only rise. */
     public boolean remembers(long aVersion) {
         return taken.size() < TAKEN_MOST || aVersion >= taken.get(0).version();
     }
--- a/src/main/java/cobaltrack/post/carrier/Round.java
+++ b/src/main/java/cobaltrack/post/carrier/Round.java
@@ -29,6 +29,7 @@
  */
 public final class Round {
     private static final Tie.Pace PACE = new Tie.Pace(250, 700, 5000, 250);
+    private static final double MICROS = 1000;
 
     /** Takes requests for the endpoint beside this sidecar. */
     public interface Local {
@@ -61,6 +62,9 @@
 
         /** Whether something is waited for. */
         boolean waits();
+
+        /** The present time for what is written now, in microseconds of a steady clock. */
+        long stamp();
     }
 
     private final Timers timers;
@@ -147,6 +151,11 @@
         public boolean waits() {
             return ear.waits();
         }
+
+        @Override
+        public long stamp() {
+            return ear.stamp();
+        }
     }
 
     /** One request's way out. */
@@ -230,7 +239,7 @@
             }
             double left = w.until - timers.now();
             o.written = left >= 1;
-            if (!o.written || !path.send(numbered(stream, w.parcel, (int) Math.round(left)))) {
+            if (!o.written || !path.send(numbered(stream, w.parcel, (int) Math.round(left), stamp()))) {
                 o.written = false;
                 out.remove(stream);
                 o.end(new Letter.Returned(stream, Letter.Why.UNREACHED, 0, 0));
@@ -242,6 +251,11 @@
             return !out.isEmpty();
         }
 
+        @Override
+        public long stamp() {
+            return (long) (timers.now() * MICROS);
+        }
+
         @Override
         public void letter(Letter letter) {
             long stream = letter instanceof Letter.Delivered d ? d.stream()
@@ -296,7 +310,7 @@
         long stream = ++streams;
         if (node.equals(self)) {
             o.written = true;
-            local.deliver(numbered(stream, draft, draft.leftMs()), o::end);
+            local.deliver(numbered(stream, draft, draft.leftMs(), Letter.UNSTAMPED), o::end);
             return o;
         }
         Way way = way(node);
@@ -305,7 +319,8 @@
             way.out.remove(stream);
             way.waiting.remove(stream);
         };
-        Waiting w = new Waiting(numbered(stream, draft, draft.leftMs()), timers.now() + draft.leftMs());
+        Waiting w = new Waiting(numbered(stream, draft, draft.leftMs(), Letter.UNSTAMPED),
+                timers.now() + draft.leftMs());
         if (way.path.state() == Tie.State.UP) {
             way.write(w);
         } else if (way.path.state() == Tie.State.SUSPECT) {
@@ -317,9 +332,9 @@
         return o;
     }
 
-    private static Letter.Parcel numbered(long stream, Letter.Parcel p, int leftMs) {
+    private static Letter.Parcel numbered(long stream, Letter.Parcel p, int leftMs, long sentAt) {
         return new Letter.Parcel(stream, p.method(), p.uri(), p.headers(), p.body(), leftMs, p.target(),
-                p.endpoint(), p.rank());
+                p.endpoint(), p.rank(), sentAt);
     }
 
     /** What the module is told of a letter. */
--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -58,6 +58,7 @@
     private final String node;
     private final Hatch hatch;
     private final EndpointLine line;
+    private final ForwardedTime forwardedTime = new ForwardedTime();
     private final Directory directory = new Directory();
     private final Map<String, Depot> depots = new HashMap<>();
     private final Map<String, Depot> largeDepots = new HashMap<>();
@@ -225,6 +226,7 @@
     }
 
     private void tick() {
+        forwardedTime.running(timers.now());
         if (hatch.tick(timers.now())) {
             Event.ENDPOINT.log(hatch.endpoint() + " is silent");
             line.clear();
@@ -348,13 +350,11 @@
     @Override
     public void letter(Link link, Letter letter) {
         if (letter instanceof Letter.Ping ping) {
+            forwardedTime.running(timers.now());
+            link.transit().waited(timers.now(), ping.sentAt());
             link.send(new Letter.Pong(ping.number(), node, -1));
         } else if (letter instanceof Letter.Parcel parcel) {
-            deliver(parcel, answer -> {
-                if (link.open()) {
-                    link.send(answer);
-                }
-            });
+            forwarded(link, parcel);
         } else if (letter instanceof Letter.Seek) {
             link.send(new Letter.Offices(desk.addresses()));
         } else if (letter instanceof Letter.Hello hello) {
@@ -362,6 +362,21 @@
         }
     }
 
+    // What waited on its way until its time was up is not begun: its caller has been answered.
+    private void forwarded(Link link, Letter.Parcel parcel) {
+        int left = forwardedTime.left(timers.now(), link.transit(), parcel);
+        if (left == 0) {
+            link.send(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, hatch.util(),
+                    hatch.perSecond()));
+            return;
+        }
+        deliver(parcel.withLeft(left), answer -> {
+            if (link.open()) {
+                link.send(answer);
+            }
+        });
+    }
+
     /** Where it takes requests for its endpoint. */
     public InetSocketAddress ingress() {
         return EndpointList.address(node);
--- a/src/main/java/cobaltrack/post/wire/Letter.java
+++ b/src/main/java/cobaltrack/post/wire/Letter.java
@@ -8,6 +8,9 @@
 
 /** What the system's own processes say to each other. */
 public sealed interface Letter {
+    /** In place of a time of sending: the sender tells none. */
+    long UNSTAMPED = Long.MIN_VALUE;
+
     /** The first on every link: who it is, and whether an office. */
     record Hello(String id, boolean office) implements Letter { }
 
@@ -26,8 +29,17 @@
     /** The newest known there, whole; {@code confirmed} tells that its office reaches a quorum. */
     record News(Decision decision, boolean confirmed) implements Letter { }
 
-    /** Asks for a sign of life. */
-    record Ping(long number) implements Letter { }
+    /**
+     * Asks for a sign of life.
+     *
+     * @param sentAt when it was written, by the sender's steady clock in microseconds, or {@link #UNSTAMPED}
+     */
+    record Ping(long number, long sentAt) implements Letter {
+        /** One without a time of sending. */
+        public Ping(long number) {
+            this(number, UNSTAMPED);
+        }
+    }
 
     /**
      * The sign.
@@ -60,9 +72,22 @@
      * @param headers names and values in turn
      * @param leftMs how long an answer is of use, in milliseconds
      * @param rank 0 is the highest
+     * @param sentAt when it was written, by the sender's steady clock in microseconds, or {@link #UNSTAMPED}
      */
     record Parcel(long stream, String method, String uri, List<String> headers, byte[] body, int leftMs,
-            String target, String endpoint, int rank) implements Letter { }
+            String target, String endpoint, int rank, long sentAt) implements Letter {
+        /** One without a time of sending. */
+        public Parcel(long stream, String method, String uri, List<String> headers, byte[] body, int leftMs,
+                String target, String endpoint, int rank) {
+            this(stream, method, uri, headers, body, leftMs, target, endpoint, rank, UNSTAMPED);
+        }
+
+        /** The same request with another time left. */
+        public Parcel withLeft(int otherLeftMs) {
+            return new Parcel(stream, method, uri, headers, body, otherLeftMs, target, endpoint, rank,
+                    sentAt);
+        }
+    }
 
     /** The endpoint's answer, whole, and how busy it is. */
     record Delivered(long stream, int status, List<String> headers, byte[] body, double util,
--- a/src/main/java/cobaltrack/post/wire/Letters.java
+++ b/src/main/java/cobaltrack/post/wire/Letters.java
@@ -29,6 +29,7 @@
                 strings(p, l.headers());
                 bytes(p, l.body());
                 p.packInt(l.leftMs()).packString(l.target()).packString(l.endpoint()).packInt(l.rank());
+                stamp(p, l.sentAt());
             } else if (letter instanceof Letter.Delivered l) {
                 p.packByte((byte) 11).packLong(l.stream()).packInt(l.status());
                 strings(p, l.headers());
@@ -68,6 +69,7 @@
             p.packBoolean(l.confirmed());
         } else if (letter instanceof Letter.Ping l) {
             p.packByte((byte) 7).packLong(l.number());
+            stamp(p, l.sentAt());
         } else if (letter instanceof Letter.Pong l) {
             p.packByte((byte) 8).packLong(l.number()).packString(l.id()).packLong(l.slot());
         } else if (letter instanceof Letter.Paper l) {
@@ -88,6 +90,17 @@
         }
     }
 
+    // A last field that older versions neither write nor read.
+    private static void stamp(MessageBufferPacker p, long sentAt) throws IOException {
+        if (sentAt != Letter.UNSTAMPED) {
+            p.packLong(sentAt);
+        }
+    }
+
+    private static long stamp(MessageUnpacker u) throws IOException {
+        return u.hasNext() ? u.unpackLong() : Letter.UNSTAMPED;
+    }
+
     private static void uses(MessageBufferPacker p, List<Use> uses) throws IOException {
         p.packInt(uses.size());
         for (Use u : uses) {
@@ -128,11 +141,11 @@
                 case 4 -> new Letter.Notice(u.unpackLong());
                 case 5 -> new Letter.Fetch();
                 case 6 -> new Letter.News(decision(u), u.unpackBoolean());
-                case 7 -> new Letter.Ping(u.unpackLong());
+                case 7 -> new Letter.Ping(u.unpackLong(), stamp(u));
                 case 8 -> new Letter.Pong(u.unpackLong(), u.unpackString(), u.unpackLong());
                 case 9 -> new Letter.Paper(message(u));
                 case 10 -> new Letter.Parcel(u.unpackLong(), u.unpackString(), u.unpackString(), strings(u),
-                        bytes(u), u.unpackInt(), u.unpackString(), u.unpackString(), u.unpackInt());
+                        bytes(u), u.unpackInt(), u.unpackString(), u.unpackString(), u.unpackInt(), stamp(u));
                 case 11 -> new Letter.Delivered(u.unpackLong(), u.unpackInt(), strings(u), bytes(u),
                         u.unpackDouble(), u.unpackDouble());
                 case 12 -> new Letter.Returned(u.unpackLong(), Letter.Why.values()[u.unpackInt()],
--- a/src/main/java/cobaltrack/post/wire/Link.java
+++ b/src/main/java/cobaltrack/post/wire/Link.java
@@ -33,6 +33,7 @@
     }
 
     private final Channel channel;
+    private final TransitClock transit = new TransitClock();
     private String peer;
 
     private Link(Channel channel) {
@@ -68,6 +69,11 @@
         return channel.isWritable();
     }
 
+    /** How long what comes by it waited on the way. */
+    public TransitClock transit() {
+        return transit;
+    }
+
     /** Who the other side said that it is; null before that. */
     public String peer() {
         return peer;
--- a/src/main/java/cobaltrack/post/wire/Tie.java
+++ b/src/main/java/cobaltrack/post/wire/Tie.java
@@ -54,6 +54,11 @@
             return false;
         }
 
+        /** What is put on a ping as its time of sending, in microseconds of a steady clock. */
+        default long stamp() {
+            return Letter.UNSTAMPED;
+        }
+
         /** Whether something is waited for; if not, a sign of life is asked for less often. */
         default boolean waits() {
             return true;
@@ -174,14 +179,18 @@
         // Whatever comes is a sign of life.
         boolean quiet = silent >= (owner.waits() || pinged ? pace.ping() / 2 : pace.ping() * IDLE_TIMES);
         if (quiet || owner.steady()) {
-            pinged = true;
-            sentAt[(int) (++pings % PINGS_OUT)] = System.nanoTime() / NANOS;
-            link.send(new Letter.Ping(pings));
+            ping();
         }
         timer = loop.schedule(this::beat, untilNext(System.nanoTime() / 1_000_000, pace.ping()),
                 TimeUnit.MILLISECONDS);
     }
 
+    private void ping() {
+        pinged = true;
+        sentAt[(int) (++pings % PINGS_OUT)] = System.nanoTime() / NANOS;
+        link.send(new Letter.Ping(pings, owner.stamp()));
+    }
+
     /** Milliseconds until a tie that looks so often looks again, on one grid for all of this process. */
     static long untilNext(long nowMs, long every) {
         long left = every - Math.floorMod(nowMs + PHASE, every);
@@ -199,6 +208,10 @@
             heardAt = System.nanoTime();
             pinged = false;
             up.send(hello);
+            if (owner.stamp() != Letter.UNSTAMPED) {
+                // Ahead of all else: what comes later is compared with how long this was on its way.
+                ping();
+            }
             to(State.UP);
             beat();
         }
--- a/src/main/java/cobaltrack/standin/HardeningRehearsal.java
+++ b/src/main/java/cobaltrack/standin/HardeningRehearsal.java
@@ -115,16 +115,19 @@
             return;
         }
         Map<String, Long> figures = new TreeMap<>();
+        Map<String, Double> longest = new TreeMap<>();
         int broken = 0;
         for (long s = seed; s < seed + schedules; s++) {
             RelayPlay.Outcome o = RelayPlay.play(s, RelayPlay.Bug.NONE);
             o.figures().forEach((name, value) -> figures.merge(name, value, Long::sum));
+            o.longest().forEach((name, value) -> longest.merge(name, value, Math::max));
             if (!o.broken().isEmpty() && broken++ < SEEDS_TOLD) {
                 System.out.println("seed " + s + ": " + o.broken().get(0));
             }
         }
         promises.figure(of + "schedules", schedules);
         figures.forEach((name, value) -> promises.figure(of + name, value));
+        longest.forEach((name, value) -> promises.figure(of + "longest ms of " + name, value));
         promises.under(of + "schedules with a broken promise", broken, 1);
     }
 
--- a/src/main/java/cobaltrack/standin/post/hardening/RelayPath.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPath.java
@@ -5,12 +5,12 @@
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
 import cobaltrack.post.wire.Tie;
+import cobaltrack.post.wire.TransitClock;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -21,14 +21,25 @@
     private static final double SUSPECT = 700;
     private static final double DEAD = 5000;
     private static final double REDIAL = 250;
+    private static final double PING = 250;
+    private static final int IDLE_TIMES = 6;
+
+    /** The process at the far end. */
+    interface FarEnd {
+        /**
+         * Takes a letter, and answers it if it is a request.
+         *
+         * @param firstWaited how long the connection's first message waited on its way, in milliseconds
+         */
+        void take(TransitClock transit, double firstWaited, Letter letter, Consumer<Letter> answer);
+    }
 
     private final Calendar calendar;
     private final SplittableRandom random;
     private final RelayProcess near;
     private final RelayProcess far;
     private final Round.Ear ear;
-    /** The far end takes a letter and answers it by the consumer. */
-    private final BiConsumer<Letter, Consumer<Letter>> taker;
+    private final FarEnd farEnd;
     /** Hears of what was written. */
     private final Consumer<Letter> wrote;
     /** Whether what was sent is sent once more on the next connection: a planted fault. */
@@ -38,18 +49,20 @@
     private Connection connection;
 
     RelayPath(Calendar calendar, SplittableRandom random, RelayProcess near, RelayProcess far, Round.Ear ear,
-            BiConsumer<Letter, Consumer<Letter>> taker, Consumer<Letter> wrote, boolean again) {
+            FarEnd farEnd, Consumer<Letter> wrote, boolean again) {
         this.calendar = calendar;
         this.random = random;
         this.near = near;
         this.far = far;
         this.ear = ear;
-        this.taker = taker;
+        this.farEnd = farEnd;
         this.wrote = wrote;
         this.again = again;
     }
 
     private final class Connection {
+        private final TransitClock transit = new TransitClock();
+        private double firstWaited = Double.NaN;
         private double farAt;
         private double nearAt;
         private double heldUntil;
@@ -67,13 +80,26 @@
         }
 
         private void send(byte[] written) {
+            double sentAt = calendar.now();
             toFar(() -> {
                 if (farOpen) {
-                    taker.accept(read(written), this::answer);
+                    firstWaited = Double.isNaN(firstWaited) ? calendar.now() - sentAt : firstWaited;
+                    farEnd.take(transit, firstWaited, read(written), this::answer);
                 }
             });
         }
 
+        // Signs of life are asked for more often while something is waited for.
+        private void ping(int periods) {
+            if (nearOpen) {
+                boolean due = ear.waits() || periods >= IDLE_TIMES;
+                if (due) {
+                    send(Letters.write(new Letter.Ping(1, ear.stamp())));
+                }
+                near.after(PING, () -> ping(due ? 1 : periods + 1));
+            }
+        }
+
         private void answer(Letter letter) {
             if (farOpen) {
                 byte[] written = Letters.write(letter);
@@ -113,6 +139,7 @@
                 lost();
             } else if (state == Tie.State.DIALLING) {
                 connection = new Connection();
+                connection.ping(IDLE_TIMES);
                 if (again) {
                     sent.forEach(l -> connection.send(Letters.write(l)));
                 }
--- a/src/main/java/cobaltrack/standin/post/hardening/RelayPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPlay.java
@@ -11,8 +11,10 @@
 import cobaltrack.post.carrier.Classes;
 import cobaltrack.post.carrier.Depot;
 import cobaltrack.post.carrier.EndpointLine;
+import cobaltrack.post.carrier.ForwardedTime;
 import cobaltrack.post.carrier.Round;
 import cobaltrack.post.wire.Letter;
+import cobaltrack.post.wire.TransitClock;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -45,11 +47,19 @@
         /** A connection that broke after the request was written is told as one that was never made. */
         RESET_NEVER_RAN,
         /** Whatever an endpoint says next is taken for the answer to the request that it was sent last. */
-        IGNORES_IDS
+        IGNORES_IDS,
+        /** The far sidecar counts a request's time from its arrival, however long it waited on its way. */
+        COUNTS_FROM_ARRIVAL
     }
 
-    /** What a schedule broke, and what it counted. */
-    public record Outcome(List<String> broken, Map<String, Long> figures) { }
+    /**
+     * What a schedule came to.
+     *
+     * @param broken what it broke
+     * @param figures what it counted
+     * @param longest the longest of what it timed, in milliseconds
+     */
+    public record Outcome(List<String> broken, Map<String, Long> figures, Map<String, Double> longest) { }
 
     private static final double LENGTH = 6000;
     private static final double CALM = 10_000;
@@ -59,7 +69,12 @@
     private static final int CALLS = 30;
     private static final int FAULTS = 10;
     private static final int FARS = 3;
+    private static final double TICK = 100;
+    /** A request that begins so long after its time was up breaks the promise. */
+    private static final double LATE_MOST = 650;
     private static final String BODY = "of ";
+    /** A failure in the last moments of a request's time is told as 504, before that as 502. */
+    private static final double TIMED_OUT = 50;
     private static final Classes CLASSES = new Classes();
 
     private final Calendar calendar = new Calendar();
@@ -71,6 +86,9 @@
     private final Map<String, RelayPath> paths = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
     private final Map<String, Long> figures = new TreeMap<>();
+    private final Map<String, Double> longest = new TreeMap<>();
+    /** Where the processes' clocks begin. */
+    private final SplittableRandom clocks;
     private Engine engine;
     private Round round;
     private int life;
@@ -78,7 +96,12 @@
     private RelayPlay(long seed, Bug bug) {
         this.random = new SplittableRandom(seed);
         this.bug = bug;
-        this.near = new RelayProcess(calendar, random.split());
+        this.clocks = new SplittableRandom(~seed);
+        this.near = new RelayProcess(calendar, random.split(), clockBegan());
+    }
+
+    private double clockBegan() {
+        return clocks.nextInt();
     }
 
     /** Plays the schedule of this seed. */
@@ -110,7 +133,7 @@
         requests.values().forEach(Request::end);
         calls.end();
         figures.merge("calls answered", (long) calls.heard(), Long::sum);
-        return new Outcome(List.copyOf(broken), Map.copyOf(figures));
+        return new Outcome(List.copyOf(broken), Map.copyOf(figures), Map.copyOf(longest));
     }
 
     private void broke(String what) {
@@ -209,6 +232,27 @@
         if (r.answered) {
             count("runs after a 502 or 504 or for a client that was cut off");
         }
+        began(r);
+    }
+
+    private void began(Request r) {
+        double now = calendar.now();
+        time("a start after its request's time was up" + (r.comparable ? ""
+                : ", by a connection whose first message had waited"), now - r.endAt);
+        if (r.comparable && now - r.endAt > LATE_MOST) {
+            broke(r.id + " began " + (now - r.endAt) + " ms after its time was up");
+        }
+        if (r.failed) {
+            boolean timedOut = r.answeredAt >= r.endAt - TIMED_OUT;
+            time("a start after its caller had a " + (timedOut ? "504" : "502"), now - r.answeredAt);
+        }
+    }
+
+    private void time(String what, double millis) {
+        if (millis > 0) {
+            count(what);
+            longest.merge(what, millis, Math::max);
+        }
     }
 
     private final class Request implements Caller<Letter.Delivered>, Carrier<Letter.Delivered> {
@@ -220,6 +264,10 @@
         private int arrivals;
         private int runs;
         private boolean answered;
+        private double answeredAt;
+        private boolean failed;
+        /** Whether its connection's first message had come at once, so that waiting shows. */
+        private boolean comparable = true;
         private boolean promised;
 
         private Request(String id) {
@@ -261,6 +309,7 @@
                 broke(id + " was answered twice");
             }
             answered = true;
+            answeredAt = calendar.now();
         }
 
         @Override
@@ -285,6 +334,7 @@
         @Override
         public void failed() {
             answered("failed");
+            failed = true;
         }
 
         private void end() {
@@ -297,13 +347,41 @@
     // --- a far sidecar and its endpoint
 
     private final class Far {
-        private final RelayProcess process = new RelayProcess(calendar, random.split());
+        private final RelayProcess process = new RelayProcess(calendar, random.split(), clockBegan());
         private final RelayEndpoint endpoint = new RelayEndpoint(calendar, process, random.split(),
                 RelayPlay.this::ran, RelayPlay.this::count, bug == Bug.IGNORES_IDS);
         private EndpointLine line = new EndpointLine(process, endpoint::connect);
+        private ForwardedTime time = new ForwardedTime();
+
+        private Far() {
+            tick();
+        }
+
+        private void tick() {
+            time.running(process.now());
+            process.after(TICK, this::tick);
+        }
+
+        private void take(TransitClock transit, double firstWaited, Letter letter,
+                Consumer<Letter> answer) {
+            if (letter instanceof Letter.Ping ping) {
+                time.running(process.now());
+                transit.waited(process.now(), ping.sentAt());
+            } else if (letter instanceof Letter.Parcel parcel) {
+                int left = time.left(process.now(), transit, parcel);
+                requests.get(parcel.headers().get(1)).comparable = firstWaited < LATE_MOST;
+                if (bug == Bug.COUNTS_FROM_ARRIVAL) {
+                    run(parcel, answer);
+                } else if (left > 0) {
+                    run(parcel.withLeft(left), answer);
+                } else {
+                    count("requests whose time was up when they arrived");
+                    answer.accept(new Letter.Returned(parcel.stream(), Letter.Why.UNREACHED, 0, 0));
+                }
+            }
+        }
 
-        private void take(Letter letter, Consumer<Letter> answer) {
-            Letter.Parcel parcel = (Letter.Parcel) letter;
+        private void run(Letter.Parcel parcel, Consumer<Letter> answer) {
             if (random.nextInt(15) == 0) {
                 answer.accept(new Letter.Returned(parcel.stream(), Letter.Why.FULL, 0, 0));
                 return;
@@ -315,6 +393,8 @@
 
         private void restart() {
             process.restart();
+            time = new ForwardedTime();
+            tick();
             endpoint.reset();
             line = new EndpointLine(process, endpoint::connect);
         }
--- a/src/main/java/cobaltrack/standin/post/hardening/RelayProcess.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayProcess.java
@@ -13,19 +13,26 @@
 final class RelayProcess implements Timers, Executor {
     private final Calendar calendar;
     private final SplittableRandom random;
+    private final double clockBegan;
     private final ArrayDeque<Runnable> arrived = new ArrayDeque<>();
     private final ArrayDeque<Runnable> due = new ArrayDeque<>();
     private double frozenUntil;
     private int life;
 
-    RelayProcess(Calendar calendar, SplittableRandom random) {
+    /**
+     * A process.
+     *
+     * @param clockBegan what its own steady clock showed when the schedule began
+     */
+    RelayProcess(Calendar calendar, SplittableRandom random, double clockBegan) {
         this.calendar = calendar;
         this.random = random;
+        this.clockBegan = clockBegan;
     }
 
     @Override
     public double now() {
-        return calendar.now();
+        return calendar.now() + clockBegan;
     }
 
     @Override
--- a/src/test/java/cobaltrack/post/LettersTest.java
+++ b/src/test/java/cobaltrack/post/LettersTest.java
@@ -30,8 +30,8 @@
         return List.of(new Letter.Hello("n", true),
                 new Letter.Post(List.of(new Listing("n", 1, 2, "z", "i", "s", Listing.Phase.DRAINING, 6, 5))),
                 new Letter.Ask(-1), new Letter.Notice(8), new Letter.Fetch(), new Letter.News(DECISION, true),
-                new Letter.Ping(1), new Letter.Pong(1, "10.0.0.1#0", 7), new Letter.Seek(),
-                new Letter.Offices(List.of("10.0.0.1")),
+                new Letter.Ping(1), new Letter.Ping(1, -5), new Letter.Pong(1, "10.0.0.1#0", 7),
+                new Letter.Seek(), new Letter.Offices(List.of("10.0.0.1")),
                 new Letter.Paper(new Message.Prepare(8, BALLOT)),
                 new Letter.Paper(new Message.Promise(8, BALLOT, null)),
                 new Letter.Paper(new Message.Promise(8, BALLOT, new Message.Vote(BALLOT, DECISION))),
@@ -54,6 +54,10 @@
                 "A", "b"), new byte[] {9}, 100, "s", "i", 2)));
         assertEquals(p.headers(), List.of("A", "b"));
         assertTrue(Arrays.equals(p.body(), new byte[] {9}));
+        assertEquals(p.sentAt(), Letter.UNSTAMPED);
+        Letter.Parcel stamped = (Letter.Parcel) Letters.read(Letters.write(new Letter.Parcel(1, "GET", "/a",
+                List.of(), new byte[0], 100, "s", "i", 2, Long.MAX_VALUE)));
+        assertEquals(stamped.sentAt(), Long.MAX_VALUE);
         Letter.Delivered d = (Letter.Delivered) Letters.read(Letters.write(new Letter.Delivered(1, 200,
                 List.of("A", "b"), new byte[] {9}, 0.5, 2)));
         assertEquals(d.status(), 200);
--- a/src/test/java/cobaltrack/post/OrderOutcomesTest.java
+++ b/src/test/java/cobaltrack/post/OrderOutcomesTest.java
@@ -16,10 +16,10 @@
 import org.testng.annotations.Test;
 
 /**
- * One table of what an operator's order comes to, walked at every office: at those that took the orders before,
- * after a restart of each, and without a quorum. The first column of statuses is what the users' pages allow
- * while a quorum is in contact, the second without one. All offices that are asked in one state have to give
- * the same status.
+ * One table of what an operator's order comes to, walked at every office: at those that took the orders
+ * before, after a restart of each, and without a quorum. The first column of statuses is what the users'
+ * pages allow while a quorum is in contact, the second without one. All offices that are asked in one state
+ * have to give the same status.
  */
 public class OrderOutcomesTest {
     private static final int OFFICES = 3;
@@ -148,7 +148,8 @@
             for (int office = 0; office < OFFICES; office++) {
                 int status = ask(office, row.call);
                 statuses.add(status);
-                assertTrue(row.withQuorum.contains(status), state + ", " + row + " at " + office + ": " + status);
+                assertTrue(row.withQuorum.contains(status),
+                        state + ", " + row + " at " + office + ": " + status);
             }
             assertEquals(statuses.size(), 1, state + ", " + row + ": " + statuses);
         }
@@ -165,7 +166,7 @@
         walk("after a restart of each");
         Call next = other(CURRENT + 1, CURRENT);
         for (int office = 0; office < OFFICES; office++) {
-            assertEquals(ask(office, next), 200, "a valid order on the newest, then its repeats, at " + office);
+            assertEquals(ask(office, next), 200, "a valid order, then its repeats, at " + office);
         }
         Call late = order(CURRENT + 1, CURRENT);
         for (int office = 0; office < OFFICES; office++) {
--- a/src/test/java/cobaltrack/post/carrier/RoundSocketTest.java
+++ b/src/test/java/cobaltrack/post/carrier/RoundSocketTest.java
@@ -1,7 +1,9 @@
 package cobaltrack.post.carrier;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
 
 import cobaltrack.post.wire.Letter;
 import cobaltrack.post.wire.Letters;
@@ -150,6 +152,20 @@
         }
     }
 
+    @Test
+    public void aStampedPingComesAheadOfTheFirstRequestAndByItsClock() throws Exception {
+        send("a");
+        try (Peer peer = new Peer(server)) {
+            DataInputStream in = new DataInputStream(peer.socket.getInputStream());
+            assertEquals(Letters.read(in.readNBytes(in.readInt())), new Letter.Hello("here", false));
+            Letter.Ping ping = (Letter.Ping) Letters.read(in.readNBytes(in.readInt()));
+            Letter.Parcel a = (Letter.Parcel) Letters.read(in.readNBytes(in.readInt()));
+            assertNotEquals(ping.sentAt(), Letter.UNSTAMPED);
+            long apart = a.sentAt() - ping.sentAt();
+            assertTrue(apart >= 0 && apart < WAIT_MS * 1000L, "by one clock: " + apart);
+        }
+    }
+
     @Test
     public void answersInAnyOrderFindTheirCallers() throws Exception {
         send("a");
