--- a/src/test/java/cobaltrack/post/LocalMesh.java
+++ b/src/test/java/cobaltrack/post/LocalMesh.java
@@ -155,6 +155,12 @@
         MeshRig.await("it serves", () -> ask("GET /a/x").status() == 200);
     }
 
+    /** The office and the other sidecar are lost, with its endpoint. */
+    void loseAllOthers() throws Exception {
+        app.close();
+        otherLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
     /** SIGTERM, and the end of the process: the future ends once it has ended. */
     CompletableFuture<Void> stop() {
         return CompletableFuture.runAsync(() -> {
