--- a/src/main/java/cobaltrack/post/ballot/FailureDetector.java
+++ b/src/main/java/cobaltrack/post/ballot/FailureDetector.java
@@ -5,11 +5,11 @@
 import java.util.function.LongSupplier;
 
 /**
- * Decides which voters have failed: the only place that says who is silent and who may lose its vote for it. A
- * voter is silent once it has answered no question of this office for a time in which this office itself was
- * running. It has failed once a majority of the voters says so too ({@link SuspicionTracker}): silence for one
- * observer may be a cut between these two. Not safe for several threads; times in milliseconds on this
- * office's steady clock.
+ * Decides which voters have failed: the only place that says who is silent and who may lose its vote for
+ * it. A voter is silent once it has answered no question of this office for a time in which this office
+ * itself was running. It has failed once a majority of the voters says so too ({@link SuspicionTracker}):
+ * silence for one observer may be a cut between these two. Not safe for several threads; times in
+ * milliseconds on this office's steady clock.
  */
 final class FailureDetector {
     /** A voter that has answered nothing for so many milliseconds may lose its vote. */
--- a/src/main/java/cobaltrack/post/ballot/SuspicionTracker.java
+++ b/src/main/java/cobaltrack/post/ballot/SuspicionTracker.java
@@ -10,9 +10,9 @@
 import java.util.function.Predicate;
 
 /**
- * Gathers second opinions on voters that have been silent for this observer. A silent voter is removable only
- * once a majority of all voters, this observer among them, says that it had no answer from the suspect for the
- * silence time either. A voter that still answers one of them refutes the suspicion for a while.
+ * Gathers second opinions on voters that have been silent for this observer. A silent voter is removable
+ * only once a majority of all voters, this observer among them, says that it had no answer from the suspect
+ * for the silence time either. A voter that still answers one of them refutes the suspicion for a while.
  *
  * <p>A voter in contact with a quorum can't be removed: that quorum and the majority which would have to be
  * silent about it share a voter. And wherever a decision is possible at all a quorum is up to confirm. Pure;
@@ -77,7 +77,7 @@
         return new Question(nonce, open);
     }
 
-    /** A voter answered a question; an answer to one that was not asked, or too long ago, counts for nothing. */
+    /** A voter answered; what answers no question, or one asked too long ago, counts for nothing. */
     void answered(double now, String voter, long nonce, List<Message.Opinion> opinions) {
         Double sentAt = questions.get(nonce);
         if (sentAt == null || now - sentAt >= OPINION_VALID || !voters.contains(voter)) {
