--- a/src/main/java/cobaltrack/post/ballot/Membership.java
+++ b/src/main/java/cobaltrack/post/ballot/Membership.java
@@ -90,9 +90,8 @@
         return removal(now, decided);
     }
 
-    // One at the same address has lost its disk, and with it its vote, and one that leaves says so itself:
-    // neither needs a second opinion. A vote beside one that may be dead would leave no room for the next
-    // loss.
+    // One at the same address has lost its disk, and with it its vote: that needs no second opinion, nor does
+    // one's own leaving. A vote beside one that may be dead would leave no room for the next loss.
     private VoterChange voteFor(double now, Decision decided, String learner) {
         String replaced = decided.electors().stream()
                 .filter(each -> address(each).equals(address(learner))).findFirst()
--- a/src/main/java/cobaltrack/post/ballot/SuspicionTracker.java
+++ b/src/main/java/cobaltrack/post/ballot/SuspicionTracker.java
@@ -77,7 +77,7 @@
         return new Question(nonce, open);
     }
 
-    /** A voter answered a question; one that was not asked, or too long ago, counts for nothing. */
+    /** A voter answered; what answers no question, or one asked too long ago, counts for nothing. */
     void answered(double now, String voter, long nonce, List<Message.Opinion> opinions) {
         Double sentAt = questions.get(nonce);
         if (sentAt == null || now - sentAt >= OPINION_VALID || !voters.contains(voter)) {
