--- a/src/test/java/cobaltrack/post/AtMostOnceTest.java
+++ b/src/test/java/cobaltrack/post/AtMostOnceTest.java
@@ -39,6 +39,11 @@
     private static final double QUIET_MS = 500;
     /** Endpoints to which a request of the other routes may be sent. */
     private static final int TRIES = 2;
+    /** How long a request by the route {@code /once/} may last, and how far from that its answer may come. */
+    private static final double ROUTE_MS = 2000;
+    private static final double LATE_MS = 500;
+    /** A silent tie between carriers is given up after so long. */
+    private static final int TIE_GIVEN_UP_MS = 5000;
     private RelayedRig rig;
     private StandInApp far;
     private StandInApp near;
@@ -117,6 +122,19 @@
         RelayedRig.await("both serve again", START_MS, () -> served(0) && served(1));
     }
 
+    @Test
+    public void aRequestThatOutlastsItsRouteIsAnsweredInTime() throws Exception {
+        for (int carrier = 0; carrier < 2; carrier++) {
+            double began = RelayedRig.now();
+            Talk.Message m = send(carrier, "GET /once" + StandInApp.SLOW, 8000).get();
+            double took = RelayedRig.now() - began;
+            System.out.printf("at carrier %d, route of %.0f ms: answered %d after %.0f ms%n", carrier,
+                    ROUTE_MS, m.status(), took);
+            says(m, 504);
+            assertTrue(took > ROUTE_MS - LATE_MS && took < ROUTE_MS + LATE_MS, "after " + took + " ms");
+        }
+    }
+
     @Test
     public void anEndpointThatResetsRanItOnceAndNobodySaysOtherwise() throws Exception {
         for (int carrier = 0; carrier < 2; carrier++) {
@@ -133,7 +151,8 @@
         }
     }
 
-    @Test
+    // It lets slow requests end, so it comes after the one that must not.
+    @Test(dependsOnMethods = "aRequestThatOutlastsItsRouteIsAnsweredInTime", alwaysRun = true)
     public void aTieResetWithARequestUnderWay() throws Exception {
         Sent s = send(0, "POST /b/slow", 10_000);
         RelayedRig.await("it runs", START_MS, () -> far.runs(s.id()) == 1);
@@ -175,6 +194,8 @@
                 assertTrue(answered < deadline + 500, "answered after " + answered);
                 if (way == Relay.Way.BACK) {
                     assertEquals(before, 1, "it is the answer that was held");
+                } else if (deadline < TIE_GIVEN_UP_MS) {
+                    assertEquals(after, 0, "its time was up when it was let go");
                 }
                 for (int i = 0; i < 20; i++) {
                     Sent next = send(0, "POST /b/x", 2000);
