--- a/src/test/java/cobaltrack/post/HangupTest.java
+++ b/src/test/java/cobaltrack/post/HangupTest.java
@@ -25,8 +25,10 @@
     @Test
     public void whatIsUnderWayIsAnsweredAndTheSidecarStaysReady() throws Exception {
         try (MeshRig mesh = new MeshRig(1)) {
-            String configuration = Walk.tariff("00000001", "svc").replace("\"DeadlineS\":2", "\"DeadlineS\":20");
-            MeshRig.await("a configuration is taken", () -> mesh.replace(0, "0", configuration).status() == 200);
+            String configuration = Walk.tariff("00000001", "svc").replace("\"DeadlineS\":2",
+                    "\"DeadlineS\":20");
+            MeshRig.await("a configuration is taken", () -> mesh.replace(0, "0", configuration).status()
+                    == 200);
             MeshRig.await("the sidecar is ready", () -> mesh.ready(0));
             MeshRig.await("it serves", () -> mesh.get(0, "/a/x").status() == 200);
             StandInApp app = mesh.apps.get(0);
