--- a/src/main/java/cobaltrack/post/carrier/Round.java
+++ b/src/main/java/cobaltrack/post/carrier/Round.java
@@ -30,6 +30,7 @@
  */
 public final class Round {
     private static final Tie.Pace PACE = new Tie.Pace(250, 700, 5000, 250);
+    private static final double MICROS = 1000;
 
     /** Takes requests for the endpoint beside this sidecar. */
     public interface Local {
@@ -74,6 +75,9 @@
 
         /** Whether something is waited for. */
         boolean waits();
+
+        /** The present time for what is written now, in microseconds of a steady clock. */
+        long stamp();
     }
 
     private final Timers timers;
@@ -160,6 +164,11 @@
         public boolean waits() {
             return ear.waits();
         }
+
+        @Override
+        public long stamp() {
+            return ear.stamp();
+        }
     }
 
     /** One request's way out. */
@@ -260,7 +269,7 @@
             }
             double left = w.until - timers.now();
             o.written = left >= 1;
-            if (!o.written || !path.send(numbered(stream, w.parcel, (int) Math.round(left)))) {
+            if (!o.written || !path.send(numbered(stream, w.parcel, (int) Math.round(left), stamp()))) {
                 o.written = false;
                 out.remove(stream);
                 o.end(new Letter.Returned(stream, Letter.Why.UNREACHED, 0, 0));
@@ -272,6 +281,11 @@
             return !out.isEmpty();
         }
 
+        @Override
+        public long stamp() {
+            return (long) (timers.now() * MICROS);
+        }
+
         @Override
         public void letter(Letter letter) {
             long stream = letter instanceof Letter.Delivered d ? d.stream()
@@ -336,7 +350,7 @@
         if (node.equals(self)) {
             o.written = true;
             o.tellCancelled = () -> local.cancel(cancel);
-            local.deliver(numbered(stream, draft, draft.leftMs()), o::end);
+            local.deliver(numbered(stream, draft, draft.leftMs(), Letter.UNSTAMPED), o::end);
             return o;
         }
         Way way = way(node);
@@ -346,7 +360,8 @@
             way.waiting.remove(stream);
         };
         o.tellCancelled = () -> way.path.send(cancel);
-        Waiting w = new Waiting(numbered(stream, draft, draft.leftMs()), timers.now() + draft.leftMs());
+        Waiting w = new Waiting(numbered(stream, draft, draft.leftMs(), Letter.UNSTAMPED),
+                timers.now() + draft.leftMs());
         if (way.path.state() == Tie.State.UP) {
             way.write(w);
         } else if (way.path.state() == Tie.State.SUSPECT) {
@@ -358,9 +373,9 @@
         return o;
     }
 
-    private static Letter.Parcel numbered(long stream, Letter.Parcel p, int leftMs) {
+    private static Letter.Parcel numbered(long stream, Letter.Parcel p, int leftMs, long sentAt) {
         return new Letter.Parcel(stream, p.method(), p.uri(), p.headers(), p.body(), leftMs, p.target(),
-                p.endpoint(), p.rank());
+                p.endpoint(), p.rank(), sentAt);
     }
 
     /** What the module is told of a letter. */
--- a/src/main/java/cobaltrack/post/wire/Link.java
+++ b/src/main/java/cobaltrack/post/wire/Link.java
@@ -34,6 +34,7 @@
     }
 
     private final Channel channel;
+    private final TransitClock transit = new TransitClock();
     private String peer;
     /** What both sides speak; the least until the other side has said more. */
     private int version = ProtocolVersion.UNVERSIONED;
@@ -73,6 +74,11 @@
         return channel.isWritable();
     }
 
+    /** How long what comes by it waited on the way. */
+    public TransitClock transit() {
+        return transit;
+    }
+
     /** Who the other side said that it is; null before that. */
     public String peer() {
         return peer;
