--- a/src/main/java/cobaltrack/post/wire/Letter.java
+++ b/src/main/java/cobaltrack/post/wire/Letter.java
@@ -11,8 +11,19 @@
     /** In place of a time of sending: the sender tells none. */
     long UNSTAMPED = Long.MIN_VALUE;
 
-    /** The first on every link: who it is, and whether an office. */
-    record Hello(String id, boolean office) implements Letter { }
+    /**
+     * The first on every link: who it is, and whether an office. Whoever is greeted by one that names its
+     * versions greets back.
+     */
+    record Hello(String id, boolean office, ProtocolVersion versions) implements Letter {
+        /** This program's greeting. */
+        public Hello(String id, boolean office) {
+            this(id, office, ProtocolVersion.OURS);
+        }
+    }
+
+    /** A letter of a later version, of which only the name of its kind is known. It is never written. */
+    record Unknown(String kind) implements Letter { }
 
     /** Listings, one's own or passed on. */
     record Post(List<Listing> listings) implements Letter { }
@@ -89,6 +100,15 @@
         }
     }
 
+    /**
+     * The client of a request that was sent on this link has left: if it is not yet at the endpoint, it never
+     * goes there.
+     *
+     * @param stream the request's
+     * @param whileRunning whether it is also to be ended where the endpoint is at work on it
+     */
+    record Cancel(long stream, boolean whileRunning) implements Letter { }
+
     /** The endpoint's answer, whole, and how busy it is. */
     record Delivered(long stream, int status, List<String> headers, byte[] body, double util,
             double perSecond) implements Letter { }
--- a/src/main/java/cobaltrack/standin/post/hardening/RelayPath.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPath.java
@@ -39,6 +39,7 @@
     private final RelayProcess near;
     private final RelayProcess far;
     private final Round.Ear ear;
+    /** Answers by a consumer, of which each connection has its own. */
     private final FarEnd farEnd;
     /** Hears of what was written. */
     private final Consumer<Letter> wrote;
@@ -68,6 +69,8 @@
         private double heldUntil;
         private boolean nearOpen = true;
         private boolean farOpen = true;
+        /** One for all that comes by this connection, so that the far end can tell it from others. */
+        private final Consumer<Letter> answers = this::answer;
 
         private void toFar(Runnable task) {
             farAt = Math.max(Math.max(farAt, heldUntil), calendar.now() + 0.2 + random.nextInt(3));
@@ -84,7 +87,7 @@
             toFar(() -> {
                 if (farOpen) {
                     firstWaited = Double.isNaN(firstWaited) ? calendar.now() - sentAt : firstWaited;
-                    farEnd.take(transit, firstWaited, read(written), this::answer);
+                    farEnd.take(transit, firstWaited, read(written), answers);
                 }
             });
         }
--- a/src/test/java/cobaltrack/post/Councils.java
+++ b/src/test/java/cobaltrack/post/Councils.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 /** Real councils that hear and answer each other at once, but for those that a test cuts off. */
@@ -22,12 +23,16 @@
 
     final List<Council.Verdict> verdicts = new ArrayList<>();
     final Map<String, Council> all = new LinkedHashMap<>();
+    /** By slot, what any of them has learned. */
+    final TreeMap<Long, Decision> decisions = new TreeMap<>();
     /** Messages that are lost. */
     Predicate<Message> lost = message -> false;
     /** Offices that no packet reaches or leaves. */
     final Set<String> cutOff = new HashSet<>();
     /** Offices whose packets arrive, and that nothing reaches. */
     final Set<String> deaf = new HashSet<>();
+    /** Offices that can't reach each other, by {@link #pair}, whatever else they reach. */
+    final Set<Set<String>> cutPairs = new HashSet<>();
     double now;
     private final ArrayDeque<Runnable> mail = new ArrayDeque<>();
     private final Map<String, Boolean> stalled = new HashMap<>();
@@ -48,6 +53,11 @@
         return council;
     }
 
+    /** Two offices, in either order. */
+    static Set<String> pair(String one, String other) {
+        return new HashSet<>(List.of(one, other));
+    }
+
     /** What this one writes to its disk is not there until it is let. */
     void stall(String id) {
         stalled.put(id, true);
@@ -64,7 +74,7 @@
         public void send(String to, Message message) {
             all.forEach((name, c) -> {
                 boolean open = name.equals(id) || !cutOff.contains(id) && !cutOff.contains(name)
-                        && !deaf.contains(name);
+                        && !deaf.contains(name) && !cutPairs.contains(pair(id, name));
                 if ((to == null && !name.equals(id) || name.equals(to)) && open && !lost.test(message)) {
                     mail.add(() -> c.received(now, id, message));
                 }
@@ -90,6 +100,7 @@
 
         @Override
         public void decided(Decision decision) {
+            decisions.put(decision.slot(), decision);
             mail.add(() -> {
                 if (!stalled.containsKey(id) && all.containsKey(id)) {
                     all.get(id).stored(now, decision.slot());
@@ -109,7 +120,8 @@
     void pass(double millis) {
         for (double end = now + millis; now < end; now += TICK) {
             all.forEach((id, c) -> all.forEach((other, o) -> {
-                boolean way = !cutOff.contains(id) && !cutOff.contains(other);
+                boolean way = !cutOff.contains(id) && !cutOff.contains(other)
+                        && !cutPairs.contains(pair(id, other));
                 if (way && !deaf.contains(id) && !deaf.contains(other)) {
                     c.echoed(now, other, o.storedSlot());
                 }
