--- a/src/test/java/cobaltrack/post/AtMostOnceTest.java
+++ b/src/test/java/cobaltrack/post/AtMostOnceTest.java
@@ -39,6 +39,11 @@
     private static final double QUIET_MS = 500;
     /** Endpoints to which a request of the other routes may be sent. */
     private static final int TRIES = 2;
+    /** How long a request by the route {@code /once/} may last, and how far from that its answer may come. */
+    private static final double ROUTE_MS = 2000;
+    private static final double LATE_MS = 500;
+    /** A silent tie between carriers is given up after so long. */
+    private static final int TIE_GIVEN_UP_MS = 5000;
     private RelayedRig rig;
     private StandInApp far;
     private StandInApp near;
@@ -165,6 +170,10 @@
                 Talk.Message m = s.get();
                 double answered = RelayedRig.now() - began;
                 long before = far.runs(s.id());
+                if (deadline < TIE_GIVEN_UP_MS) {
+                    double sentAt = began;
+                    RelayedRig.await("its time is up", deadline, () -> RelayedRig.now() - sentAt > deadline);
+                }
                 rig.relay("c0", "c1").set(Mode.OPEN);
                 mends();
                 long after = far.runs(s.id());
@@ -175,6 +184,8 @@
                 assertTrue(answered < deadline + 500, "answered after " + answered);
                 if (way == Relay.Way.BACK) {
                     assertEquals(before, 1, "it is the answer that was held");
+                } else if (deadline < TIE_GIVEN_UP_MS) {
+                    assertEquals(after, 0, "its time was up when it was let go");
                 }
                 for (int i = 0; i < 20; i++) {
                     Sent next = send(0, "POST /b/x", 2000);
@@ -234,6 +245,32 @@
         judge(ends);
     }
 
+    // Last, for its time-outs may have requests of others refused for a while.
+    @Test(dependsOnMethods = "aStormOfResetsCutsHoldsAndAKill", alwaysRun = true)
+    public void aRequestThatOutlastsItsRouteIsAnsweredInTime() throws Exception {
+        for (int carrier = 0; carrier < 2; carrier++) {
+            int at = carrier;
+            RelayedRig.await("one is not refused", START_MS, () -> outlastsItsRoute(at));
+        }
+    }
+
+    // False where it was refused at once and has not run; it is then sent again.
+    private boolean outlastsItsRoute(int carrier) throws Exception {
+        double began = RelayedRig.now();
+        Sent s = send(carrier, "GET /once" + StandInApp.ENDLESS, 8000);
+        Talk.Message m = s.get();
+        double took = RelayedRig.now() - began;
+        if (m.status() == 503) {
+            assertEquals(far.runs(s.id()) + near.runs(s.id()), 0);
+            return false;
+        }
+        System.out.printf("at carrier %d, route of %.0f ms: answered %d after %.0f ms%n", carrier, ROUTE_MS,
+                m.status(), took);
+        says(m, 504);
+        assertTrue(took > ROUTE_MS - LATE_MS && took < ROUTE_MS + LATE_MS, "after " + took + " ms");
+        return true;
+    }
+
     private void client(int client, double until, ConcurrentLinkedQueue<End> ends) {
         Random random = new Random(SEED * 100 + client);
         while (RelayedRig.now() < until) {
