--- a/src/main/java/cobaltrack/post/carrier/Sidecar.java
+++ b/src/main/java/cobaltrack/post/carrier/Sidecar.java
@@ -61,8 +61,8 @@
     private final Letter.Hello greeting;
     private final Hatch hatch;
     private final EndpointLine line;
-    private final ForwardedTime forwardedTime = new ForwardedTime();
     private final EndpointRequests requests = new EndpointRequests();
+    private final ForwardedTime forwardedTime = new ForwardedTime();
     private final Directory directory = new Directory();
     private final Map<String, Depot> depots = new HashMap<>();
     private final Map<String, Depot> largeDepots = new HashMap<>();
--- a/src/main/java/cobaltrack/standin/post/hardening/RelayPath.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPath.java
@@ -39,7 +39,6 @@
     private final RelayProcess near;
     private final RelayProcess far;
     private final Round.Ear ear;
-    /** Answers by a consumer, of which each connection has its own. */
     private final FarEnd farEnd;
     /** Hears of what was written. */
     private final Consumer<Letter> wrote;
--- a/src/main/java/cobaltrack/standin/post/hardening/RelayPlay.java
+++ b/src/main/java/cobaltrack/standin/post/hardening/RelayPlay.java
@@ -54,8 +54,6 @@
         RESET_NEVER_RAN,
         /** Whatever an endpoint says next is taken for the answer to the request that it was sent last. */
         IGNORES_IDS,
-        /** The far sidecar counts a request's time from its arrival, however long it waited on its way. */
-        COUNTS_FROM_ARRIVAL,
         /** An attempt counts against the route's bound only if an answer came of it. */
         COUNTS_ANSWERED_ONLY,
         /** The sidecar beside an endpoint that resets a repeatable request passes it on to another one. */
@@ -63,7 +61,9 @@
         /** Each attempt is handed the time of the whole request. */
         HANDS_OUT_WHOLE_TIME,
         /** A client that leaves is only forgotten: what waits for its path goes out all the same. */
-        FORGETS_WHO_LEFT
+        FORGETS_WHO_LEFT,
+        /** The far sidecar counts a request's time from its arrival, however long it waited on its way. */
+        COUNTS_FROM_ARRIVAL
     }
 
     /**
@@ -73,12 +73,7 @@
      * @param figures what it counted
      * @param longest the longest of what it timed, in milliseconds
      */
-    public record Outcome(List<String> broken, Map<String, Long> figures, Map<String, Double> longest) {
-        /** One that timed nothing. */
-        public Outcome(List<String> broken, Map<String, Long> figures) {
-            this(broken, figures, Map.of());
-        }
-    }
+    public record Outcome(List<String> broken, Map<String, Long> figures, Map<String, Double> longest) { }
 
     private static final double LENGTH = 6000;
     private static final double CALM = 10_000;
@@ -428,11 +423,11 @@
 
         private void take(TransitClock transit, double firstWaited, Letter letter,
                 Consumer<Letter> answer) {
-            if (letter instanceof Letter.Cancel cancel) {
-                underWay.cancel(answer, cancel);
-            } else if (letter instanceof Letter.Ping ping) {
+            if (letter instanceof Letter.Ping ping) {
                 time.running(process.now());
                 transit.waited(process.now(), ping.sentAt());
+            } else if (letter instanceof Letter.Cancel cancel) {
+                underWay.cancel(answer, cancel);
             } else if (letter instanceof Letter.Parcel parcel) {
                 int left = time.left(process.now(), transit, parcel);
                 requests.get(parcel.headers().get(1)).comparable = firstWaited < LATE_MOST;
--- a/src/test/java/cobaltrack/post/AtMostOnceTest.java
+++ b/src/test/java/cobaltrack/post/AtMostOnceTest.java
@@ -39,6 +39,9 @@
     private static final double QUIET_MS = 500;
     /** Endpoints to which a request of the other routes may be sent. */
     private static final int TRIES = 2;
+    /** How long a request by the route {@code /once/} may last, and how far from that its answer may come. */
+    private static final double ROUTE_MS = 2000;
+    private static final double LATE_MS = 500;
     /** After a request's time, until what held it back ends. */
     private static final double MARGIN_MS = 100;
     /** A silent tie between carriers is given up after so long. */
@@ -245,6 +248,32 @@
         judge(ends);
     }
 
+    // Last, for its time-outs may have requests of others refused for a while.
+    @Test(dependsOnMethods = "aStormOfResetsCutsHoldsAndAKill", alwaysRun = true)
+    public void aRequestThatOutlastsItsRouteIsAnsweredInTime() throws Exception {
+        for (int carrier = 0; carrier < 2; carrier++) {
+            int at = carrier;
+            RelayedRig.await("one is not refused", START_MS, () -> outlastsItsRoute(at));
+        }
+    }
+
+    // False where it was refused at once and has not run; it is then sent again.
+    private boolean outlastsItsRoute(int carrier) throws Exception {
+        double began = RelayedRig.now();
+        Sent s = send(carrier, "GET /once" + StandInApp.ENDLESS, 8000);
+        Talk.Message m = s.get();
+        double took = RelayedRig.now() - began;
+        if (m.status() == 503) {
+            assertEquals(far.runs(s.id()) + near.runs(s.id()), 0);
+            return false;
+        }
+        System.out.printf("at carrier %d, route of %.0f ms: answered %d after %.0f ms%n", carrier, ROUTE_MS,
+                m.status(), took);
+        says(m, 504);
+        assertTrue(took > ROUTE_MS - LATE_MS && took < ROUTE_MS + LATE_MS, "after " + took + " ms");
+        return true;
+    }
+
     private void client(int client, double until, ConcurrentLinkedQueue<End> ends) {
         Random random = new Random(SEED * 100 + client);
         while (RelayedRig.now() < until) {
