--- /dev/null
+++ b/src/test/java/whinlead/mesh/quota/QuotaScenario.java
@@ -0,0 +1,181 @@
+package whinlead.mesh.quota;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * What happens to one tenant and to the processes that hold its limit, in milliseconds from the start. Drawn from a
+ * seed, or written out.
+ *
+ * @param limitPerS the tenant's limit
+ * @param usualPerS what it asks for in calm times
+ * @param surges when it asks for more
+ * @param weights the part of its requests that begins at each sidecar; they add up to 1
+ * @param cuts when sidecars and control nodes can't reach each other
+ * @param restarts of processes
+ * @param maxDelayMs the longest way of a message
+ * @param lossShare of messages, how many a broken connection loses
+ */
+record QuotaScenario(
+        long seed,
+        int sidecars,
+        int controlNodes,
+        double limitPerS,
+        double burst,
+        double usualPerS,
+        List<Surge> surges,
+        double[] weights,
+        List<Cut> cuts,
+        List<Restart> restarts,
+        int maxDelayMs,
+        double lossShare,
+        int lengthMs) {
+    static final double WINDOW_S = 5;
+    static final double EXCESS = 0.1;
+    static final double SLACK = 20;
+    /** A tenant's limit is this many times what it usually asks for. */
+    static final double LIMIT_OF_USUAL = 1.6;
+
+    /** For a time, the tenant asks for so many times its usual. */
+    record Surge(int fromMs, int toMs, double factor) {}
+
+    /** For a time, this sidecar can't reach this control node; -1 stands for all of them. */
+    record Cut(int sidecar, int controlNode, int fromMs, int toMs) {
+        boolean separates(int aSidecar, int aControlNode, int ms) {
+            return ms >= fromMs
+                    && ms < toMs
+                    && (sidecar < 0 || sidecar == aSidecar)
+                    && (controlNode < 0 || controlNode == aControlNode);
+        }
+    }
+
+    /** A process is down for a time and starts anew, with its disk or without. */
+    record Restart(boolean isControlNode, int index, int fromMs, int toMs, boolean keepsDisk) {}
+
+    /** The most requests that the users' rule allows in any window. */
+    double allowed() {
+        return (limitPerS * WINDOW_S + burst) * (1 + EXCESS) + SLACK;
+    }
+
+    boolean reaches(int sidecar, int controlNode, int ms) {
+        return cuts.stream().noneMatch(cut -> cut.separates(sidecar, controlNode, ms));
+    }
+
+    double demandPerS(int ms) {
+        double factor = 1;
+        for (Surge surge : surges) {
+            if (ms >= surge.fromMs() && ms < surge.toMs()) {
+                factor *= surge.factor();
+            }
+        }
+        return usualPerS * factor;
+    }
+
+    /** The day of incident inc1: three of nine sidecars are cut off, then the tenant asks for 7.5 times its usual. */
+    static QuotaScenario ofIncident(long seed, boolean cut, boolean surge) {
+        List<Cut> cuts = new ArrayList<>();
+        for (int sidecar : cut ? new int[] {1, 6, 8} : new int[0]) {
+            cuts.add(new Cut(sidecar, -1, 11_200, 16_700));
+        }
+        double[] weights = new double[9];
+        java.util.Arrays.fill(weights, 1.0 / weights.length);
+        return new QuotaScenario(
+                seed,
+                9,
+                3,
+                35,
+                35,
+                35 / LIMIT_OF_USUAL,
+                surge ? List.of(new Surge(13_000, 19_500, 7.5)) : List.of(),
+                weights,
+                cuts,
+                List.of(),
+                3,
+                0,
+                26_000);
+    }
+
+    /** Any day: sizes, demand, cuts, restarts and delays are drawn. */
+    static QuotaScenario draw(long seed) {
+        Random random = new Random(seed);
+        int sidecars = 2 + random.nextInt(random.nextInt(4) == 0 ? 70 : 14);
+        int controlNodes = random.nextBoolean() ? 3 : 5;
+        double[] limits = {1, 3, 8, 20, 35, 90, 130, 300};
+        double limitPerS = limits[random.nextInt(limits.length)];
+        int lengthMs = 30_000;
+        List<Surge> surges = new ArrayList<>();
+        for (int i = random.nextInt(4); i > 0; i--) {
+            int fromMs = random.nextInt(lengthMs);
+            surges.add(new Surge(
+                    fromMs,
+                    fromMs + random.nextInt(8000),
+                    random.nextInt(4) == 0 ? 0.05 : 1 + random.nextDouble() * 20));
+        }
+        return new QuotaScenario(
+                seed,
+                sidecars,
+                controlNodes,
+                limitPerS,
+                random.nextInt(4) == 0 ? 0 : limitPerS,
+                limitPerS / LIMIT_OF_USUAL * (0.2 + random.nextDouble() * 1.5),
+                surges,
+                weights(random, sidecars),
+                cuts(random, sidecars, controlNodes, lengthMs),
+                restarts(random, sidecars, controlNodes, lengthMs),
+                1 + random.nextInt(random.nextBoolean() ? 5 : 400),
+                random.nextInt(3) == 0 ? random.nextDouble() * 0.2 : 0,
+                lengthMs);
+    }
+
+    private static double[] weights(Random random, int sidecars) {
+        double[] weights = new double[sidecars];
+        double sum = 0;
+        boolean even = random.nextBoolean();
+        for (int i = 0; i < sidecars; i++) {
+            weights[i] = even ? 1 : Math.pow(random.nextDouble(), 4) + 1e-3;
+            sum += weights[i];
+        }
+        for (int i = 0; i < sidecars; i++) {
+            weights[i] /= sum;
+        }
+        return weights;
+    }
+
+    private static List<Cut> cuts(Random random, int sidecars, int controlNodes, int lengthMs) {
+        List<Cut> cuts = new ArrayList<>();
+        for (int i = random.nextInt(5); i > 0; i--) {
+            int fromMs = random.nextInt(lengthMs);
+            int toMs = fromMs + random.nextInt(12_000);
+            boolean whole = random.nextBoolean();
+            int controlNode = whole ? -1 : random.nextInt(controlNodes);
+            // A part of the sidecars at once.
+            double share = random.nextDouble();
+            for (int sidecar = 0; sidecar < sidecars; sidecar++) {
+                if (random.nextDouble() < share) {
+                    cuts.add(new Cut(sidecar, controlNode, fromMs, toMs));
+                }
+            }
+        }
+        return cuts;
+    }
+
+    private static List<Restart> restarts(Random random, int sidecars, int controlNodes, int lengthMs) {
+        List<Restart> restarts = new ArrayList<>();
+        for (int i = random.nextInt(5); i > 0; i--) {
+            int fromMs = random.nextInt(lengthMs);
+            int toMs = fromMs + 200 + random.nextInt(4000);
+            boolean all = random.nextInt(4) == 0;
+            boolean controlNode = random.nextBoolean();
+            boolean keepsDisk = random.nextInt(3) != 0;
+            int count = controlNode ? controlNodes : sidecars;
+            int only = random.nextInt(count);
+            for (int index = 0; index < count; index++) {
+                if (all || index == only) {
+                    restarts.add(new Restart(controlNode, index, fromMs, toMs, keepsDisk));
+                }
+            }
+        }
+        return restarts;
+    }
+}
