Lease tenants' limits to sidecars, and give out single tokens of the rest

Each voter now grants an equal part of all limits (GrantAuthority), leases it for 6 s by demand (QuotaGrantor) and counts each lease until it has surely ended; a sidecar's buckets fill by the leases in force alone (TenantQuota). What is not leased goes out by single tokens (TokenSearch). Who may hold a lease is on disk before it gets one (LesseeStore), so a process that starts leases nothing anew until those have told what they hold. Rate x window + depth of all shares is what the rule allows, less two requests.

DemandReports and its test go: sidecars report to all control nodes by LeaseSchedule. ScaleTest names the new message.

--- a/src/main/java/whinlead/mesh/control/ControlNode.java
+++ b/src/main/java/whinlead/mesh/control/ControlNode.java
@@ -9,6 +9,7 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
@@ -21,6 +22,7 @@
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.consensus.Message;
 import whinlead.mesh.log.Event;
+import whinlead.mesh.quota.LeaseTerms;
 import whinlead.mesh.rpc.RpcCall;
 import whinlead.mesh.rpc.RpcResponse;
 import whinlead.mesh.rpc.RpcServer;
@@ -41,7 +43,7 @@
 public final class ControlNode {
     private static final long LEAVE_POLL_MS = 25;
     /** What sidecars begin with is confirmed by a majority that answered what left within this. */
-    private static final double CONFIRMED_MS = 1000;
+    private static final double CONFIRMED_MS = LeaseTerms.CONFIRMED_MS;
     /** How long before the kill a control node that can't leave in order ends all the same, in seconds. */
     private static final double END_S = 0.8;
 
@@ -58,6 +60,7 @@
     private OperatorCalls calls;
     private ControlPeers peers;
     private SidecarChannel sidecars;
+    private QuotaLeases leases;
     private String id;
     private boolean isVoter;
 
@@ -93,7 +96,7 @@
     public void start() throws StateStoreException, InterruptedException {
         String folder = NodeSettings.require(settings.self().dataDir(), "Self.DataDir");
         String control = NodeSettings.require(settings.network().bind().control(), "Network.Bind.Control");
-        assemble(StateStore.open(Path.of(folder)));
+        assemble(Path.of(folder));
         stateWriter.start();
         isVoter = consensus.isVoter();
         Event.STARTED.log("control node " + id + ", slot "
@@ -112,18 +115,33 @@
         Event.READY.log(id);
     }
 
-    private void assemble(StateStore store) throws StateStoreException {
+    private void assemble(Path folder) throws StateStoreException {
+        StateStore store = StateStore.open(folder);
         RestoredState restored = RestoredState.load(store, settings);
         id = restored.id();
         stateWriter = new StateWriter(store, id, loop);
         consensus = new ConsensusNode(id, restored.acceptor(), new SecureRandom().nextLong(), new ConsensusActions());
         calls = new OperatorCalls(loop, ControlNode::nowMs, consensus);
         peers = new ControlPeers(loop, settings, dialAddresses, id, new PeerListener());
-        sidecars = new SidecarChannel(
+        sidecars = new SidecarChannel(ControlNode::nowMs, consensus::decided, this::isConfirmed, peers);
+        leases = new QuotaLeases(
                 ControlNode::nowMs,
-                consensus::decided,
-                () -> consensus.isInContactWithQuorum(nowMs(), CONFIRMED_MS),
-                peers);
+                this::isConfirmed,
+                id,
+                consensus.decided(),
+                folder,
+                Executors.newSingleThreadExecutor(ControlNode::lesseeThread),
+                loop);
+    }
+
+    private static Thread lesseeThread(Runnable task) {
+        Thread thread = new Thread(task, "lessee-writer");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private boolean isConfirmed() {
+        return consensus.isInContactWithQuorum(nowMs(), CONFIRMED_MS);
     }
 
     private void begin() {
@@ -187,6 +205,7 @@
         }
         consensus.tick(nowMs());
         sidecars.sendConfirmed();
+        leases.tick();
     }
 
     private void run(RpcCall call, Consumer<RpcResponse> respond) {
@@ -225,11 +244,13 @@
         @Override
         public void connected(PeerConnection connection) {
             sidecars.opened(connection);
+            leases.opened(connection);
         }
 
         @Override
         public void disconnected(PeerConnection connection) {
             sidecars.closed(connection);
+            leases.closed(connection);
         }
 
         @Override
@@ -255,6 +276,10 @@
                 consensus.received(nowMs(), connection.peer(), consensusMessage.message());
             } else if (message instanceof PeerMessage.DemandReport report) {
                 sidecars.report(connection, report);
+            } else if (message instanceof PeerMessage.QuotaLeaseReport report) {
+                leases.report(connection, report.report());
+            } else if (message instanceof PeerMessage.QuotaTokenRequest request) {
+                leases.take(connection, request.request());
             }
         }
 
@@ -307,6 +332,7 @@
             Event.DECIDED.log("slot " + decision.slot() + " version " + Long.toHexString(decision.version())
                     + " voters " + decision.voters());
             sidecars.announceDecision();
+            leases.decided(decision, consensus.isVoter());
             if (isVoter != consensus.isVoter()) {
                 isVoter = consensus.isVoter();
                 Event.VOTER_STATUS.log(isVoter ? "this control node votes" : "this control node does not vote");
--- a/src/main/java/whinlead/mesh/control/SidecarChannel.java
+++ b/src/main/java/whinlead/mesh/control/SidecarChannel.java
@@ -153,7 +153,7 @@
         peers.broadcast(update);
     }
 
-    /** A sidecar reports its demand; it is sent the sums if it asks for them. */
+    /** A sidecar of an earlier version reports its demand; it is sent the sums if it asks for them. */
     void report(PeerConnection connection, PeerMessage.DemandReport report) {
         demand.report(clockMs.getAsDouble(), connection.peer(), report.uses());
         if (report.wanted()) {
--- a/src/main/java/whinlead/mesh/log/Event.java
+++ b/src/main/java/whinlead/mesh/log/Event.java
@@ -30,7 +30,11 @@
     IN_FORCE(401, Level.INFO, "configuration in force"),
     UNREADABLE(402, Level.WARNING, "configuration can't be read"),
     /** 5xx: decisions. */
-    MODULE(501, Level.INFO, "decisions");
+    MODULE(501, Level.INFO, "decisions"),
+    /** 6xx: tenants' limits. */
+    TENANT_LIMITED(601, Level.INFO, "tenant limited"),
+    LEASES_RECOVERED(602, Level.INFO, "leases of an earlier process known"),
+    LESSEES_NOT_RECORDED(603, Level.WARNING, "disk failed, no leases to further sidecars");
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final int number;
--- a/src/main/java/whinlead/mesh/quota/DemandTotals.java
+++ b/src/main/java/whinlead/mesh/quota/DemandTotals.java
@@ -10,9 +10,9 @@
 import java.util.Set;
 
 /**
- * What all sidecars are asked for, as a control node adds it up from what each said last. Kept as it changes: with many
- * sidecars, adding it up anew for each that asks would be most of a control node's work. Pure; one thread; times in
- * milliseconds.
+ * For sidecars of the version before leases: what they are asked for, as a control node adds it up from what each said
+ * last. Kept as it changes: with many sidecars, adding it up anew for each that asks would be most of a control node's
+ * work. Pure; one thread; times in milliseconds.
  */
 public final class DemandTotals {
     /** What a sidecar said counts for so long. */
--- /dev/null
+++ b/src/main/java/whinlead/mesh/quota/LeaseReport.java
@@ -0,0 +1,19 @@
+package whinlead.mesh.quota;
+
+import java.util.List;
+
+/**
+ * A sidecar asks a control node for a lease, or to renew the one that it has.
+ *
+ * @param sidecarLife tells this process from an earlier one at the same address
+ * @param number counts the reports of one life
+ * @param grantorLife the life of the control node that gave what is held; 0 if nothing is
+ * @param grantNumber the newest grant of that life that is in force
+ * @param needs by tenant
+ */
+public record LeaseReport(long sidecarLife, long number, long grantorLife, long grantNumber, List<QuotaNeed> needs) {
+    /** Copies the list. */
+    public LeaseReport {
+        needs = List.copyOf(needs);
+    }
+}
--- a/src/main/java/whinlead/mesh/quota/TenantQuota.java
+++ b/src/main/java/whinlead/mesh/quota/TenantQuota.java
@@ -1,199 +1,300 @@
 package whinlead.mesh.quota;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.Set;
 
 /**
- * One sidecar's part of each tenant's limit, as a token bucket whose rate and depth follow where the requests are: of a
- * limit R, with D asked for in all and d here, n sidecars, a tenth is shared evenly and the rest as d / D. These add up
- * to R wherever all have the same sums. All buckets together hold the tenant's burst and most of the rules' slack; one
- * is empty at a sidecar's start, for its life before may have spent it.
+ * One sidecar's part of each tenant's limit: a token bucket by the shares that control nodes have leased to it. Where a
+ * bucket has no token, a control node may give one out of what it has not leased. Without leases nothing passes, for
+ * others may have the whole limit by then.
  *
- * <p>Among many sidecars a small tenant's bucket holds less than one request. A request then goes by chance, in
- * proportion to what is held, and is paid for whole. While fresh sums say that all sidecars together are asked for less
- * than the limit, the bucket may be overdrawn by a little, which is paid back before more is taken: what two requests
- * in a row at one sidecar need, and a tenant within its limit may not be refused.
- *
- * <p>Pure, but for draws from its seed; one thread; times in milliseconds.
+ * <p>Leases as in Google's Doorman: capacity leased to clients for a time, counted where it is granted. Pure; one
+ * thread; times in milliseconds.
  */
 public final class TenantQuota {
-    /** Of the rules' slack and excess, what is given out; the rest is for sums that differ. */
-    private static final double SLACK_PART = 0.7;
-
-    private static final double EXCESS_PART = 0.3;
-    /** A sum is fresh for so long. */
-    private static final double TOTALS_FRESH_MS = 2500;
-    /** The time over which what is asked for is averaged. */
-    private static final double DEMAND_AVERAGE_MS = 1500;
     /** Tenants that are counted at most; beyond, the longest unused goes. */
     private static final int MAX_TENANTS = 4096;
-    /** Of the limit, what goes to where the requests are; the rest is for those who have none yet. */
-    private static final double DEMAND_PART = 0.9;
-    /** Old sums still tell where the requests are for so long. */
-    private static final double TOTALS_VALID_MS = 15_000;
-    /** A tenant is calm until it asks for more than its limit and this part of the slack. */
-    private static final double CALM_PART = 0.25;
-    /** What a calm tenant may overdraw its bucket by: so many seconds of the bucket's rate, and at least. */
-    private static final double OVERDRAFT_S = 0.2;
-
-    private static final double MIN_OVERDRAFT = 2;
-    /** All debts of a tenant together: what it may ask for in so many seconds, less the rules' slack. */
-    private static final double MAX_DEBT_S = 9;
-    /** Less than this many requests a second is not worth telling. */
-    private static final double MIN_REPORTED_PER_S = 0.02;
-
-    private static final double MILLIS_IN_SECOND = 1000;
-
-    /** One tenant's tokens, and the demand for them as an average that decays. */
-    private static final class Bucket {
-        private double tokens;
-        private double refilledAt;
-        private double demandPerS;
-        private double demandAt;
+    /** Control nodes whose leases are kept at most. */
+    private static final int MAX_CONTROL_NODES = 32;
+    /** Less demand than this is not worth a lease, in requests a second. */
+    private static final double MIN_DEMAND_PER_S = 0.02;
+    /** Demand that differs by this factor, and by so many requests a second, from what was told is told at once. */
+    private static final double NEWS_FACTOR = 1.5;
 
-        private Bucket(double now, double tokens) {
-            this.tokens = tokens;
-            this.refilledAt = now;
-            this.demandAt = now;
-        }
+    private static final double NEWS_PER_S = 2;
+    /** A tenant is over its limit for sure if it asks for so many times as much. */
+    private static final double OVER_LIMIT = 1.2;
+    /**
+     * After a control node had no token, none is asked for a token of this tenant for so long; doubles up to a most.
+     */
+    private static final double MIN_PAUSE_MS = 20;
 
-        private double demandPerS(double now) {
-            return demandPerS * Math.exp(-(now - demandAt) / DEMAND_AVERAGE_MS);
-        }
+    private static final double MAX_PAUSE_MS = 400;
+    /** What refused requests are told to wait where nothing tells when a token comes. */
+    private static final double DEFAULT_RETRY_MS = 500;
 
-        private void countRequest(double now) {
-            demandPerS = demandPerS(now) + MILLIS_IN_SECOND / DEMAND_AVERAGE_MS;
-            demandAt = now;
-        }
+    /** One tenant at this sidecar. */
+    private static final class Tenant {
+        private final TokenBucket bucket;
+        private final DemandAverage demand;
+        private double toldPerS;
+        private double pauseMs = MIN_PAUSE_MS;
+        private double pausedUntil = Double.NEGATIVE_INFINITY;
 
-        private void refill(double now, double ratePerMs, double capacity) {
-            tokens = Math.min(capacity, tokens + (now - refilledAt) * ratePerMs);
-            refilledAt = now;
+        private Tenant(double now, QuotaAllowance allowance, double share) {
+            this.bucket = new TokenBucket(now, allowance, share);
+            this.demand = new DemandAverage(now);
         }
     }
 
     /** A bounded table. */
-    private static final class Buckets extends LinkedHashMap<String, Bucket> {
+    private static final class Tenants extends LinkedHashMap<String, Tenant> {
         private static final long serialVersionUID = 1L;
 
-        private Buckets() {
+        private Tenants() {
             super(16, 0.75f, true);
         }
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Bucket> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, Tenant> eldest) {
             return size() > MAX_TENANTS;
         }
     }
 
-    private record Part(double own, double total) {}
+    private final QuotaRules rules;
+    private final long life;
+    private final Tenants tenants = new Tenants();
+    private final Map<String, QuotaLease> leases = new LinkedHashMap<>();
+    private long reports;
+    private double evenShare;
+
+    /**
+     * A sidecar's part, without leases.
+     *
+     * @param life tells this process from an earlier one at the same address
+     */
+    public TenantQuota(QuotaRules rules, long life) {
+        this.rules = rules;
+        this.life = life;
+    }
+
+    /** Decides on one request of a tenant with this limit; a limit of 0 is none. */
+    public QuotaDecision acquire(double now, String name, double limitPerS, double burst) {
+        if (limitPerS <= 0) {
+            return new QuotaDecision.Admitted();
+        }
+        expireLeases(now);
+        QuotaAllowance allowance = rules.allowance(limitPerS, burst);
+        Tenant tenant = tenant(now, name, allowance);
+        tenant.demand.countRequest(now);
+        if (tenant.bucket.tryTake(now)) {
+            return new QuotaDecision.Admitted();
+        }
+        if (now < tenant.pausedUntil || isOverLimit(name, limitPerS) && tenant.bucket.share() > 0) {
+            return new QuotaDecision.Refused(retryAfterMs(now, tenant));
+        }
+        return new QuotaDecision.NeedsToken(name, allowance);
+    }
+
+    private Tenant tenant(double now, String name, QuotaAllowance allowance) {
+        Tenant tenant = tenants.get(name);
+        if (tenant == null) {
+            tenant = new Tenant(now, allowance, share(name));
+            tenants.put(name, tenant);
+        } else if (!tenant.bucket.allowance().equals(allowance)) {
+            tenant.bucket.change(now, allowance, tenant.bucket.share());
+        }
+        return tenant;
+    }
+
+    // Then nearly all of the limit is leased, and asking for more would be in vain.
+    private boolean isOverLimit(String name, double limitPerS) {
+        return leases.values().stream()
+                .map(lease -> lease.share(name))
+                .anyMatch(share -> share != null && share.demandPerS() >= limitPerS * OVER_LIMIT);
+    }
+
+    private double retryAfterMs(double now, Tenant tenant) {
+        double nextMs = Math.max(tenant.bucket.untilNextMs(now), tenant.pausedUntil - now);
+        return Double.isFinite(nextMs) ? Math.min(nextMs, rules.windowS() * 1000) : DEFAULT_RETRY_MS;
+    }
 
-    private final double slack;
-    private final double excess;
-    private final double windowS;
-    private final double startedAt;
-    private final SplittableRandom random;
-    private final Buckets buckets = new Buckets();
-    private Map<String, Double> reported = Map.of();
-    private Map<String, Part> parts = Map.of();
-    private int sidecars = 1;
-    private double totalsAt = Double.NEGATIVE_INFINITY;
+    /** A control node gave a token to a request of this tenant. */
+    public void tokenGranted(String name) {
+        Tenant tenant = tenants.get(name);
+        if (tenant != null) {
+            tenant.pauseMs = MIN_PAUSE_MS;
+        }
+    }
 
     /**
-     * Parts by the rules' figures.
+     * No control node had a token, or none answered.
      *
-     * @param slack requests a window
-     * @param excess as a part of the limit
-     * @param seed of its draws
+     * @param waitMs when one may have one
+     * @return what the request is told to wait, in milliseconds
      */
-    public TenantQuota(double now, double slack, double excess, double windowS, long seed) {
-        this.random = new SplittableRandom(seed);
-        this.startedAt = now;
-        this.slack = slack * SLACK_PART;
-        this.excess = excess * EXCESS_PART;
-        this.windowS = windowS;
-    }
-
-    /** The demand at this sidecar, to be reported to the control nodes. */
-    public List<TenantDemand> demand(double now) {
-        List<TenantDemand> demand = new ArrayList<>();
-        Map<String, Double> byTenant = new HashMap<>();
-        buckets.forEach((tenant, bucket) -> {
-            double perSecond = bucket.demandPerS(now);
-            if (perSecond > MIN_REPORTED_PER_S) {
-                demand.add(new TenantDemand(tenant, perSecond));
-                byTenant.put(tenant, perSecond);
+    public double tokenDenied(double now, String name, double waitMs) {
+        Tenant tenant = tenants.get(name);
+        if (tenant == null) {
+            return DEFAULT_RETRY_MS;
+        }
+        double pauseMs = Math.min(MAX_PAUSE_MS, Math.max(waitMs, tenant.pauseMs));
+        tenant.pauseMs = Math.min(MAX_PAUSE_MS, tenant.pauseMs * 2);
+        tenant.pausedUntil = Math.max(tenant.pausedUntil, now + pauseMs);
+        return retryAfterMs(now, tenant);
+    }
+
+    /** Whether demand has changed so much since it was last told that a report is due at once. */
+    public boolean hasNews(double now) {
+        for (Tenant tenant : tenants.values()) {
+            double perS = tenant.demand.perSecond(now);
+            double more = Math.max(perS, tenant.toldPerS);
+            double less = Math.min(perS, tenant.toldPerS);
+            if (more > less * NEWS_FACTOR && more > less + NEWS_PER_S) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether a report to this control node would say anything. */
+    public boolean hasNeeds(double now, String controlNode) {
+        return !needs(now, leases.get(controlNode)).isEmpty();
+    }
+
+    /** A new connection to a control node: answers to earlier reports don't come any more. */
+    public void connected(String controlNode) {
+        QuotaLease lease = leases.get(controlNode);
+        if (lease != null) {
+            lease.reconnected();
+        }
+    }
+
+    /**
+     * What a control node is told now, as one report that is sent at once; null where there is no room for its leases.
+     */
+    public LeaseReport report(double now, String controlNode) {
+        expireLeases(now);
+        if (!leases.containsKey(controlNode) && leases.size() >= MAX_CONTROL_NODES) {
+            leases.values().removeIf(lease -> lease.validUntil() <= now);
+            if (leases.size() >= MAX_CONTROL_NODES) {
+                return null;
+            }
+        }
+        QuotaLease lease = leases.computeIfAbsent(controlNode, name -> new QuotaLease());
+        lease.retain(tenants.keySet());
+        List<QuotaNeed> needs = needs(now, lease);
+        lease.tokensReturned();
+        needs.forEach(need -> tenants.get(need.tenant()).toldPerS = need.demandPerS());
+        lease.reportSent(now, ++reports);
+        return new LeaseReport(life, reports, lease.grantorLife(), lease.grantNumber(), needs);
+    }
+
+    private List<QuotaNeed> needs(double now, QuotaLease lease) {
+        List<QuotaNeed> needs = new ArrayList<>();
+        tenants.forEach((name, tenant) -> {
+            QuotaShare held = lease == null ? null : lease.share(name);
+            double heldShare = held == null ? 0 : held.share();
+            double returned = lease == null ? 0 : lease.returnedTokens(name);
+            double perS = tenant.demand.perSecond(now);
+            if (perS > MIN_DEMAND_PER_S || heldShare > 0 || returned > 0) {
+                needs.add(new QuotaNeed(name, perS, tenant.bucket.allowance(), returned, heldShare));
             }
         });
-        reported = byTenant;
-        return demand;
+        return needs;
     }
 
-    /** The sums that a control node made with what this sidecar reported last, of so many sidecars. */
-    public void updateTotals(double now, int nodes, List<TenantDemand> totals) {
-        Map<String, Part> updated = new HashMap<>();
-        for (TenantDemand total : totals) {
-            double own = reported.getOrDefault(total.tenant(), 0.0);
-            updated.put(total.tenant(), new Part(own, total.perSecond()));
+    /** A control node grants a lease. */
+    public void granted(double now, String controlNode, LeaseGrant grant) {
+        expireLeases(now);
+        QuotaLease lease = leases.get(controlNode);
+        if (lease == null || !lease.accepts(grant)) {
+            return;
         }
-        parts = updated;
-        sidecars = Math.max(1, nodes);
-        totalsAt = now;
+        Set<String> affected = new LinkedHashSet<>(lease.tenants());
+        lease.replace(grant);
+        affected.addAll(lease.tenants());
+        if (lease.validUntil() <= now) {
+            lease.expire();
+        }
+        updateShares(now, affected).forEach(lease::returnTokens);
+        grant.shares().forEach(share -> {
+            Tenant tenant = tenants.get(share.tenant());
+            if (tenant != null) {
+                tenant.bucket.add(now, share.tokens());
+            }
+        });
     }
 
     /**
-     * Takes one request's quota.
-     *
-     * @param ratePerS the tenant's limit; 0 is none
-     * @param listed how many sidecars are listed, 1 at least
-     * @return 0 if it may go, else in how many milliseconds the next may
+     * Instead of leases, this share of every limit holds: for a mesh whose control nodes are of an earlier version and
+     * grant none. 0 ends it.
      */
-    public double acquire(double now, String tenant, double ratePerS, double burst, int listed) {
-        if (ratePerS <= 0) {
-            return 0;
-        }
-        double age = now - totalsAt;
-        Part part = age > TOTALS_VALID_MS ? null : parts.get(tenant);
-        double total = part == null ? 0 : Math.max(part.total(), part.own());
-        double share = share(part, total, Math.max(listed, sidecars));
-        double ratePerMs = ratePerS * share / MILLIS_IN_SECOND;
-        double capacity = (burst + slack + excess * (ratePerS * windowS + burst)) * share;
-        Bucket bucket = bucket(now, tenant, ratePerMs, capacity);
-        bucket.countRequest(now);
-        // With no word of where the requests are, each sidecar that has some gets one at least.
-        bucket.refill(now, ratePerMs, age > TOTALS_VALID_MS ? Math.max(1, capacity) : capacity);
-        boolean calm = age < TOTALS_FRESH_MS && total < ratePerS + slack / windowS * CALM_PART;
-        double overdraft = calm ? Math.max(MIN_OVERDRAFT, OVERDRAFT_S * (ratePerS + slack) * share) : 0;
-        if (bucket.tokens - 1 >= -overdraft) {
-            // A small tenant's debts need not be kept whole: the rules' slack covers them.
-            double maxDebt = calm ? share * Math.max(0, ratePerS * MAX_DEBT_S - slack) : 0;
-            bucket.tokens = Math.max(bucket.tokens - 1, Math.min(bucket.tokens, -maxDebt));
-            return 0;
-        }
-        if (random.nextDouble() >= bucket.tokens) {
-            // What is drawn by chance, or shared anew by then, need not be waited for in full.
-            return Math.min(windowS * MILLIS_IN_SECOND, (1 - bucket.tokens) / ratePerMs);
-        }
-        bucket.tokens--;
-        return 0;
-    }
-
-    // Of the limit, what is this sidecar's: most of it follows the demand, the rest is shared evenly.
-    private static double share(Part part, double total, int sidecars) {
-        return total > 0 ? DEMAND_PART * part.own() / total + (1 - DEMAND_PART) / sidecars : 1.0 / sidecars;
-    }
-
-    private Bucket bucket(double now, String tenant, double ratePerMs, double capacity) {
-        Bucket bucket = buckets.get(tenant);
-        if (bucket == null) {
-            // What an earlier life of this sidecar may have spent is not there again.
-            bucket = new Bucket(now, Math.min(capacity, ratePerMs * (now - startedAt)));
-            buckets.put(tenant, bucket);
-        }
-        return bucket;
+    public void useEvenShare(double now, double share) {
+        if (share != evenShare) {
+            evenShare = share;
+            updateShares(now, Set.copyOf(tenants.keySet()));
+        }
+    }
+
+    // In the order of their ends: until then a bucket has filled by the shares of that time.
+    private void expireLeases(double now) {
+        List<QuotaLease> ended = leases.values().stream()
+                .filter(lease -> lease.validUntil() <= now && !lease.tenants().isEmpty())
+                .sorted(Comparator.comparingDouble(QuotaLease::validUntil))
+                .toList();
+        for (QuotaLease lease : ended) {
+            Set<String> affected = Set.copyOf(lease.tenants());
+            lease.expire();
+            updateShares(lease.validUntil(), affected);
+        }
+    }
+
+    // Returns the tokens that there is no room for any more, by tenant.
+    private Map<String, Double> updateShares(double now, Set<String> names) {
+        Map<String, Double> excess = new HashMap<>();
+        for (String name : names) {
+            Tenant tenant = tenants.get(name);
+            if (tenant != null) {
+                excess.put(name, tenant.bucket.change(now, tenant.bucket.allowance(), share(name)));
+            }
+        }
+        return excess;
+    }
+
+    private double share(String name) {
+        double leased = 0;
+        for (QuotaLease lease : leases.values()) {
+            QuotaShare share = lease.share(name);
+            leased += share == null ? 0 : share.share();
+        }
+        return leased + evenShare;
+    }
+
+    /** For events: what is in force here for this tenant. */
+    public String describe(double now, String name) {
+        expireLeases(now);
+        long granting = leases.values().stream()
+                .filter(lease -> lease.share(name) != null)
+                .count();
+        double demandPerS = leases.values().stream()
+                .map(lease -> lease.share(name))
+                .mapToDouble(share -> share == null ? 0 : share.demandPerS())
+                .max()
+                .orElse(0);
+        return String.format(
+                Locale.ROOT,
+                "%s share %.4f by %d leases, demand in all %.1f/s",
+                name,
+                share(name),
+                granting,
+                demandPerS);
     }
 }
--- a/src/main/java/whinlead/mesh/sidecar/ClientSide.java
+++ b/src/main/java/whinlead/mesh/sidecar/ClientSide.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import whinlead.engine.Timers;
 import whinlead.mesh.config.RoutingTable;
+import whinlead.mesh.quota.QuotaRules;
 import whinlead.mesh.quota.TenantQuota;
 import whinlead.mesh.registry.EndpointRecord;
 import whinlead.mesh.settings.NodeSettings;
@@ -44,17 +45,10 @@
         this.forwarder = forwarder;
         this.seed = seed;
         NodeSettings.Bounds bounds = nodeSettings.clauses().bounds();
-        TenantQuota allowance =
-                new TenantQuota(timers.now(), bounds.quotaSlack(), bounds.quotaExcess(), bounds.quotaWindowS(), seed);
+        QuotaRules rules = new QuotaRules(bounds.quotaWindowS(), bounds.quotaExcess(), bounds.quotaSlack());
+        QuotaClient quota = new QuotaClient(timers, new TenantQuota(rules, seed), () -> SIDECARS);
         this.egress = new EgressListener(
-                null,
-                timers,
-                routing,
-                (target, large) -> balancer(target),
-                () -> "",
-                () -> SIDECARS,
-                allowance,
-                classes);
+                null, timers, routing, (target, large) -> balancer(target), () -> "", () -> SIDECARS, quota, classes);
         this.shutdown = new Shutdown(timers, bounds.graceS(), egress, () -> 0);
     }
 
--- a/src/main/java/whinlead/mesh/sidecar/ControlClient.java
+++ b/src/main/java/whinlead/mesh/sidecar/ControlClient.java
@@ -20,7 +20,6 @@
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.control.ConfigCodec;
 import whinlead.mesh.log.Event;
-import whinlead.mesh.quota.TenantDemand;
 import whinlead.mesh.registry.EndpointRecord;
 import whinlead.mesh.settings.NodeSettings;
 import whinlead.mesh.wire.PeerMessage;
@@ -49,6 +48,7 @@
     private final NodeSettings settings;
     private final PeerMessage.Hello hello;
     private final UnaryOperator<InetSocketAddress> dialAddresses;
+    private final QuotaClient quota;
     private final Listener listener;
     private final ConfigReader reader = new ConfigReader();
     private final ExecutorService readExecutor = Executors.newSingleThreadExecutor(r -> {
@@ -63,7 +63,6 @@
     private StartupConfig startup = new StartupConfig();
     private double fetchedAt = Double.NEGATIVE_INFINITY;
     private double soughtAt;
-    private final DemandReports demandReports = new DemandReports();
     private ReconnectingConnection seekConnection;
 
     /** Hears what the control nodes say. */
@@ -79,9 +78,6 @@
 
         /** A newer configuration is in force. */
         void configChanged(RoutingTable routing);
-
-        /** The demand at all sidecars. */
-        void demandTotals(int nodes, List<TenantDemand> totals);
     }
 
     /** A client that dials what {@code dialAddresses} makes of an address. */
@@ -90,11 +86,13 @@
             NodeSettings settings,
             PeerMessage.Hello hello,
             UnaryOperator<InetSocketAddress> dialAddresses,
+            QuotaClient quota,
             Listener listener) {
         this.loop = loop;
         this.settings = settings;
         this.hello = hello;
         this.dialAddresses = dialAddresses;
+        this.quota = quota;
         this.listener = listener;
     }
 
@@ -119,21 +117,6 @@
         controlNodes.values().forEach(t -> t.send(update));
     }
 
-    /** Reports the demand here to control nodes in reach, where it is due, and asks the first for the sums. */
-    void reportDemand(List<TenantDemand> demand) {
-        DemandReports.Audience audience = demandReports.next(!demand.isEmpty());
-        if (audience == DemandReports.Audience.NONE) {
-            return;
-        }
-        boolean wanted = true;
-        for (ReconnectingConnection connection : controlNodes.values()) {
-            if (connection.isUp() && (wanted || audience == DemandReports.Audience.ALL)) {
-                connection.send(new PeerMessage.DemandReport(demand, wanted));
-                wanted = false;
-            }
-        }
-    }
-
     private static double now() {
         return System.nanoTime() / NANOS_IN_MILLI;
     }
@@ -172,6 +155,7 @@
                                 && before == ReconnectingConnection.State.DIALLING) {
                             Event.CONTROL_NODE_UP.log(ip);
                             listener.controlNodeUp();
+                            quota.connected(ip, new QuotaConnection(t));
                             t.send(new PeerMessage.Subscribe(slot()));
                         } else if (t.state() == ReconnectingConnection.State.DOWN
                                 && before != ReconnectingConnection.State.DIALLING) {
@@ -182,7 +166,7 @@
 
                     @Override
                     public void message(ReconnectingConnection t, PeerMessage message) {
-                        received(t, message);
+                        received(ip, t, message);
                     }
 
                     @Override
@@ -194,7 +178,7 @@
         connection.dial();
     }
 
-    private void received(ReconnectingConnection connection, PeerMessage message) {
+    private void received(String ip, ReconnectingConnection connection, PeerMessage message) {
         if (message instanceof PeerMessage.EndpointUpdate update) {
             listener.recordsReceived(update.records());
         } else if (message instanceof PeerMessage.ConfigAvailable available) {
@@ -202,8 +186,10 @@
             fetchIfNewer();
         } else if (message instanceof PeerMessage.ConfigUpdate update) {
             receivedConfig(update);
-        } else if (message instanceof PeerMessage.DemandSums sums) {
-            listener.demandTotals(sums.nodes(), sums.totals());
+        } else if (message instanceof PeerMessage.QuotaLeaseGrant lease) {
+            quota.granted(ip, lease.grant());
+        } else if (message instanceof PeerMessage.QuotaTokenResponse token) {
+            quota.answered(token.response());
         }
     }
 
@@ -323,9 +309,28 @@
     private void removeControlNode(String ip) {
         ReconnectingConnection connection = controlNodes.remove(ip);
         announcedSlots.remove(connection);
+        quota.removed(ip);
         connection.close();
     }
 
+    /** What the client of tenants' limits sees of a connection. */
+    private record QuotaConnection(ReconnectingConnection connection) implements QuotaClient.Connection {
+        @Override
+        public boolean isUp() {
+            return connection.isUp();
+        }
+
+        @Override
+        public int version() {
+            return connection.version();
+        }
+
+        @Override
+        public void send(PeerMessage message) {
+            connection.send(message);
+        }
+    }
+
     private void read(Decision decision) {
         try {
             MeshConfig meshConfig = reader.read(ConfigCodec.inflate(decision.body()));
--- a/src/main/java/whinlead/mesh/sidecar/EgressListener.java
+++ b/src/main/java/whinlead/mesh/sidecar/EgressListener.java
@@ -21,7 +21,7 @@
 import whinlead.engine.Timers;
 import whinlead.mesh.config.MeshConfig;
 import whinlead.mesh.config.RoutingTable;
-import whinlead.mesh.quota.TenantQuota;
+import whinlead.mesh.quota.QuotaDecision;
 
 /**
  * Where the clients and the endpoint of this machine send their requests: finds route, tenant and quota, and has the
@@ -50,11 +50,12 @@
     private final Balancers balancers;
     private final Supplier<String> service;
     private final IntSupplier sidecars;
-    private final TenantQuota quota;
+    private final QuotaClient quota;
     private final RequestClasses classes;
     private final SplittableRandom random = new SplittableRandom();
     private final Set<ClientConnection> connections = new HashSet<>();
     private final Set<ClientExchange> exchanges = new LinkedHashSet<>();
+    private final Set<QuotaAdmission> admissions = new LinkedHashSet<>();
     private long reservedBytes;
     private boolean leaving;
     private boolean refusing;
@@ -73,7 +74,7 @@
             Balancers balancers,
             Supplier<String> service,
             IntSupplier sidecars,
-            TenantQuota quota,
+            QuotaClient quota,
             RequestClasses classes) {
         this.loop = loop;
         this.timers = timers;
@@ -127,12 +128,13 @@
 
     /** Answers what is still under way with what can be said of it: the process is about to end. */
     void answerAll() {
+        List.copyOf(admissions).forEach(QuotaAdmission::breakOff);
         List.copyOf(exchanges).forEach(ClientExchange::breakOff);
     }
 
     /** Requests that have not been answered. */
     int underWay() {
-        return exchanges.size();
+        return exchanges.size() + admissions.size();
     }
 
     /** Connections of clients. */
@@ -193,35 +195,76 @@
             ClientExchange.refuse(response, HttpResponseStatus.UNAUTHORIZED);
             return;
         }
-        double waitMs = tenant == null ? 0 : acquireQuota(tenant);
-        if (waitMs > 0) {
-            ClientExchange.refuse(response, HttpResponseStatus.TOO_MANY_REQUESTS, waitMs);
-            return;
-        }
         double timeoutMs = Math.max(1, timeoutMs(route, deadlineMs) - response.readingMs());
-        begin(head, body, response, route, tenant, timeoutMs);
+        IncomingRequest request = new IncomingRequest(head, body, response, route, tenant, timers.now() + timeoutMs);
+        if (tenant == null) {
+            begin(request);
+        } else {
+            new QuotaAdmission(request).begin();
+        }
     }
 
-    private double acquireQuota(RoutingTable.NamedTenant tenant) {
-        return quota.acquire(
-                timers.now(),
-                tenant.name(),
-                tenant.tenant().ratePerS(),
-                tenant.tenant().burst(),
-                sidecarCount());
+    /**
+     * A request that is allowed by the configuration.
+     *
+     * @param tenant whose it is, or null
+     * @param endAt when an answer is of no use any more, in milliseconds
+     */
+    private record IncomingRequest(
+            HttpRequest head,
+            byte[] body,
+            ClientConnection.PendingResponse response,
+            RoutingTable.NamedRoute route,
+            RoutingTable.NamedTenant tenant,
+            double endAt) {}
+
+    /** A tenant's request, until it is known whether the tenant's limit has room for it. */
+    private final class QuotaAdmission {
+        private final IncomingRequest request;
+        private Runnable cancelSearch = () -> {};
+
+        private QuotaAdmission(IncomingRequest request) {
+            this.request = request;
+        }
+
+        private void begin() {
+            admissions.add(this);
+            request.response().onGone(this::end);
+            MeshConfig.Tenant limits = request.tenant().tenant();
+            double aimMs = request.route().route().targetS() * MILLIS_IN_SECOND;
+            cancelSearch =
+                    quota.acquire(request.tenant().name(), limits.ratePerS(), limits.burst(), aimMs, this::decided);
+        }
+
+        private void decided(QuotaDecision decision) {
+            admissions.remove(this);
+            if (decision instanceof QuotaDecision.Refused refused) {
+                ClientExchange.refuse(request.response(), HttpResponseStatus.TOO_MANY_REQUESTS, refused.retryAfterMs());
+            } else if (refusing) {
+                ClientExchange.refuse(request.response(), HttpResponseStatus.SERVICE_UNAVAILABLE, NO_CONFIG_RETRY_MS);
+            } else {
+                EgressListener.this.begin(request);
+            }
+        }
+
+        private void breakOff() {
+            end();
+            ClientExchange.refuse(request.response(), HttpResponseStatus.SERVICE_UNAVAILABLE, NO_CONFIG_RETRY_MS);
+        }
+
+        private void end() {
+            admissions.remove(this);
+            cancelSearch.run();
+        }
     }
 
     private int sidecarCount() {
         return Math.max(1, sidecars.getAsInt());
     }
 
-    private void begin(
-            HttpRequest head,
-            byte[] body,
-            ClientConnection.PendingResponse response,
-            RoutingTable.NamedRoute route,
-            RoutingTable.NamedTenant tenant,
-            double timeoutMs) {
+    private void begin(IncomingRequest request) {
+        RoutingTable.NamedRoute route = request.route();
+        RoutingTable.NamedTenant tenant = request.tenant();
         String target = route.service(random.nextDouble());
         ServiceBalancer balancer =
                 balancers.of(target, MeshConfig.INGEST.equals(route.route().kind()));
@@ -229,14 +272,14 @@
         ClientExchange exchange = new ClientExchange(
                 timers,
                 exchanges::remove,
-                head,
-                body,
-                response,
+                request.head(),
+                request.body(),
+                request.response(),
                 route,
                 tenant,
                 service.get(),
                 target,
-                timeoutMs,
+                Math.max(1, request.endAt() - timers.now()),
                 tenantRank == null ? route.route().rank() : tenantRank);
         exchanges.add(exchange);
         exchange.begin(balancer, classes, sidecarCount());
--- a/src/main/java/whinlead/mesh/sidecar/Sidecar.java
+++ b/src/main/java/whinlead/mesh/sidecar/Sidecar.java
@@ -19,7 +19,7 @@
 import whinlead.membership.EndpointList;
 import whinlead.mesh.config.RoutingTable;
 import whinlead.mesh.log.Event;
-import whinlead.mesh.quota.TenantDemand;
+import whinlead.mesh.quota.QuotaRules;
 import whinlead.mesh.quota.TenantQuota;
 import whinlead.mesh.registry.EndpointRecord;
 import whinlead.mesh.registry.EndpointRegistry;
@@ -40,8 +40,6 @@
  */
 public final class Sidecar {
     private static final long TICK_MS = 100;
-    /** How often the control nodes are told the demand here, in milliseconds. */
-    private static final double REPORT_MS = 350;
     /** Connections of peers that wait to be accepted. */
     private static final int BACKLOG = 512;
 
@@ -61,11 +59,10 @@
     private final OutdatedLists outdatedLists;
     private final RequestForwarder forwarder;
     private final ServiceBalancers balancers;
-    private final TenantQuota quota;
+    private final QuotaClient quota;
     private final ControlClient controlClient;
     private final RecordPublisher publisher;
     private final EgressListener egress;
-    private double reportedAt;
     private boolean ready;
 
     /** A sidecar that has not begun. */
@@ -104,7 +101,7 @@
         RequestClasses classes = new RequestClasses();
         this.balancers = new ServiceBalancers(periodTimers(), classes, settings, registry, forwarder);
         this.quota = quota();
-        this.controlClient = new ControlClient(loop, settings, greeting, dialAddresses, new ControlListener());
+        this.controlClient = new ControlClient(loop, settings, greeting, dialAddresses, quota, new ControlListener());
         this.publisher = new RecordPublisher(
                 timers,
                 node,
@@ -131,14 +128,10 @@
         return new AlignedTimers(timers, period, timers.now() + untilNext((long) period) / NANOS_IN_MILLI);
     }
 
-    private TenantQuota quota() {
+    private QuotaClient quota() {
         NodeSettings.Bounds bounds = settings.clauses().bounds();
-        return new TenantQuota(
-                timers.now(),
-                bounds.quotaSlack(),
-                bounds.quotaExcess(),
-                bounds.quotaWindowS(),
-                new SecureRandom().nextLong());
+        QuotaRules rules = new QuotaRules(bounds.quotaWindowS(), bounds.quotaExcess(), bounds.quotaSlack());
+        return new QuotaClient(timers, new TenantQuota(rules, new SecureRandom().nextLong()), registry::presentCount);
     }
 
     /**
@@ -224,10 +217,7 @@
         egress.tick();
         controlClient.tick();
         publisher.repeatIfDue();
-        if (timers.now() - reportedAt > REPORT_MS) {
-            reportedAt = timers.now();
-            controlClient.reportDemand(quota.demand(timers.now()));
-        }
+        quota.tick();
     }
 
     // Connections to the endpoint that was there before are of no use any more.
@@ -309,11 +299,6 @@
                     .limit(ServiceBalancers.MAX_SERVICES)
                     .forEach(service -> balancers.of(service, false));
         }
-
-        @Override
-        public void demandTotals(int nodes, List<TenantDemand> totals) {
-            quota.updateTotals(timers.now(), nodes, totals);
-        }
     }
 
     /** Takes what other sidecars send on connections of theirs. */
--- /dev/null
+++ b/src/main/java/whinlead/mesh/storage/LesseeStore.java
@@ -0,0 +1,64 @@
+package whinlead.mesh.storage;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * Which sidecars may hold leases from this control node, on its disk: a process that starts waits for what they hold. A
+ * file of one name a line, replaced as a whole; synced when {@link #write} returns. One thread; a call may wait for the
+ * disk.
+ */
+public final class LesseeStore {
+    private static final String FILE = "lessees";
+    private static final String NEW_FILE = "lessees.new";
+
+    private final Path folder;
+    private final Syncer syncer;
+
+    /** The store in this folder, which must be there. */
+    public LesseeStore(Path folder) {
+        this(folder, Syncer.DISK);
+    }
+
+    /** The store in this folder, with these syncs. */
+    public LesseeStore(Path folder, Syncer syncer) {
+        this.folder = folder;
+        this.syncer = syncer;
+    }
+
+    /**
+     * The sidecars that were written last; none if nothing ever was.
+     *
+     * @throws IOException if the file can't be read
+     */
+    public Set<String> read() throws IOException {
+        Path file = folder.resolve(FILE);
+        if (!Files.exists(file)) {
+            return Set.of();
+        }
+        // What an earlier process wrote lasts before anything follows from it.
+        syncer.file(file);
+        syncer.folder(folder);
+        Set<String> names = new LinkedHashSet<>(Files.readAllLines(file, StandardCharsets.UTF_8));
+        names.remove("");
+        return names;
+    }
+
+    /**
+     * Replaces what was written before.
+     *
+     * @throws IOException if it may not last
+     */
+    public void write(Set<String> names) throws IOException {
+        Path fresh = folder.resolve(NEW_FILE);
+        Files.writeString(fresh, String.join("\n", names) + "\n", StandardCharsets.UTF_8);
+        syncer.file(fresh);
+        Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        syncer.folder(folder);
+    }
+}
--- a/src/main/java/whinlead/mesh/wire/PeerMessage.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessage.java
@@ -3,7 +3,11 @@
 import java.util.List;
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.consensus.Message;
+import whinlead.mesh.quota.LeaseGrant;
+import whinlead.mesh.quota.LeaseReport;
 import whinlead.mesh.quota.TenantDemand;
+import whinlead.mesh.quota.TokenRequest;
+import whinlead.mesh.quota.TokenResponse;
 import whinlead.mesh.registry.EndpointRecord;
 
 /** What the system's own processes say to each other. */
@@ -70,7 +74,19 @@
     /** About a ballot. */
     record Consensus(Message message) implements PeerMessage {}
 
-    /** A sidecar tells what it is asked for, and may ask for the sums. */
+    /** A sidecar asks for a lease of tenants' limits, or to renew it. */
+    record QuotaLeaseReport(LeaseReport report) implements PeerMessage {}
+
+    /** A control node leases parts of tenants' limits. */
+    record QuotaLeaseGrant(LeaseGrant grant) implements PeerMessage {}
+
+    /** A sidecar asks for one token of a tenant's. */
+    record QuotaTokenRequest(TokenRequest request) implements PeerMessage {}
+
+    /** The answer. */
+    record QuotaTokenResponse(TokenResponse response) implements PeerMessage {}
+
+    /** A sidecar of an earlier version tells what it is asked for, and may ask for the sums. */
     record DemandReport(List<TenantDemand> uses, boolean wanted) implements PeerMessage {}
 
     /** The sums over so many sidecars of the tenants that the one who asked has named. */
--- a/src/main/java/whinlead/mesh/wire/PeerMessageCodec.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessageCodec.java
@@ -65,7 +65,9 @@
 
     // What processes say to each other besides requests.
     private static void writeControl(MessageBufferPacker p, PeerMessage peerMessage) throws IOException {
-        if (peerMessage instanceof PeerMessage.Hello l) {
+        if (QuotaMessageCodec.isQuota(peerMessage)) {
+            QuotaMessageCodec.write(p, peerMessage);
+        } else if (peerMessage instanceof PeerMessage.Hello l) {
             p.packByte(PeerMessageKind.HELLO.tag()).packString(l.id()).packBoolean(l.controlNode());
             p.packInt(l.versions().newest()).packInt(l.versions().oldest());
         } else if (peerMessage instanceof PeerMessage.EndpointUpdate l) {
@@ -125,6 +127,9 @@
 
     /** The first protocol version whose readers know this message's kind. */
     static int since(PeerMessage peerMessage) {
+        if (QuotaMessageCodec.isQuota(peerMessage)) {
+            return ProtocolVersion.LEASES;
+        }
         return peerMessage instanceof PeerMessage.Cancel ? ProtocolVersion.TOLERANT : ProtocolVersion.UNVERSIONED;
     }
 
@@ -195,6 +200,8 @@
             case FIND_CONTROL_NODES -> new PeerMessage.FindControlNodes();
             case CONTROL_NODES -> new PeerMessage.ControlNodes(strings(u));
             case CANCEL -> new PeerMessage.Cancel(u.unpackLong(), u.unpackBoolean());
+            case QUOTA_LEASE_REPORT, QUOTA_LEASE_GRANT, QUOTA_TOKEN_REQUEST, QUOTA_TOKEN_RESPONSE ->
+                QuotaMessageCodec.read(kind, u);
         };
     }
 
--- a/src/main/java/whinlead/mesh/wire/PeerMessageKind.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessageKind.java
@@ -35,7 +35,15 @@
     /** The control nodes that are known. */
     CONTROL_NODES(16, true),
     /** A request's client has left. */
-    CANCEL(17, false);
+    CANCEL(17, false),
+    /** A sidecar asks for a lease of tenants' limits. */
+    QUOTA_LEASE_REPORT(18, true),
+    /** The lease. */
+    QUOTA_LEASE_GRANT(19, true),
+    /** A sidecar asks for one token of a tenant's. */
+    QUOTA_TOKEN_REQUEST(20, true),
+    /** Whether it gets one. */
+    QUOTA_TOKEN_RESPONSE(21, true);
 
     private final byte tag;
     private final boolean repeated;
--- a/src/main/java/whinlead/mesh/wire/ProtocolVersion.java
+++ b/src/main/java/whinlead/mesh/wire/ProtocolVersion.java
@@ -12,8 +12,10 @@
     public static final int UNVERSIONED = 1;
     /** Greetings carry versions; unknown kinds and fields are passed over; requests can be cancelled. */
     public static final int TOLERANT = 2;
+    /** Tenants' limits are leased. */
+    public static final int LEASES = 3;
     /** What this program speaks. */
-    public static final ProtocolVersion OURS = new ProtocolVersion(TOLERANT, UNVERSIONED);
+    public static final ProtocolVersion OURS = new ProtocolVersion(LEASES, UNVERSIONED);
     /** What a program speaks whose greeting names no version. */
     public static final ProtocolVersion NONE_NAMED = new ProtocolVersion(UNVERSIONED, UNVERSIONED);
 
--- a/src/main/java/whinlead/mesh/wire/ReconnectingConnection.java
+++ b/src/main/java/whinlead/mesh/wire/ReconnectingConnection.java
@@ -126,6 +126,11 @@
         return state == State.UP;
     }
 
+    /** The protocol version that both sides speak; the least one until the other side has greeted. */
+    public int version() {
+        return connection == null ? ProtocolVersion.UNVERSIONED : connection.version();
+    }
+
     /** Sends a message; false if the connection is down. */
     public boolean send(PeerMessage message) {
         boolean can = connection != null && connection.isOpen();
--- /dev/null
+++ b/src/test/java/whinlead/mesh/quota/QuotaLeaseTest.java
@@ -0,0 +1,143 @@
+package whinlead.mesh.quota;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A lease between one sidecar and one control node, step by step. */
+public class QuotaLeaseTest {
+    private static final String TENANT = "tenant";
+    private static final String CONTROL_NODE = "control-node";
+    private static final String SIDECAR = "sidecar";
+    private static final double LIMIT = 100;
+    private static final QuotaRules RULES = new QuotaRules(5, 0.1, 20);
+
+    private TenantQuota quota;
+    private QuotaGrantor grantor;
+
+    @BeforeMethod
+    public void start() {
+        quota = new TenantQuota(RULES, 1);
+        grantor = new QuotaGrantor(0, 7, Set.of());
+        grantor.advance(0, 1);
+    }
+
+    private boolean passes(double now) {
+        return quota.acquire(now, TENANT, LIMIT, LIMIT) instanceof QuotaDecision.Admitted;
+    }
+
+    private LeaseGrant renew(double now) {
+        LeaseReport report = quota.report(now, CONTROL_NODE);
+        LeaseGrant grant = grantor.report(now, SIDECAR, report, true);
+        if (grant != null) {
+            quota.granted(now, CONTROL_NODE, grant);
+        }
+        return grant;
+    }
+
+    // Demand for two seconds, and a lease for it.
+    private void lease() {
+        for (int ms = 0; ms < 2000; ms += 10) {
+            passes(ms);
+        }
+        assertTrue(renew(2000).shares().get(0).share() > 0);
+    }
+
+    @Test
+    public void aLeaseThatIsNotRenewedEndsBeforeTheControlNodeCountsItNoLonger() {
+        lease();
+        assertTrue(passes(2000 + LeaseTerms.LEASE_MS - 1), "as long as it is valid");
+        assertFalse(passes(2000 + LeaseTerms.LEASE_MS), "and no longer");
+        assertTrue(LeaseTerms.COUNTED_MS > LeaseTerms.LEASE_MS);
+        assertEquals(grantor.lessees(), Set.of(SIDECAR));
+        grantor.advance(2000 + LeaseTerms.COUNTED_MS + 200, 1);
+        assertEquals(grantor.lessees(), Set.of());
+    }
+
+    @Test
+    public void aGrantCountsFromWhenItsReportWasSent() {
+        for (int ms = 0; ms < 2000; ms += 10) {
+            passes(ms);
+        }
+        LeaseReport report = quota.report(2000, CONTROL_NODE);
+        LeaseGrant grant = grantor.report(2500, SIDECAR, report, true);
+        quota.granted(3000, CONTROL_NODE, grant);
+        assertTrue(passes(3500));
+        assertFalse(passes(2000 + LeaseTerms.LEASE_MS));
+    }
+
+    @Test
+    public void anAnswerToAReportOfAnEarlierConnectionIsPassedOver() {
+        for (int ms = 0; ms < 2000; ms += 10) {
+            passes(ms);
+        }
+        LeaseReport report = quota.report(2000, CONTROL_NODE);
+        LeaseGrant grant = grantor.report(2000, SIDECAR, report, true);
+        quota.connected(CONTROL_NODE);
+        quota.granted(2100, CONTROL_NODE, grant);
+        assertFalse(passes(2200));
+    }
+
+    @Test
+    public void aSidecarThatIsNotOnDiskIsLeasedNothing() {
+        passes(0);
+        assertEquals(grantor.report(10, SIDECAR, quota.report(10, CONTROL_NODE), false), null);
+    }
+
+    @Test
+    public void withoutCapacityNothingIsLeasedOrGivenOut() {
+        lease();
+        grantor.advance(2100, 0);
+        assertEquals(renew(2200), null);
+        TokenRequest request = new TokenRequest(1, TENANT, RULES.allowance(LIMIT, LIMIT));
+        assertFalse(grantor.take(2300, request).granted());
+    }
+
+    @Test
+    public void aProcessThatStartsLeasesNothingAnewUntilItsLesseesAreHeard() {
+        lease();
+        double held = grantor.report(2100, SIDECAR, quota.report(2100, CONTROL_NODE), true)
+                .shares()
+                .get(0)
+                .share();
+        grantor = new QuotaGrantor(3000, 8, Set.of(SIDECAR, "another"));
+        grantor.advance(3000, 1);
+        TokenRequest request = new TokenRequest(1, TENANT, RULES.allowance(LIMIT, LIMIT));
+        assertFalse(grantor.take(3100, request).granted(), "another may hold what this would give out");
+        LeaseGrant grant = renew(3200);
+        assertTrue(grant.shares().get(0).share() <= held + 1e-9, "no more than it held");
+        assertTrue(grantor.isRecovering());
+        grantor.report(3300, "another", new LeaseReport(5, 1, 0, 0, List.of()), true);
+        assertFalse(grantor.isRecovering());
+        assertTrue(grantor.take(4000, request).granted());
+    }
+
+    @Test
+    public void aSecondProcessAtASidecarsAddressHoldsNothingOfTheFirst() {
+        lease();
+        TenantQuota second = new TenantQuota(RULES, 2);
+        assertFalse(second.acquire(2100, TENANT, LIMIT, LIMIT) instanceof QuotaDecision.Admitted);
+        LeaseGrant grant = grantor.report(2200, SIDECAR, second.report(2200, CONTROL_NODE), true);
+        assertEquals(grant.reportNumber(), 1);
+        // All of the limit but what it is leased itself can be given out again.
+        TokenRequest request = new TokenRequest(1, TENANT, RULES.allowance(LIMIT, LIMIT));
+        int given = 0;
+        while (grantor.take(12_000, request).granted()) {
+            given++;
+        }
+        assertTrue(given > LIMIT, "only " + given);
+    }
+
+    @Test
+    public void aReportThatComesLateChangesNothing() {
+        lease();
+        LeaseReport late = quota.report(2100, CONTROL_NODE);
+        assertTrue(renew(2200) != null);
+        assertEquals(grantor.report(2300, SIDECAR, late, true), null);
+    }
+}
