--- a/src/main/java/whinlead/mesh/control/LesseeRecorder.java
+++ b/src/main/java/whinlead/mesh/control/LesseeRecorder.java
@@ -20,23 +20,26 @@
     private final Set<String> recorded = new LinkedHashSet<>();
     private final Set<String> wanted = new LinkedHashSet<>();
     private boolean writing;
+    private boolean markChanged;
     private boolean failing;
+    private boolean reserveInUse;
 
     /**
      * A recorder.
      *
-     * @param recorded what the disk has at the start
+     * @param before what the disk has at the start
      * @param disk runs what may wait for the disk
      * @param loop runs what follows
      * @param current sidecars that may hold leases now; others are dropped with the next write
      */
     LesseeRecorder(
-            LesseeStore store, Set<String> recorded, Executor disk, Executor loop, Supplier<Set<String>> current) {
+            LesseeStore store, LesseeStore.Entry before, Executor disk, Executor loop, Supplier<Set<String>> current) {
         this.store = store;
         this.disk = disk;
         this.loop = loop;
         this.current = current;
-        this.recorded.addAll(recorded);
+        this.recorded.addAll(before.lessees());
+        this.reserveInUse = before.reserveInUse();
     }
 
     /** Whether this sidecar is on disk; if not, it will be. */
@@ -49,20 +52,43 @@
         return false;
     }
 
+    /** From now on a process that starts finds that the reserve was, or was not, lately in use. */
+    void markReserve(boolean inUse) {
+        if (reserveInUse != inUse) {
+            reserveInUse = inUse;
+            markChanged = true;
+            writeNext();
+        }
+    }
+
+    /** Sidecars that hold nothing any more are taken off the disk, so that no process that starts waits for them. */
+    void prune() {
+        if (!writing && !current.get().containsAll(recorded)) {
+            markChanged = true;
+            writeNext();
+        }
+    }
+
     private void writeNext() {
-        if (writing || wanted.isEmpty()) {
+        if (writing || wanted.isEmpty() && !markChanged) {
             return;
         }
+        markChanged = false;
+        LesseeStore.Entry entry = new LesseeStore.Entry(next(), reserveInUse);
+        // Until the write is done the disk may have either.
+        recorded.retainAll(entry.lessees());
+        writing = true;
+        disk.execute(() -> write(entry));
+    }
+
+    private Set<String> next() {
         Set<String> next = new LinkedHashSet<>(current.get());
         next.addAll(wanted);
         wanted.clear();
-        // Until the write is done the disk may have either.
-        recorded.retainAll(next);
-        writing = true;
-        disk.execute(() -> write(next));
+        return next;
     }
 
-    private void write(Set<String> next) {
+    private void write(LesseeStore.Entry next) {
         String failure = null;
         try {
             store.write(next);
@@ -74,10 +100,10 @@
     }
 
     // A sidecar that is not recorded reports again, and is written then.
-    private void written(Set<String> next, String failure) {
+    private void written(LesseeStore.Entry next, String failure) {
         writing = false;
         if (failure == null) {
-            recorded.addAll(next);
+            recorded.addAll(next.lessees());
         } else if (!failing) {
             Event.LESSEES_NOT_RECORDED.log(failure);
         }
--- a/src/main/java/whinlead/mesh/control/QuotaLeases.java
+++ b/src/main/java/whinlead/mesh/control/QuotaLeases.java
@@ -14,6 +14,7 @@
 import whinlead.mesh.quota.GrantAuthority;
 import whinlead.mesh.quota.LeaseGrant;
 import whinlead.mesh.quota.LeaseReport;
+import whinlead.mesh.quota.LeaseTerms;
 import whinlead.mesh.quota.QuotaGrantor;
 import whinlead.mesh.quota.TokenRequest;
 import whinlead.mesh.quota.TokenResponse;
@@ -28,6 +29,10 @@
 final class QuotaLeases {
     /** Stands for sidecars that are not known, where the disk does not tell which there were. */
     private static final String UNKNOWN_LESSEE = "unknown";
+    /** How often it is looked for sidecars that hold nothing any more, in milliseconds. */
+    private static final double PRUNE_MS = 1000;
+    /** Until the tokens of the reserve that this process may give out are of an earlier window, in milliseconds. */
+    private static final double RESERVE_WINDOW_MS = LeaseTerms.COUNTED_MS + 6000;
 
     private final DoubleSupplier clockMs;
     private final BooleanSupplier confirmed;
@@ -40,6 +45,8 @@
     private final Map<PeerConnection, Long> openedAs = new HashMap<>();
 
     private long opened;
+    private final double reserveUntil;
+    private double pruneAt;
     private boolean recovering;
 
     /**
@@ -64,7 +71,9 @@
         this.clockMs = clockMs;
         this.confirmed = confirmed;
         LesseeStore store = new LesseeStore(folder);
-        Set<String> earlier = read(store);
+        LesseeStore.Entry before = read(store);
+        Set<String> earlier = before.lessees();
+        boolean hasReserve = !earlier.isEmpty() && !before.reserveInUse() && mark(store, earlier);
         double now = clockMs.getAsDouble();
         boolean founds = earlier.isEmpty() && decided != null && decided.slot() == 0;
         this.authority = new GrantAuthority(
@@ -73,17 +82,30 @@
                 decided == null ? 0 : decided.voters().size(),
                 decided != null && decided.voters().contains(id),
                 founds);
-        this.grantor = new QuotaGrantor(now, new SecureRandom().nextLong(), earlier);
-        this.recorder = new LesseeRecorder(store, earlier, disk, loop, grantor::lessees);
+        this.grantor = new QuotaGrantor(now, new SecureRandom().nextLong(), earlier, hasReserve);
+        this.recorder = new LesseeRecorder(
+                store, new LesseeStore.Entry(earlier, !earlier.isEmpty()), disk, loop, grantor::lessees);
         this.recovering = grantor.isRecovering();
+        this.reserveUntil = now + RESERVE_WINDOW_MS;
     }
 
-    private static Set<String> read(LesseeStore store) {
+    private static LesseeStore.Entry read(LesseeStore store) {
         try {
             return store.read();
         } catch (IOException e) {
             Event.LESSEES_NOT_RECORDED.log(e.toString());
-            return Set.of(UNKNOWN_LESSEE);
+            return new LesseeStore.Entry(Set.of(UNKNOWN_LESSEE), true);
+        }
+    }
+
+    // On disk before the first token of the reserve goes out: a process that starts soon after has none.
+    private static boolean mark(LesseeStore store, Set<String> lessees) {
+        try {
+            store.write(new LesseeStore.Entry(lessees, true));
+            return true;
+        } catch (IOException e) {
+            Event.LESSEES_NOT_RECORDED.log(e.toString());
+            return false;
         }
     }
 
@@ -111,6 +133,13 @@
     void tick() {
         double now = clockMs.getAsDouble();
         grantor.advance(now, authority.capacity(now, confirmed.getAsBoolean()));
+        if (now >= pruneAt) {
+            pruneAt = now + PRUNE_MS;
+            recorder.prune();
+        }
+        if (now >= reserveUntil) {
+            recorder.markReserve(false);
+        }
         if (recovering && !grantor.isRecovering()) {
             recovering = false;
             Event.LEASES_RECOVERED.log("shares grow again");
--- a/src/main/java/whinlead/mesh/quota/GrantAuthority.java
+++ b/src/main/java/whinlead/mesh/quota/GrantAuthority.java
@@ -18,8 +18,11 @@
  * <p>Pure; one thread; times in milliseconds.
  */
 public final class GrantAuthority {
-    /** Voters that may have been added by decisions that a process that starts has missed, or that it can't tell of. */
-    private static final int MISSED_VOTERS = 2;
+    /**
+     * By how many there may have been more voters lately, as far as a process can tell that starts, or that has missed
+     * decisions: a replacement adds one before it removes another.
+     */
+    private static final int MISSED_VOTERS = 1;
 
     private record Earlier(double until, int voters) {}
 
--- a/src/main/java/whinlead/mesh/quota/QuotaAllowance.java
+++ b/src/main/java/whinlead/mesh/quota/QuotaAllowance.java
@@ -6,5 +6,6 @@
  *
  * @param ratePerS tokens a second
  * @param depth the most tokens that there are at a time
+ * @param reserve tokens that control nodes may give out besides, in any window, while they can't tell what is leased
  */
-public record QuotaAllowance(double ratePerS, double depth) {}
+public record QuotaAllowance(double ratePerS, double depth, double reserve) {}
--- a/src/main/java/whinlead/mesh/quota/QuotaGrantor.java
+++ b/src/main/java/whinlead/mesh/quota/QuotaGrantor.java
@@ -40,7 +40,7 @@
     /** A share is left as it is while the one that demand asks for differs by less. */
     private static final double TOLERANCE = 0.2;
     /** What an answer without a token tells to wait while this control node may give none. */
-    private static final double NO_CAPACITY_WAIT_MS = 200;
+    private static final double NO_CAPACITY_WAIT_MS = 50;
 
     /** How often it is looked for leases that have ended. */
     private static final double SWEEP_MS = 100;
@@ -50,6 +50,8 @@
         private final TokenBucket pool;
         private double committed;
         private double demandPerS;
+        /** Tokens of the reserve that this process has given out. */
+        private int reserveUsed;
 
         private Tenant(TokenBucket pool) {
             this.pool = pool;
@@ -58,6 +60,7 @@
 
     private final long life;
     private final double startedAt;
+    private final boolean hasReserve;
     private final Map<String, Lessee> lessees = new LinkedHashMap<>();
     private final Map<String, Tenant> tenants = new HashMap<>();
     /** Sidecars that may hold leases of an earlier process, and have not reported to this one. */
@@ -76,11 +79,13 @@
      *
      * @param life tells this process from an earlier one
      * @param earlierLessees sidecars that an earlier process may have given leases
+     * @param hasReserve whether no earlier process can have given tokens of the reserve within the last window
      */
-    public QuotaGrantor(double now, long life, Set<String> earlierLessees) {
+    public QuotaGrantor(double now, long life, Set<String> earlierLessees, boolean hasReserve) {
         this.life = life;
         this.startedAt = now;
         this.unheard = new HashSet<>(earlierLessees);
+        this.hasReserve = hasReserve;
         this.poolSince = now;
     }
 
@@ -121,6 +126,9 @@
     public TokenResponse take(double now, TokenRequest request) {
         advance(now, capacity);
         Tenant tenant = tenant(now, request.tenant(), request.allowance());
+        if (tenant != null && takeOfReserve(tenant)) {
+            return new TokenResponse(request.number(), true, 0);
+        }
         if (tenant == null || tenant.pool.share() <= 0) {
             return new TokenResponse(request.number(), false, NO_CAPACITY_WAIT_MS);
         }
@@ -129,6 +137,16 @@
         return new TokenResponse(request.number(), granted, waitMs);
     }
 
+    // While it is not known what is leased: once in this process's time, and once a window in all of them.
+    private boolean takeOfReserve(Tenant tenant) {
+        double reserve = tenant.pool.allowance().reserve() * capacity;
+        if (unheard.isEmpty() || !hasReserve || tenant.reserveUsed + 1 > reserve) {
+            return false;
+        }
+        tenant.reserveUsed++;
+        return true;
+    }
+
     /** The sidecars that may hold leases now. */
     public Set<String> lessees() {
         Set<String> all = new HashSet<>(unheard);
--- a/src/main/java/whinlead/mesh/quota/QuotaRules.java
+++ b/src/main/java/whinlead/mesh/quota/QuotaRules.java
@@ -9,20 +9,24 @@
  * @param slack requests a window
  */
 public record QuotaRules(double windowS, double excess, double slack) {
-    /**
-     * Of what the rules allow beyond the limit, the part that makes buckets deeper; the rest makes them fill faster.
-     */
+    /** Of what the rules allow beyond the limit, the part that makes buckets fill faster. */
+    private static final double RATE_PART = 0.4;
+    /** The part that makes them deeper; the rest is the reserve. */
     private static final double DEPTH_PART = 0.4;
     /** Requests a window that are left unused: counts are whole numbers, and time is rounded. */
     private static final double MARGIN = 2;
 
     /**
-     * What sidecars and control nodes may spend in all of one tenant's limit. Its rate times the window and its depth
-     * add up to what the rules allow, less the margin, so that a token bucket of this rate and depth keeps to them.
+     * What sidecars and control nodes may spend in all of one tenant's limit. Its rate times the window, its depth and
+     * its reserve add up to what the rules allow, less the margin: so a token bucket of this rate and depth, and the
+     * reserve once a window, keep to them.
      */
     public QuotaAllowance allowance(double limitPerS, double burst) {
         double limit = limitPerS * windowS + burst;
         double spare = Math.max(0, limit * excess + slack - MARGIN);
-        return new QuotaAllowance(limitPerS + spare * (1 - DEPTH_PART) / windowS, burst + spare * DEPTH_PART);
+        return new QuotaAllowance(
+                limitPerS + spare * RATE_PART / windowS,
+                burst + spare * DEPTH_PART,
+                spare * (1 - RATE_PART - DEPTH_PART));
     }
 }
--- a/src/main/java/whinlead/mesh/quota/TenantQuota.java
+++ b/src/main/java/whinlead/mesh/quota/TenantQuota.java
@@ -36,7 +36,7 @@
      */
     private static final double MIN_PAUSE_MS = 20;
 
-    private static final double MAX_PAUSE_MS = 400;
+    private static final double MAX_PAUSE_MS = 200;
     /** What refused requests are told to wait where nothing tells when a token comes. */
     private static final double DEFAULT_RETRY_MS = 500;
 
--- a/src/main/java/whinlead/mesh/quota/TokenSearch.java
+++ b/src/main/java/whinlead/mesh/quota/TokenSearch.java
@@ -10,7 +10,7 @@
  */
 public final class TokenSearch {
     /** The longest search, in milliseconds; two round trips between distant zones. */
-    public static final double MAX_MS = 160;
+    public static final double MAX_MS = 200;
     /** Of a request's aim, how much its search may take. */
     public static final double AIM_PART = 0.25;
     /** Of a search's time, after how much without an answer the next control node is asked as well. */
--- a/src/main/java/whinlead/mesh/wire/QuotaMessageCodec.java
+++ b/src/main/java/whinlead/mesh/wire/QuotaMessageCodec.java
@@ -111,11 +111,13 @@
     }
 
     private static void allowance(MessageBufferPacker p, QuotaAllowance allowance) throws IOException {
-        p.packFloat((float) allowance.ratePerS()).packFloat((float) allowance.depth());
+        p.packFloat((float) allowance.ratePerS())
+                .packFloat((float) allowance.depth())
+                .packFloat((float) allowance.reserve());
     }
 
     private static QuotaAllowance allowance(MessageUnpacker u) throws IOException {
-        return new QuotaAllowance(number(u.unpackFloat()), number(u.unpackFloat()));
+        return new QuotaAllowance(number(u.unpackFloat()), number(u.unpackFloat()), number(u.unpackFloat()));
     }
 
     private static double number(double value) throws IOException {
--- a/src/test/java/whinlead/mesh/PeerMessageCodecTest.java
+++ b/src/test/java/whinlead/mesh/PeerMessageCodecTest.java
@@ -72,9 +72,9 @@
                 new PeerMessage.ForwardFailure(4, PeerMessage.FailureReason.MOVED, 0.5, 2),
                 new PeerMessage.Cancel(4, true),
                 new PeerMessage.QuotaLeaseReport(new LeaseReport(
-                        7, 3, -9, 2, List.of(new QuotaNeed("t", 0.5, new QuotaAllowance(37.5, 41), 0.5, 0.125)))),
+                        7, 3, -9, 2, List.of(new QuotaNeed("t", 0.5, new QuotaAllowance(37.5, 41, 9), 0.5, 0.125)))),
                 new PeerMessage.QuotaLeaseGrant(new LeaseGrant(-9, 4, 3, List.of(new QuotaShare("t", 0.25, 1.5, 12)))),
-                new PeerMessage.QuotaTokenRequest(new TokenRequest(8, "t", new QuotaAllowance(37.5, 41))),
+                new PeerMessage.QuotaTokenRequest(new TokenRequest(8, "t", new QuotaAllowance(37.5, 41, 9))),
                 new PeerMessage.QuotaTokenResponse(new TokenResponse(8, false, 20)));
     }
 
--- a/src/test/java/whinlead/mesh/quota/QuotaLeaseTest.java
+++ b/src/test/java/whinlead/mesh/quota/QuotaLeaseTest.java
@@ -23,7 +23,7 @@
     @BeforeMethod
     public void start() {
         quota = new TenantQuota(RULES, 1);
-        grantor = new QuotaGrantor(0, 7, Set.of());
+        grantor = new QuotaGrantor(0, 7, Set.of(), false);
         grantor.advance(0, 1);
     }
 
@@ -105,7 +105,7 @@
                 .shares()
                 .get(0)
                 .share();
-        grantor = new QuotaGrantor(3000, 8, Set.of(SIDECAR, "another"));
+        grantor = new QuotaGrantor(3000, 8, Set.of(SIDECAR, "another"), false);
         grantor.advance(3000, 1);
         TokenRequest request = new TokenRequest(1, TENANT, RULES.allowance(LIMIT, LIMIT));
         assertFalse(grantor.take(3100, request).granted(), "another may hold what this would give out");
@@ -117,6 +117,21 @@
         assertTrue(grantor.take(4000, request).granted());
     }
 
+    @Test
+    public void meanwhileItGivesOutItsPartOfTheReserveAndNoMore() {
+        QuotaAllowance allowance = RULES.allowance(LIMIT, LIMIT);
+        grantor = new QuotaGrantor(3000, 8, Set.of("another"), true);
+        grantor.advance(3000, 0.5);
+        int given = 0;
+        for (int i = 0; i < 1000; i++) {
+            given += grantor.take(3100 + i, new TokenRequest(i, TENANT, allowance))
+                            .granted()
+                    ? 1
+                    : 0;
+        }
+        assertEquals(given, (int) (allowance.reserve() / 2));
+    }
+
     @Test
     public void aSecondProcessAtASidecarsAddressHoldsNothingOfTheFirst() {
         lease();
--- a/src/test/java/whinlead/mesh/quota/QuotaMesh.java
+++ b/src/test/java/whinlead/mesh/quota/QuotaMesh.java
@@ -20,6 +20,8 @@
     private static final int TICK_MS = 100;
     /** A cut that lasts longer ends the connection, and what was on its way is lost. */
     private static final int CONNECTION_LOST_MS = 3000;
+    /** As long as a mark of the reserve stays on a control node's disk. */
+    private static final int RESERVE_WINDOW_MS = (int) LeaseTerms.COUNTED_MS + 6000;
 
     /**
      * What came of it, by the millisecond in which requests were sent or admitted.
@@ -85,6 +87,9 @@
     private final int[][] connections;
 
     private final int[][] lastArrivalMs;
+    /** By control node: until when its disk tells that the reserve is in use. */
+    private final int[] reserveUntilMs;
+
     private final Outcome outcome;
     private int lives;
     private double wholeBucket;
@@ -95,6 +100,7 @@
         this.random = new Random(scenario.seed());
         this.sidecars = new Sidecar[scenario.sidecars()];
         this.controlNodes = new ControlNode[scenario.controlNodes()];
+        this.reserveUntilMs = new int[scenario.controlNodes()];
         this.connections = new int[sidecars.length][controlNodes.length];
         this.lastArrivalMs = new int[sidecars.length][2 * controlNodes.length];
         this.outcome =
@@ -105,7 +111,7 @@
         }
         for (int c = 0; c < controlNodes.length; c++) {
             disks.add(new HashSet<>());
-            controlNodes[c] = new ControlNode(new QuotaGrantor(0, ++lives, Set.of()), 0);
+            controlNodes[c] = new ControlNode(new QuotaGrantor(0, ++lives, Set.of(), false), 0);
         }
     }
 
@@ -361,7 +367,12 @@
         }
         Set<String> earlier = fault == Fault.FORGET_LESSEES ? Set.of() : Set.copyOf(disks.get(index));
         int waitMs = restart.keepsDisk() || fault == Fault.GRANT_AT_ONCE ? 0 : (int) LeaseTerms.SETTLED_MS;
-        controlNodes[index] = new ControlNode(new QuotaGrantor(ms, ++lives, earlier), ms + waitMs);
+        boolean hasReserve = !earlier.isEmpty() && ms >= reserveUntilMs[index];
+        if (hasReserve) {
+            reserveUntilMs[index] = ms + RESERVE_WINDOW_MS;
+        }
+        QuotaGrantor grantor = new QuotaGrantor(ms, ++lives, earlier, hasReserve);
+        controlNodes[index] = new ControlNode(grantor, ms + waitMs);
     }
 
     private void startSidecar(int i) {
