Add rehearse soak: signals, kills, restarts and changes that overlap

Three control nodes, sidecars, endpoints, clients that keep their connections and an operator as processes on loopback; checked are runs twice, broken promises, lost answers, a limited tenant over all sidecars, configurations, ends in time and open files. The first try found a fault of the rig: it did not start again what a signal ended before the process could take it.

--- a/src/main/java/whinlead/testbed/Rehearse.java
+++ b/src/main/java/whinlead/testbed/Rehearse.java
@@ -33,7 +33,8 @@
             CopiesCostRehearsal.class,
             HardeningRehearsal.class,
             ScaleRehearsal.class,
-            UpgradeRehearsal.class
+            UpgradeRehearsal.class,
+            SoakRehearsal.class
         })
 public final class Rehearse implements Callable<Integer> {
     @Spec
--- a/src/main/java/whinlead/testbed/mesh/upgrade/Changes.java
+++ b/src/main/java/whinlead/testbed/mesh/upgrade/Changes.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongFunction;
 import whinlead.testbed.mesh.LocalMeshRun;
 import whinlead.testbed.mesh.Talk;
 
@@ -15,7 +16,7 @@
  * An operator who sends one configuration after the other, each built on the one acknowledged before, to the control
  * nodes in turn; what got no clear answer is sent again as it was. A thread of its own.
  */
-final class Changes implements AutoCloseable {
+public final class Changes implements AutoCloseable {
     private static final long EVERY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
     private static final long AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long END_MS = 20_000;
@@ -29,6 +30,7 @@
             + "\"Tries\":2,\"Public\":false},";
 
     private final List<String> controlNodes;
+    private final LongFunction<String> bodies;
     private final Queue<String> broken = new ConcurrentLinkedQueue<>();
     private final Thread thread = new Thread(this::run, "operator");
     private int turn;
@@ -40,7 +42,13 @@
     private boolean ended;
 
     /** Changes for the control nodes that take them at these addresses. */
-    Changes(List<String> controlNodes) {
+    public Changes(List<String> controlNodes) {
+        this(controlNodes, Changes::body);
+    }
+
+    /** Changes with bodies of their own, by version. */
+    public Changes(List<String> controlNodes, LongFunction<String> bodies) {
+        this.bodies = bodies;
         this.controlNodes = controlNodes;
     }
 
@@ -50,13 +58,14 @@
     }
 
     /** This version, whole. */
-    static String body(long version) {
+    public static String body(long version) {
         return LocalMeshRun.config(String.format("%08x", version), "svc")
                 .replace("\"DeadlineS\":2", "\"DeadlineS\":5")
                 .replace("\"Routes\":{", String.format(ROUTE, path(version)));
     }
 
-    void start() {
+    /** Begins. */
+    public void start() {
         thread.setDaemon(true);
         thread.start();
     }
@@ -84,7 +93,7 @@
     }
 
     /** Waits for the change under way, and begins no other; the version acknowledged last. */
-    synchronized long hold() throws InterruptedException {
+    public synchronized long hold() throws InterruptedException {
         held = true;
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(END_MS);
         while (!idle && System.nanoTime() < end) {
@@ -127,7 +136,7 @@
                     controlNode,
                     "POST /whinlead/rpc?call=config.replace",
                     Map.of("If-Match", ifMatch),
-                    body(version).getBytes(StandardCharsets.UTF_8));
+                    bodies.apply(version).getBytes(StandardCharsets.UTF_8));
             if (answer != null && answer.status() == TAKEN) {
                 return TAKEN;
             }
@@ -148,7 +157,7 @@
     private void read(String controlNode, long version) {
         try {
             Talk.Message answer = Talk.ask(controlNode, "POST /whinlead/rpc?call=config.read", Map.of(), new byte[0]);
-            if (answer != null && answer.status() == TAKEN && !answer.text().equals(body(version))) {
+            if (answer != null && answer.status() == TAKEN && !answer.text().equals(bodies.apply(version))) {
                 broken.add(
                         "read at " + controlNode + " after version " + version + " was acknowledged: " + answer.text());
             }
@@ -170,12 +179,12 @@
     }
 
     /** What was not as it should be. */
-    List<String> broken() {
+    public List<String> broken() {
         return List.copyOf(broken);
     }
 
     /** Answers that told nothing. After it has ended or while it is held. */
-    long unclear() {
+    public long unclear() {
         return unclear;
     }
 
--- a/src/main/java/whinlead/testbed/mesh/upgrade/Machine.java
+++ b/src/main/java/whinlead/testbed/mesh/upgrade/Machine.java
@@ -12,12 +12,12 @@
  * One machine: its settings, its disk, and the process of whichever version runs on it. One thread; {@link #ready} is
  * for any.
  */
-final class Machine {
+public final class Machine {
     /** After SIGTERM a machine kills what has not ended; the settings say so too. */
     private static final long GRACE_S = 6;
 
     /** What runs on it. */
-    enum Role {
+    public enum Role {
         /** A control node. */
         CONTROL_NODE("office"),
         /** A sidecar. */
@@ -36,15 +36,15 @@
     private final Path settings;
     private final Path log;
     private final String probeAddress;
-    private Process process;
-    private boolean killed;
+    private volatile Process process;
+    private volatile boolean killed;
 
     /**
      * A machine on which nothing runs.
      *
      * @param probeAddress where it is asked whether it is ready
      */
-    Machine(Role role, int number, Path folder, List<String> settings, String probeAddress) throws IOException {
+    public Machine(Role role, int number, Path folder, List<String> settings, String probeAddress) throws IOException {
         this.role = role;
         this.name = role.command + " " + number;
         this.settings = Files.write(folder.resolve(role.command + "-" + number + ".conf"), settings);
@@ -53,17 +53,17 @@
     }
 
     /** What it is called in the figures. */
-    String name() {
+    public String name() {
         return name;
     }
 
     /** What runs on it. */
-    Role role() {
+    public Role role() {
         return role;
     }
 
     /** Starts this version's process. */
-    void start(Program program) throws IOException {
+    public void start(Program program) throws IOException {
         ProcessBuilder b = new ProcessBuilder(program.command(role.command));
         b.environment().put("WHINLEAD_NODE_FILE", settings.toString());
         process = b.redirectErrorStream(true)
@@ -72,7 +72,7 @@
     }
 
     /** Ends the process: SIGTERM, and a kill once the grace is over. */
-    void stop() throws InterruptedException {
+    public void stop() throws InterruptedException {
         process.destroy();
         if (!process.waitFor(GRACE_S, TimeUnit.SECONDS)) {
             killed = true;
@@ -80,20 +80,44 @@
         }
     }
 
+    /** Sends the process a signal by its name, if it runs. */
+    public void signal(String signalName) throws IOException, InterruptedException {
+        if (isRunning()) {
+            new ProcessBuilder("kill", "-" + signalName, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        }
+    }
+
+    /** Whether its process runs. */
+    public boolean isRunning() {
+        return process != null && process.isAlive();
+    }
+
+    /** How many files and sockets its process has open; 0 if none runs. */
+    public long openFiles() throws IOException {
+        if (!isRunning()) {
+            return 0;
+        }
+        try (var files = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+            return files.count();
+        }
+    }
+
     /** Ends the process at once. */
-    void kill() throws InterruptedException {
+    public void kill() throws InterruptedException {
         if (process != null) {
             process.destroyForcibly().waitFor();
         }
     }
 
     /** Whether a process on it did not end within the grace. */
-    boolean wasKilled() {
+    public boolean wasKilled() {
         return killed;
     }
 
     /** Whether it can be used: a control node answers a read, a sidecar says that it is ready. */
-    boolean ready() {
+    public boolean ready() {
         String first = role == Role.CONTROL_NODE ? "POST /whinlead/rpc?call=config.read" : "GET /whinlead/readiness";
         try {
             Talk.Message answer = Talk.ask(probeAddress, first, Map.of(), new byte[0]);
@@ -105,7 +129,7 @@
     }
 
     /** The lines that its processes have logged and that hold this. */
-    List<String> logged(String text) throws IOException {
+    public List<String> logged(String text) throws IOException {
         try (var lines = Files.lines(log)) {
             return lines.filter(line -> line.contains(text)).toList();
         }
