--- a/src/main/java/whinlead/mesh/control/QuotaLeases.java
+++ b/src/main/java/whinlead/mesh/control/QuotaLeases.java
@@ -153,6 +153,11 @@
         }
         tick();
         String sidecar = connection.peer();
+        if (report.leaving()) {
+            grantor.report(clockMs.getAsDouble(), sidecar, report, false);
+            recorder.prune();
+            return;
+        }
         boolean recorded = recorder.isRecorded(sidecar);
         LeaseGrant grant = grantor.report(clockMs.getAsDouble(), sidecar, report, recorded);
         if (grant != null) {
--- a/src/main/java/whinlead/mesh/quota/LeaseReport.java
+++ b/src/main/java/whinlead/mesh/quota/LeaseReport.java
@@ -10,8 +10,15 @@
  * @param grantorLife the life of the control node that gave what is held; 0 if nothing is
  * @param grantNumber the newest grant of that life that is in force
  * @param needs by tenant
+ * @param leaving whether the process ends: it holds nothing any more, and admits nothing
  */
-public record LeaseReport(long sidecarLife, long number, long grantorLife, long grantNumber, List<QuotaNeed> needs) {
+public record LeaseReport(
+        long sidecarLife, long number, long grantorLife, long grantNumber, List<QuotaNeed> needs, boolean leaving) {
+    /** One of a process that goes on. */
+    public LeaseReport(long sidecarLife, long number, long grantorLife, long grantNumber, List<QuotaNeed> needs) {
+        this(sidecarLife, number, grantorLife, grantNumber, needs, false);
+    }
+
     /** Copies the list. */
     public LeaseReport {
         needs = List.copyOf(needs);
--- a/src/main/java/whinlead/mesh/quota/QuotaGrantor.java
+++ b/src/main/java/whinlead/mesh/quota/QuotaGrantor.java
@@ -97,6 +97,10 @@
      */
     public LeaseGrant report(double now, String sidecar, LeaseReport report, boolean recorded) {
         advance(now, capacity);
+        if (report.leaving()) {
+            remove(now, sidecar);
+            return null;
+        }
         Lessee lessee = lessee(now, sidecar, report.sidecarLife());
         if (lessee == null) {
             return null;
@@ -190,6 +194,16 @@
         lessees.values().removeAll(ended);
     }
 
+    private void remove(double now, String sidecar) {
+        Lessee left = lessees.remove(sidecar);
+        if (left != null) {
+            count(now, left, -1);
+        }
+        if (unheard.remove(sidecar)) {
+            advance(now, capacity);
+        }
+    }
+
     // Null where there is no room. A process that starts at a sidecar's address holds nothing, and the one before it
     // has
     // ended: with it, what that one held.
--- a/src/main/java/whinlead/mesh/quota/TenantQuota.java
+++ b/src/main/java/whinlead/mesh/quota/TenantQuota.java
@@ -74,6 +74,7 @@
     private final Map<String, QuotaLease> leases = new LinkedHashMap<>();
     private long reports;
     private double evenShare;
+    private boolean isReleased;
 
     /**
      * A sidecar's part, without leases.
@@ -85,11 +86,20 @@
         this.life = life;
     }
 
+    /** The process ends: it gives up all that it holds, and admits no tenant's request any more. */
+    public LeaseReport release() {
+        isReleased = true;
+        return new LeaseReport(life, ++reports, 0, 0, List.of(), true);
+    }
+
     /** Decides on one request of a tenant with this limit; a limit of 0 is none. */
     public QuotaDecision acquire(double now, String name, double limitPerS, double burst) {
         if (limitPerS <= 0) {
             return new QuotaDecision.Admitted();
         }
+        if (isReleased) {
+            return new QuotaDecision.Refused(DEFAULT_RETRY_MS);
+        }
         expireLeases(now);
         QuotaAllowance allowance = rules.allowance(limitPerS, burst);
         Tenant tenant = tenant(now, name, allowance);
--- a/src/main/java/whinlead/mesh/sidecar/QuotaClient.java
+++ b/src/main/java/whinlead/mesh/sidecar/QuotaClient.java
@@ -102,6 +102,13 @@
         }
     }
 
+    /** The process ends: control nodes may lease at once what is held here. */
+    void release() {
+        connections.values().stream()
+                .filter(QuotaClient::grantsLeases)
+                .forEach(connection -> connection.send(new PeerMessage.QuotaLeaseReport(quota.release())));
+    }
+
     private static boolean grantsLeases(Connection connection) {
         return connection.isUp() && connection.version() >= ProtocolVersion.LEASES;
     }
--- a/src/main/java/whinlead/mesh/sidecar/Sidecar.java
+++ b/src/main/java/whinlead/mesh/sidecar/Sidecar.java
@@ -40,6 +40,8 @@
  */
 public final class Sidecar {
     private static final long TICK_MS = 100;
+    /** How long the end waits for the loop to give up what is held, in milliseconds. */
+    private static final long RELEASE_MS = 100;
     /** Connections of peers that wait to be accepted. */
     private static final int BACKLOG = 512;
 
@@ -185,6 +187,7 @@
         });
         try {
             shutdown.await();
+            loop.submit(quota::release).await(RELEASE_MS);
             Event.ENDED.log(node);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/whinlead/mesh/wire/QuotaMessageCodec.java
+++ b/src/main/java/whinlead/mesh/wire/QuotaMessageCodec.java
@@ -68,6 +68,7 @@
             allowance(p, need.allowance());
             p.packFloat((float) need.returnedTokens()).packDouble(need.heldShare());
         }
+        p.packBoolean(report.leaving());
     }
 
     private static LeaseReport report(MessageUnpacker u) throws IOException {
@@ -85,7 +86,7 @@
                     number(u.unpackFloat()),
                     number(u.unpackDouble())));
         }
-        return new LeaseReport(sidecarLife, number, grantorLife, grantNumber, needs);
+        return new LeaseReport(sidecarLife, number, grantorLife, grantNumber, needs, u.unpackBoolean());
     }
 
     private static void grant(MessageBufferPacker p, LeaseGrant grant) throws IOException {
--- a/src/test/java/whinlead/mesh/quota/QuotaLeaseTest.java
+++ b/src/test/java/whinlead/mesh/quota/QuotaLeaseTest.java
@@ -148,6 +148,14 @@
         assertTrue(given > LIMIT, "only " + given);
     }
 
+    @Test
+    public void aSidecarThatLeavesHoldsNothingAnyMore() {
+        lease();
+        grantor.report(2500, SIDECAR, quota.release(), true);
+        assertEquals(grantor.lessees(), Set.of());
+        assertFalse(passes(2600));
+    }
+
     @Test
     public void aReportThatComesLateChangesNothing() {
         lease();
