Quota: a sidecar whose endpoint has left holds no leases

Now they are given up when the endpoint departs; until another beats, single tokens serve what still begins there.

--- a/src/main/java/whinlead/mesh/quota/LeaseReport.java
+++ b/src/main/java/whinlead/mesh/quota/LeaseReport.java
@@ -10,7 +10,7 @@
  * @param grantorLife the life of the control node that gave what is held; 0 if nothing is
  * @param grantNumber the newest grant of that life that is in force
  * @param needs by tenant
- * @param leaving whether the process ends: it holds nothing any more, and admits nothing
+ * @param leaving whether it gives up what it holds, for its process or its machine is about to go
  */
 public record LeaseReport(
         long sidecarLife, long number, long grantorLife, long grantNumber, List<QuotaNeed> needs, boolean leaving) {
--- a/src/main/java/whinlead/mesh/quota/TenantQuota.java
+++ b/src/main/java/whinlead/mesh/quota/TenantQuota.java
@@ -74,7 +74,6 @@
     private final Map<String, QuotaLease> leases = new LinkedHashMap<>();
     private long reports;
     private double evenShare;
-    private boolean isReleased;
 
     /**
      * A sidecar's part, without leases.
@@ -86,9 +85,14 @@
         this.life = life;
     }
 
-    /** The process ends: it gives up all that it holds, and admits no tenant's request any more. */
-    public LeaseReport release() {
-        isReleased = true;
+    /**
+     * Gives up all leases, and returns the report that tells so. What is on its way for earlier reports counts no more.
+     */
+    public LeaseReport release(double now) {
+        expireLeases(now);
+        leases.values().forEach(QuotaLease::expire);
+        leases.values().forEach(QuotaLease::reconnected);
+        updateShares(now, Set.copyOf(tenants.keySet()));
         return new LeaseReport(life, ++reports, 0, 0, List.of(), true);
     }
 
@@ -97,9 +101,6 @@
         if (limitPerS <= 0) {
             return new QuotaDecision.Admitted();
         }
-        if (isReleased) {
-            return new QuotaDecision.Refused(DEFAULT_RETRY_MS);
-        }
         expireLeases(now);
         QuotaAllowance allowance = rules.allowance(limitPerS, burst);
         Tenant tenant = tenant(now, name, allowance);
--- a/src/main/java/whinlead/mesh/sidecar/QuotaClient.java
+++ b/src/main/java/whinlead/mesh/sidecar/QuotaClient.java
@@ -56,6 +56,7 @@
     private final Random random = new Random();
     private long tokenRequests;
     private int searches;
+    private boolean holds = true;
 
     /**
      * A client without control nodes.
@@ -87,7 +88,7 @@
         boolean hasNews = quota.hasNews(now);
         connections.forEach((controlNode, connection) -> {
             LeaseSchedule schedule = schedules.get(controlNode);
-            if (grantsLeases(connection) && schedule.isDue(now, quota.hasNeeds(now, controlNode), hasNews)) {
+            if (holds && grantsLeases(connection) && schedule.isDue(now, quota.hasNeeds(now, controlNode), hasNews)) {
                 schedule.sent(now);
                 report(now, controlNode, connection);
             }
@@ -102,11 +103,23 @@
         }
     }
 
-    /** The process ends: control nodes may lease at once what is held here. */
-    void release() {
-        connections.values().stream()
-                .filter(QuotaClient::grantsLeases)
-                .forEach(connection -> connection.send(new PeerMessage.QuotaLeaseReport(quota.release())));
+    /**
+     * Whether leases are held from now on. If not, what is held is given up at once, and single tokens serve requests:
+     * a machine that is about to go takes no part of a limit with it.
+     */
+    void hold(boolean nowHolds) {
+        if (holds == nowHolds) {
+            return;
+        }
+        holds = nowHolds;
+        if (holds) {
+            schedules.values().forEach(LeaseSchedule::connected);
+        } else {
+            LeaseReport report = quota.release(timers.now());
+            connections.values().stream()
+                    .filter(QuotaClient::grantsLeases)
+                    .forEach(connection -> connection.send(new PeerMessage.QuotaLeaseReport(report)));
+        }
     }
 
     private static boolean grantsLeases(Connection connection) {
--- a/src/main/java/whinlead/mesh/sidecar/Sidecar.java
+++ b/src/main/java/whinlead/mesh/sidecar/Sidecar.java
@@ -187,7 +187,7 @@
         });
         try {
             shutdown.await();
-            loop.submit(quota::release).await(RELEASE_MS);
+            loop.submit(() -> quota.hold(false)).await(RELEASE_MS);
             Event.ENDED.log(node);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -235,6 +235,7 @@
         } else if (call instanceof RpcCall.Depart depart) {
             if (gate.departed(depart.endpoint())) {
                 Event.ENDPOINT.log(depart.endpoint() + " has left");
+                quota.hold(false);
                 endpointChanged();
             }
             respond.accept(RpcResponse.done());
@@ -248,6 +249,7 @@
             return RpcResponse.error(HttpResponseStatus.BAD_REQUEST, "Target is missing");
         }
         String before = gate.endpoint();
+        quota.hold(!publisher.isLeaving());
         if (gate.heartbeat(timers.now(), heartbeat.endpoint(), heartbeat.status())) {
             Event.ENDPOINT.log(heartbeat.endpoint() + " of " + gate.target() + " " + gate.state());
             if (heartbeat.endpoint().equals(before)) {
