--- a/src/main/java/whinlead/testbed/SoakRehearsal.java
+++ b/src/main/java/whinlead/testbed/SoakRehearsal.java
@@ -40,6 +40,8 @@
         System.out.println("seed " + seed + ", " + sidecars + " sidecars, " + seconds + " s");
         List<String> broken;
         try (SoakRun run = new SoakRun(seed, sidecars)) {
+            // Also where this process is told to end: its children would go on.
+            Runtime.getRuntime().addShutdownHook(new Thread(run::killAll));
             broken = run.play(seconds);
             System.out.println(run.summary());
         }
--- a/src/main/java/whinlead/testbed/mesh/soak/SoakRun.java
+++ b/src/main/java/whinlead/testbed/mesh/soak/SoakRun.java
@@ -57,6 +57,7 @@
     private final SoakHistory history = new SoakHistory();
     private final SoakClients clients;
     private final Changes changes;
+    private volatile boolean closed;
 
     /**
      * A fleet that is not started.
@@ -196,6 +197,9 @@
 
     private void restart(Machine machine, boolean kill) throws Exception {
         synchronized (machine) {
+            if (closed) {
+                return;
+            }
             if (kill) {
                 history.killed(nowMs());
                 machine.kill();
@@ -210,7 +214,7 @@
     // As the platform does, what has ended is started again: by a signal that came before the process could take it.
     private boolean isReady(Machine machine) throws IOException {
         synchronized (machine) {
-            if (!machine.isRunning()) {
+            if (!machine.isRunning() && !closed) {
                 history.killed(nowMs());
                 machine.start(Program.running());
             }
@@ -254,6 +258,18 @@
         }
     }
 
+    /** Ends all processes at once, whatever is under way. */
+    public void killAll() {
+        closed = true;
+        for (Machine each : machines()) {
+            try {
+                each.kill();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
     /** What was asked and served, in a line. */
     public String summary() {
         return history.requests() + " requests, " + history.served() + " served, " + disturbances.size()
@@ -263,11 +279,15 @@
 
     @Override
     public void close() throws Exception {
+        closed = true;
         changes.close();
         clients.close();
         threads.shutdownNow();
         for (Machine each : machines()) {
-            each.kill();
+            // Whoever is about to start it anew is waited for, or sees that the run is closed.
+            synchronized (each) {
+                each.kill();
+            }
         }
         for (StandInApp each : endpoints) {
             each.close();
--- /dev/null
+++ b/src/test/java/whinlead/mesh/storage/LesseeStoreTest.java
@@ -0,0 +1,61 @@
+package whinlead.mesh.storage;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Who may hold leases, on disk. */
+public class LesseeStoreTest {
+    private Path folder;
+    private List<String> synced;
+
+    @BeforeMethod
+    public void make() throws Exception {
+        folder = Files.createTempDirectory("lessees");
+        synced = new ArrayList<>();
+    }
+
+    private LesseeStore store() {
+        return new LesseeStore(folder, new Syncer() {
+            @Override
+            public void file(Path file) {
+                synced.add(file.getFileName().toString());
+            }
+
+            @Override
+            public void folder(Path which) {
+                synced.add("folder");
+            }
+        });
+    }
+
+    @Test
+    public void whatWasWrittenIsReadByTheNextProcess() throws Exception {
+        assertEquals(store().read(), new LesseeStore.Entry(Set.of(), false));
+        LesseeStore.Entry entry = new LesseeStore.Entry(Set.of("10.0.0.1:7000", "10.0.0.2:7000"), true);
+        store().write(entry);
+        assertEquals(store().read(), entry);
+        store().write(new LesseeStore.Entry(Set.of(), false));
+        assertEquals(store().read(), new LesseeStore.Entry(Set.of(), false));
+    }
+
+    @Test
+    public void theNewFileIsSyncedBeforeItTakesTheOldOnesNameAndTheNameAfterwards() throws Exception {
+        store().write(new LesseeStore.Entry(Set.of("a"), false));
+        assertEquals(synced, List.of("lessees.new", "folder"));
+    }
+
+    @Test
+    public void whatAKilledProcessLeftHalfWrittenIsNotRead() throws Exception {
+        LesseeStore.Entry entry = new LesseeStore.Entry(Set.of("a"), false);
+        store().write(entry);
+        Files.writeString(folder.resolve("lessees.new"), "b");
+        assertEquals(store().read(), entry);
+    }
+}
