Quota: number grants over all sidecars, so that none on its way goes uncounted

Cause, found by reading: a sidecar that gave its leases up, or was forgotten, and comes back names its old grant's number until the new grant has reached it; numbers began anew for it, so that the new grant was taken for replaced and its shares were counted free.

--- a/src/main/java/whinlead/mesh/quota/LeaseGrant.java
+++ b/src/main/java/whinlead/mesh/quota/LeaseGrant.java
@@ -7,7 +7,7 @@
  * {@link LeaseTerms#LEASE_MS} from when the report that it answers was sent.
  *
  * @param grantorLife tells this control node's process from an earlier one
- * @param number counts the grants to this sidecar
+ * @param number counts the grants of this process
  * @param reportNumber of the report that it answers
  * @param shares by tenant
  */
--- a/src/main/java/whinlead/mesh/quota/Lessee.java
+++ b/src/main/java/whinlead/mesh/quota/Lessee.java
@@ -21,7 +21,6 @@
     private final Map<String, Double> demandPerS = new HashMap<>();
     private double reportedAt = Double.NEGATIVE_INFINITY;
     private long reportNumber = -1;
-    private long grantNumber;
     private double countedUntil = Double.NEGATIVE_INFINITY;
 
     /** One that holds nothing. */
@@ -71,12 +70,11 @@
         return open.size() <= 1;
     }
 
-    /** Notes a grant that is sent now; returns its number. */
-    long grant(Map<String, Double> shares, double until) {
-        open.addLast(new Grant(++grantNumber, shares));
+    /** Notes a grant that is sent now, under a number above those of all grants before. */
+    void grant(long number, Map<String, Double> shares, double until) {
+        open.addLast(new Grant(number, shares));
         countedUntil = until;
         commit();
-        return grantNumber;
     }
 
     /** Whether what it held has ended, and it has said nothing since. */
--- a/src/main/java/whinlead/mesh/quota/QuotaGrantor.java
+++ b/src/main/java/whinlead/mesh/quota/QuotaGrantor.java
@@ -66,6 +66,7 @@
     /** Sidecars that may hold leases of an earlier process, and have not reported to this one. */
     private final Set<String> unheard;
 
+    private long grants;
     private double capacity;
     /** What may be leased anew or given out by tokens: nothing, while leases are in force that are not known. */
     private double poolCapacity;
@@ -121,9 +122,12 @@
         Map<String, Double> shares = shares(lessee);
         List<QuotaShare> told = told(now, lessee, shares);
         count(now, lessee, -1);
-        long number = lessee.grant(shares, now + LeaseTerms.COUNTED_MS);
+        // One count for all sidecars: one that is forgotten and comes back must not take an old number for a new
+        // grant's.
+        grants++;
+        lessee.grant(grants, shares, now + LeaseTerms.COUNTED_MS);
         count(now, lessee, 1);
-        return new LeaseGrant(life, number, report.number(), told);
+        return new LeaseGrant(life, grants, report.number(), told);
     }
 
     /** A sidecar asks for one token out of what is not leased. */
--- a/src/test/java/whinlead/mesh/quota/QuotaLeaseTest.java
+++ b/src/test/java/whinlead/mesh/quota/QuotaLeaseTest.java
@@ -156,6 +156,23 @@
         assertFalse(passes(2600));
     }
 
+    /** A sidecar that gave its lease up and comes back names a grant of before, until the new one has reached it. */
+    @Test
+    public void aGrantOnItsWayCountsAlsoForOneThatNamesAnOlderGrant() {
+        lease();
+        renew(2100);
+        renew(2200);
+        grantor.report(2300, SIDECAR, quota.release(2300), true);
+        LeaseGrant onItsWay = grantor.report(2400, SIDECAR, quota.report(2400, CONTROL_NODE), true);
+        double share = onItsWay.shares().get(0).share();
+        assertTrue(share > 0);
+        grantor.report(2500, SIDECAR, quota.report(2500, CONTROL_NODE), true);
+        quota.granted(2600, CONTROL_NODE, onItsWay);
+        QuotaNeed need = new QuotaNeed(TENANT, 10_000, RULES.allowance(LIMIT, LIMIT), 0, 0);
+        LeaseGrant others = grantor.report(2700, "other", new LeaseReport(9, 1, 0, 0, List.of(need)), true);
+        assertTrue(others.shares().get(0).share() + share <= 1 + 1e-9, "both hold " + others + " and " + share);
+    }
+
     @Test
     public void aReportThatComesLateChangesNothing() {
         lease();
