--- a/src/test/java/whinlead/mesh/quota/QuotaMesh.java
+++ b/src/test/java/whinlead/mesh/quota/QuotaMesh.java
@@ -296,7 +296,9 @@
         }
         int connection = connections[i][c];
         int direction = 2 * c + (toControlNode ? 0 : 1);
-        int arriveMs = Math.max(lastArrivalMs[i][direction], ms + 1 + random.nextInt(scenario.maxDelayMs()));
+        int arriveMs = Math.max(
+                lastArrivalMs[i][direction],
+                ms + scenario.minDelayMs() + random.nextInt(scenario.maxDelayMs() - scenario.minDelayMs() + 1));
         int heldFrom = arriveMs;
         while (!scenario.reaches(i, c, arriveMs)) {
             arriveMs++;
--- a/src/test/java/whinlead/mesh/quota/QuotaScenario.java
+++ b/src/test/java/whinlead/mesh/quota/QuotaScenario.java
@@ -14,6 +14,7 @@
  * @param weights the part of its requests that begins at each sidecar; they add up to 1
  * @param cuts when sidecars and control nodes can't reach each other
  * @param restarts of processes
+ * @param minDelayMs the shortest way of a message
  * @param maxDelayMs the longest way of a message
  * @param lossShare of messages, how many a broken connection loses
  */
@@ -28,6 +29,7 @@
         double[] weights,
         List<Cut> cuts,
         List<Restart> restarts,
+        int minDelayMs,
         int maxDelayMs,
         double lossShare,
         int lengthMs) {
@@ -91,6 +93,7 @@
                 weights,
                 cuts,
                 List.of(),
+                1,
                 3,
                 0,
                 26_000);
@@ -125,6 +128,7 @@
                 weights(random, sidecars),
                 cuts(random, sidecars, controlNodes, lengthMs),
                 restarts(random, sidecars, controlNodes, lengthMs),
+                1,
                 1 + random.nextInt(random.nextBoolean() ? 5 : 400),
                 random.nextInt(3) == 0 ? random.nextDouble() * 0.2 : 0,
                 lengthMs);
@@ -158,6 +162,7 @@
                 weights(random, sidecars),
                 cuts,
                 restarts,
+                1,
                 3,
                 0,
                 20_000);
--- a/src/test/java/whinlead/mesh/quota/TenantQuotaTest.java
+++ b/src/test/java/whinlead/mesh/quota/TenantQuotaTest.java
@@ -29,7 +29,9 @@
     private static final int STEADY_END = 17_000;
     private static final int CONTROL_NODES = 5;
     /** Of a message on its way. */
-    private static final int MAX_DELAY_MS = 80;
+    private static final int MAX_DELAY_MS = 79;
+
+    private static final int MIN_DELAY_MS = 20;
 
     @Test
     public void ofATenantWithinItsLimitFewAreRefusedAndNoneGetsMoreThanTheRulesGive() {
@@ -73,6 +75,7 @@
                 split,
                 List.of(),
                 List.of(),
+                MIN_DELAY_MS,
                 MAX_DELAY_MS,
                 0,
                 END);
@@ -116,7 +119,7 @@
     // Some seconds of the same, and a window more.
     private static QuotaScenario steady(double limit, double[] split, double perS, int seed) {
         return new QuotaScenario(
-                seed, split.length, 3, limit, limit, perS, List.of(), split, List.of(), List.of(), 3, 0, STEADY_END);
+                seed, split.length, 3, limit, limit, perS, List.of(), split, List.of(), List.of(), 1, 3, 0, STEADY_END);
     }
 
     @Test
