Quota: ask two control nodes at once where pools are shallow, and give unused tokens back

Cause: a limit of 3 a second leaves each of five control nodes room for 2.2 tokens. One is often empty while others are not, and with messages of 20 to 79 ms a second question after the first one's refusal comes back after the 200 ms that a search has. Tokens that came after a search's end, or beside another's, were lost to the tenant.

Change: TokenSearch asks two control nodes at once where all pools together have room for fewer than four tokens each; a token that no request needs goes back with the next lease report, in QuotaLease's returned tokens, so it is taken out of one bucket before it is put into another.

New: TokenSearchTest.

--- a/src/main/java/whinlead/mesh/quota/TenantQuota.java
+++ b/src/main/java/whinlead/mesh/quota/TenantQuota.java
@@ -145,6 +145,14 @@
         }
     }
 
+    /** A control node gave a token that no request needs: it is told so with the next report, and may give it again. */
+    public void tokenUnused(String controlNode, String name) {
+        QuotaLease lease = leases.get(controlNode);
+        if (lease != null && tenants.containsKey(name)) {
+            lease.returnTokens(name, 1);
+        }
+    }
+
     /**
      * No control node had a token, or none answered.
      *
--- a/src/main/java/whinlead/mesh/sidecar/QuotaClient.java
+++ b/src/main/java/whinlead/mesh/sidecar/QuotaClient.java
@@ -31,6 +31,8 @@
     private static final int MAX_SEARCHES = 256;
     /** The same tenant is told of in the log so often at most, in milliseconds. */
     private static final double LOG_INTERVAL_MS = 5000;
+    /** Questions without an answer that are remembered. */
+    private static final int MAX_ASKED = 4 * MAX_SEARCHES;
     /** Tenants whose last entry in the log is remembered. */
     private static final int MAX_LOGGED = 256;
 
@@ -51,7 +53,9 @@
     private final IntSupplier sidecars;
     private final Map<String, Connection> connections = new LinkedHashMap<>();
     private final Map<String, LeaseSchedule> schedules = new HashMap<>();
-    private final Map<Long, TokenSearch> awaitedBy = new HashMap<>();
+    /** By number: who asked for a token, and of whom. What is answered late is still of use to others. */
+    private final Map<Long, AskedToken> asked = new LinkedHashMap<>();
+
     private final Map<String, Double> loggedAt = new LinkedHashMap<>();
     private final Random random = new Random();
     private long tokenRequests;
@@ -141,9 +145,18 @@
 
     /** A control node answers whether there is a token. */
     void answered(TokenResponse response) {
-        TokenSearch search = awaitedBy.remove(response.number());
-        if (search != null) {
-            search.answered(response.granted(), response.waitMs());
+        AskedToken token = asked.remove(response.number());
+        if (token != null) {
+            token.search.answered(token.controlNode, response.granted(), response.waitMs());
+        }
+    }
+
+    private record AskedToken(String controlNode, TokenSearch search) {}
+
+    private void remember(long number, AskedToken token) {
+        asked.put(number, token);
+        if (asked.size() > MAX_ASKED) {
+            asked.remove(asked.keySet().iterator().next());
         }
     }
 
@@ -181,7 +194,7 @@
         Collections.shuffle(reachable, random);
         searches++;
         Asker asker = new Asker(need, then);
-        TokenSearch search = new TokenSearch(reachable, asker);
+        TokenSearch search = new TokenSearch(reachable, need.allowance(), asker);
         asker.search = search;
         double mostMs = Math.min(TokenSearch.MAX_MS, aimMs * TokenSearch.AIM_PART);
         asker.hedge = timers.after(mostMs * TokenSearch.HEDGE_PART, search::hedge);
@@ -217,7 +230,6 @@
     private final class Asker implements TokenSearch.Actions {
         private final QuotaDecision.NeedsToken need;
         private final Consumer<QuotaDecision> then;
-        private final List<Long> asked = new ArrayList<>();
         private TokenSearch search;
         private Timers.Timer hedge;
         private Timers.Timer end;
@@ -230,8 +242,7 @@
         @Override
         public void ask(String controlNode) {
             long number = ++tokenRequests;
-            asked.add(number);
-            awaitedBy.put(number, search);
+            remember(number, new AskedToken(controlNode, search));
             Connection connection = connections.get(controlNode);
             if (connection != null) {
                 connection.send(
@@ -246,6 +257,11 @@
             then.accept(new QuotaDecision.Admitted());
         }
 
+        @Override
+        public void surplus(String controlNode) {
+            quota.tokenUnused(controlNode, need.tenant());
+        }
+
         @Override
         public void denied(double waitMs) {
             over();
@@ -259,7 +275,6 @@
 
         private void over() {
             searches--;
-            asked.forEach(awaitedBy::remove);
             hedge.cancel();
             end.cancel();
         }
--- a/src/test/java/whinlead/mesh/quota/QuotaMesh.java
+++ b/src/test/java/whinlead/mesh/quota/QuotaMesh.java
@@ -191,7 +191,7 @@
             for (int c = 0; c < controlNodes.length; c++) {
                 order.add(Integer.toString((c + sentMs) % controlNodes.length));
             }
-            this.search = new TokenSearch(order, this);
+            this.search = new TokenSearch(order, need.allowance(), this);
         }
 
         private void begin() {
@@ -224,7 +224,8 @@
                         c,
                         arrivedMs,
                         false,
-                        backMs -> at(backMs, () -> search.answered(response.granted(), response.waitMs())));
+                        backMs ->
+                                at(backMs, () -> search.answered(controlNode, response.granted(), response.waitMs())));
             });
         }
 
@@ -236,6 +237,11 @@
             }
         }
 
+        @Override
+        public void surplus(String controlNode) {
+            sidecar.quota.tokenUnused("control-" + controlNode, TENANT);
+        }
+
         @Override
         public void denied(double waitMs) {
             refused(owed, sentMs, sidecar.quota.tokenDenied(nowMs, TENANT, waitMs));
--- /dev/null
+++ b/src/test/java/whinlead/mesh/quota/TokenSearchTest.java
@@ -0,0 +1,88 @@
+package whinlead.mesh.quota;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Whom a search for a token asks, and what becomes of tokens that come too late. */
+public class TokenSearchTest {
+    private static final List<String> CONTROL_NODES = List.of("a", "b", "c");
+    private static final QuotaAllowance DEEP = new QuotaAllowance(100, 100, 0);
+    private static final QuotaAllowance SHALLOW = new QuotaAllowance(4, 10, 0);
+
+    /** Notes what a search asks for. */
+    private static final class Recorder implements TokenSearch.Actions {
+        private final List<String> events = new ArrayList<>();
+
+        @Override
+        public void ask(String controlNode) {
+            events.add("ask " + controlNode);
+        }
+
+        @Override
+        public void granted() {
+            events.add("granted");
+        }
+
+        @Override
+        public void surplus(String controlNode) {
+            events.add("surplus " + controlNode);
+        }
+
+        @Override
+        public void denied(double waitMs) {
+            events.add("denied " + (int) waitMs);
+        }
+
+        @Override
+        public void cancelled() {
+            events.add("cancelled");
+        }
+    }
+
+    private final Recorder recorder = new Recorder();
+
+    private TokenSearch begin(QuotaAllowance allowance) {
+        recorder.events.clear();
+        TokenSearch search = new TokenSearch(CONTROL_NODES, allowance, recorder);
+        search.begin();
+        return search;
+    }
+
+    @Test
+    public void oneAfterTheOtherIsAskedWhereEachHasRoomForTokens() {
+        TokenSearch search = begin(DEEP);
+        search.answered("a", false, 30);
+        search.answered("b", true, 0);
+        assertEquals(recorder.events, List.of("ask a", "ask b", "granted"));
+    }
+
+    @Test
+    public void twoAreAskedAtOnceWhereOneIsOftenEmptyAndTheTokenTooManyGoesBack() {
+        TokenSearch search = begin(SHALLOW);
+        search.answered("b", true, 0);
+        search.answered("a", true, 0);
+        assertEquals(recorder.events, List.of("ask a", "ask b", "granted", "surplus a"));
+    }
+
+    @Test
+    public void aTokenThatComesAfterTheTimeIsUpGoesBack() {
+        TokenSearch search = begin(DEEP);
+        search.hedge();
+        search.end();
+        search.answered("b", true, 0);
+        search.answered("a", false, 10);
+        assertEquals(recorder.events, List.of("ask a", "ask b", "denied 0", "surplus b"));
+    }
+
+    @Test
+    public void itEndsWithTheShortestWaitOnceAllHaveRefused() {
+        TokenSearch search = begin(DEEP);
+        search.answered("a", false, 40);
+        search.answered("b", false, 20);
+        search.answered("c", false, 30);
+        assertEquals(recorder.events, List.of("ask a", "ask b", "ask c", "denied 20"));
+    }
+}
