Count an endpoint's 421 as an arrival, so that the next one is paid for

ResponseValidator filed a 421 as MOVED, the name of what never arrives; so it counted neither as one of the route's tries nor against the budget of retries.

Change: it is TURNED_AWAY, as a 503 with Not-Executed is.

--- a/src/main/java/whinlead/mesh/sidecar/ResponseValidator.java
+++ b/src/main/java/whinlead/mesh/sidecar/ResponseValidator.java
@@ -38,10 +38,8 @@
     /** Why a whole answer is not for the client, or null if it is. */
     static PeerMessage.FailureReason reject(HttpResponse answer) {
         int status = answer.status().code();
-        if (status == MISDIRECTED) {
-            return PeerMessage.FailureReason.MOVED;
-        }
-        if (answer.headers().contains(ForwardedHeaders.NOT_EXECUTED)) {
+        // A 421 is the endpoint's own word: the request has arrived there, and the next arrival is paid for.
+        if (status == MISDIRECTED || answer.headers().contains(ForwardedHeaders.NOT_EXECUTED)) {
             return PeerMessage.FailureReason.TURNED_AWAY;
         }
         boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
