--- a/src/test/java/whinlead/mesh/LocalMesh.java
+++ b/src/test/java/whinlead/mesh/LocalMesh.java
@@ -132,7 +132,12 @@
     }
 
     Sent send(String first, int bodyLength) {
-        Map<String, String> headers = new LinkedHashMap<>(Map.of(
+        return send(first, bodyLength, Map.of());
+    }
+
+    Sent send(String first, int bodyLength, Map<String, String> more) {
+        Map<String, String> headers = new LinkedHashMap<>(more);
+        headers.putAll(Map.of(
                 "Host",
                 "post.example",
                 "Attempt-Id",
