Lease the keys of divided services to the sidecars beside their endpoints

Change: mesh.duty, a lease of a duty by a quorum of the voters under rising epochs, votes on disk before they are told; mesh.keys, one control node at a time leases ranges of keys, in one message a sidecar, counted until they have surely ended, moved by load, to joining endpoints and off leaving ones with the endpoint's hand-over; KeyClient and EndpointGrants grant them on to the endpoint beside the sidecar for no longer than the lease; callers route by key to a balancer of the owner's own, and turn to the next owner once a key has moved. Protocol version 4.

--- a/src/main/java/whinlead/engine/Request.java
+++ b/src/main/java/whinlead/engine/Request.java
@@ -16,6 +16,11 @@
         this(classIndex, tenantIndex, timeout, repeat, 1, 0);
     }
 
+    /** The same, with so much time left. */
+    public Request within(double left) {
+        return new Request(classIndex, tenantIndex, left, repeat, room, size);
+    }
+
     /** The same, with a body of so many bytes, at a front with so much room. */
     public Request at(double left, int bytes) {
         return new Request(classIndex, tenantIndex, timeout, repeat, left, bytes);
--- a/src/main/java/whinlead/mesh/config/MeshConfig.java
+++ b/src/main/java/whinlead/mesh/config/MeshConfig.java
@@ -62,10 +62,21 @@
             @JsonProperty("Target") @NotEmpty String target,
             @JsonProperty("Weight") @PositiveOrZero double weight) {}
 
-    /** A service; {@code maxConns} counts the connections that an endpoint of it takes from all callers. */
+    /**
+     * A service.
+     *
+     * @param maxConns connections that an endpoint of it takes from all callers
+     * @param divided whether each endpoint runs the requests of the keys that it was granted only
+     */
     public record Service(
             @JsonProperty("Probe") String probe,
-            @JsonProperty("MaxConns") @PositiveOrZero int maxConns) {}
+            @JsonProperty("MaxConns") @PositiveOrZero int maxConns,
+            @JsonProperty("Partitioned") boolean divided) {
+        /** One whose endpoints run any request. */
+        public Service(String probe, int maxConns) {
+            this(probe, maxConns, false);
+        }
+    }
 
     /** What clients may send, in bytes, and how long they may take or stay idle, in seconds. */
     public record Limits(
--- a/src/main/java/whinlead/mesh/config/RoutingTable.java
+++ b/src/main/java/whinlead/mesh/config/RoutingTable.java
@@ -98,6 +98,12 @@
         return null;
     }
 
+    /** Whether each endpoint of this service runs requests of the keys only that it was granted. */
+    public boolean isDivided(String service) {
+        MeshConfig.Service known = meshConfig.services().get(service);
+        return known != null && known.divided();
+    }
+
     /** Whether requests of routes that are not public need a key. */
     public boolean requiresKeys() {
         return meshConfig.tenants() != null && !meshConfig.tenants().isEmpty();
--- a/src/main/java/whinlead/mesh/control/ControlNode.java
+++ b/src/main/java/whinlead/mesh/control/ControlNode.java
@@ -4,11 +4,13 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -21,12 +23,14 @@
 import whinlead.mesh.consensus.ConsensusNode;
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.consensus.Message;
+import whinlead.mesh.duty.DutyPromise;
 import whinlead.mesh.log.Event;
 import whinlead.mesh.quota.LeaseTerms;
 import whinlead.mesh.rpc.RpcCall;
 import whinlead.mesh.rpc.RpcResponse;
 import whinlead.mesh.rpc.RpcServer;
 import whinlead.mesh.settings.NodeSettings;
+import whinlead.mesh.storage.DutyStore;
 import whinlead.mesh.storage.StateStore;
 import whinlead.mesh.storage.StateStoreException;
 import whinlead.mesh.wire.AcceptorRecord;
@@ -61,6 +65,7 @@
     private ControlPeers peers;
     private SidecarChannel sidecars;
     private QuotaLeases leases;
+    private KeyDuty keyDuty;
     private String id;
     private boolean isVoter;
 
@@ -124,18 +129,30 @@
         calls = new OperatorCalls(loop, ControlNode::nowMs, consensus);
         peers = new ControlPeers(loop, settings, dialAddresses, id, new PeerListener());
         sidecars = new SidecarChannel(ControlNode::nowMs, consensus::decided, this::isConfirmed, peers);
-        leases = new QuotaLeases(
+        Executor disk = Executors.newSingleThreadExecutor(ControlNode::leaseThread);
+        leases = new QuotaLeases(ControlNode::nowMs, this::isConfirmed, id, consensus.decided(), folder, disk, loop);
+        keyDuty = keyDuty(new DutyStore(folder), disk);
+    }
+
+    private KeyDuty keyDuty(DutyStore store, Executor disk) {
+        DutyPromise promise = null;
+        try {
+            promise = store.read();
+        } catch (IOException e) {
+            Event.VOTE_NOT_RECORDED.log(e.toString());
+        }
+        return new KeyDuty(
                 ControlNode::nowMs,
                 this::isConfirmed,
                 id,
                 consensus.decided(),
-                folder,
-                Executors.newSingleThreadExecutor(ControlNode::lesseeThread),
-                loop);
+                promise,
+                new DutyRecorder(store, promise == null ? DutyPromise.NONE : promise, disk, loop),
+                (voter, message) -> peers.send(ConsensusNode.address(voter), message));
     }
 
-    private static Thread lesseeThread(Runnable task) {
-        Thread thread = new Thread(task, "lessee-writer");
+    private static Thread leaseThread(Runnable task) {
+        Thread thread = new Thread(task, "lease-writer");
         thread.setDaemon(true);
         return thread;
     }
@@ -206,6 +223,7 @@
         consensus.tick(nowMs());
         sidecars.sendConfirmed();
         leases.tick();
+        keyDuty.tick();
     }
 
     private void run(RpcCall call, Consumer<RpcResponse> respond) {
@@ -251,6 +269,7 @@
         public void disconnected(PeerConnection connection) {
             sidecars.closed(connection);
             leases.closed(connection);
+            keyDuty.closed(connection);
         }
 
         @Override
@@ -280,6 +299,18 @@
                 leases.report(connection, report.report());
             } else if (message instanceof PeerMessage.QuotaTokenRequest request) {
                 leases.take(connection, request.request());
+            } else {
+                takeAboutKeys(connection, message);
+            }
+        }
+
+        private void takeAboutKeys(PeerConnection connection, PeerMessage message) {
+            if (message instanceof PeerMessage.KeyLeaseReport report) {
+                keyDuty.report(connection, report.report());
+            } else if (message instanceof PeerMessage.DutyQuestion question) {
+                keyDuty.vote(connection.peer(), question.request());
+            } else if (message instanceof PeerMessage.DutyAnswer answer) {
+                keyDuty.answered(connection.peer(), answer.vote());
             }
         }
 
@@ -293,6 +324,7 @@
                 peers.listensNow(ConsensusNode.address(hello.id()));
             } else {
                 connection.send(sidecars.allRecords());
+                keyDuty.greeted(connection);
             }
         }
 
@@ -333,6 +365,7 @@
                     + " voters " + decision.voters());
             sidecars.announceDecision();
             leases.decided(decision, consensus.isVoter());
+            keyDuty.decided(decision);
             if (isVoter != consensus.isVoter()) {
                 isVoter = consensus.isVoter();
                 Event.VOTER_STATUS.log(isVoter ? "this control node votes" : "this control node does not vote");
--- a/src/main/java/whinlead/mesh/log/Event.java
+++ b/src/main/java/whinlead/mesh/log/Event.java
@@ -34,7 +34,13 @@
     /** 6xx: tenants' limits. */
     TENANT_LIMITED(601, Level.INFO, "tenant limited"),
     LEASES_RECOVERED(602, Level.INFO, "leases of an earlier process known"),
-    LESSEES_NOT_RECORDED(603, Level.WARNING, "disk failed, no leases to further sidecars");
+    LESSEES_NOT_RECORDED(603, Level.WARNING, "disk failed, no leases to further sidecars"),
+    /** 7xx: keys of divided services. */
+    GRANTS_KEYS(701, Level.INFO, "grants keys"),
+    GRANTS_KEYS_NO_MORE(702, Level.INFO, "grants keys no more"),
+    VOTE_NOT_RECORDED(703, Level.WARNING, "disk failed, no vote for who grants keys"),
+    KEYS_HELD(704, Level.INFO, "keys held"),
+    GRANT_REFUSED(705, Level.WARNING, "endpoint refused a grant");
 
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private final int number;
--- a/src/main/java/whinlead/mesh/settings/NodeSettings.java
+++ b/src/main/java/whinlead/mesh/settings/NodeSettings.java
@@ -118,7 +118,34 @@
             @JsonProperty("RetrySlack") double retrySlack,
             @JsonProperty("QuotaWindowS") double quotaWindowS,
             @JsonProperty("QuotaExcess") double quotaExcess,
-            @JsonProperty("QuotaSlack") double quotaSlack) {
+            @JsonProperty("QuotaSlack") double quotaSlack,
+            @JsonProperty("HoldCapS") Double holdCapS) {
+        /** Bounds of a deployment whose endpoints own no keys. */
+        public Bounds(
+                double drainS,
+                double graceS,
+                double contactS,
+                double convergeS,
+                double retryRatio,
+                double retryWindowS,
+                double retrySlack,
+                double quotaWindowS,
+                double quotaExcess,
+                double quotaSlack) {
+            this(
+                    drainS,
+                    graceS,
+                    contactS,
+                    convergeS,
+                    retryRatio,
+                    retryWindowS,
+                    retrySlack,
+                    quotaWindowS,
+                    quotaExcess,
+                    quotaSlack,
+                    null);
+        }
+
         /** Checks that each figure is one. */
         public Bounds {
             positive(drainS, "Clauses.Bounds.DrainS");
@@ -127,6 +154,9 @@
             notNegative(retrySlack, "Clauses.Bounds.RetrySlack");
             notNegative(quotaExcess, "Clauses.Bounds.QuotaExcess");
             notNegative(quotaSlack, "Clauses.Bounds.QuotaSlack");
+            if (holdCapS != null) {
+                positive(holdCapS, "Clauses.Bounds.HoldCapS");
+            }
         }
     }
 
--- a/src/main/java/whinlead/mesh/sidecar/ClientExchange.java
+++ b/src/main/java/whinlead/mesh/sidecar/ClientExchange.java
@@ -4,7 +4,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import whinlead.engine.Request;
 import whinlead.engine.ResponseSink;
 import whinlead.engine.Timers;
@@ -34,6 +36,7 @@
     private final double endAt;
     private final EndpointAttempts attempts;
     private ServiceBalancer.AcceptedRequest accepted = () -> {};
+    private BooleanSupplier beginElsewhere = () -> false;
     private PeerMessage.ForwardResponse last;
 
     /**
@@ -81,8 +84,11 @@
         }
     }
 
-    /** Hands it to the balancer of its service, at one of so many sidecars. */
-    void begin(ServiceBalancer balancer, RequestClasses classes, int sidecars) {
+    /**
+     * Hands it to the balancer that is its own now, at one of so many sidecars. Where another one is by the time that
+     * this one can't serve it, as the owner of a request's key may change, that one has it then.
+     */
+    void begin(Supplier<ServiceBalancer> balancers, RequestClasses classes, int sidecars) {
         Request request = new Request(
                 classes.of(route.isIdempotent(), rank, route.route().targetS() * MILLIS_IN_SECOND),
                 -1,
@@ -90,7 +96,17 @@
                 false,
                 1,
                 body.length);
+        ServiceBalancer balancer = balancers.get();
         accepted = balancer.accept(request, sidecars, this, this);
+        beginElsewhere = () -> {
+            ServiceBalancer other = balancers.get();
+            if (other == null || other == balancer) {
+                return false;
+            }
+            double leftMs = Math.max(1, endAt - timers.now());
+            accepted = other.accept(request.within(leftMs), sidecars, this, this);
+            return true;
+        };
         response.onGone(() -> {
             onEnd.accept(this);
             accepted.abandon();
@@ -99,6 +115,7 @@
 
     /** Ends it with what can be said of it now: the process is about to end. */
     void breakOff() {
+        beginElsewhere = () -> false;
         accepted.abandon();
         end(NOT_RUN_RETRY_MS);
     }
@@ -132,12 +149,23 @@
 
     @Override
     public void refused(double retryAfter) {
-        end(retryAfter);
+        if (!goesElsewhere()) {
+            end(retryAfter);
+        }
     }
 
     @Override
     public void failed() {
-        end(NOT_RUN_RETRY_MS);
+        if (!goesElsewhere()) {
+            end(NOT_RUN_RETRY_MS);
+        }
+    }
+
+    // Once, and only if it has arrived nowhere yet.
+    private boolean goesElsewhere() {
+        BooleanSupplier elsewhere = beginElsewhere;
+        beginElsewhere = () -> false;
+        return !attempts.mayHaveArrived() && last == null && elsewhere.getAsBoolean();
     }
 
     // A 503 says that it has not run, whatever it is; of what may have run nothing is promised.
--- a/src/main/java/whinlead/mesh/sidecar/ControlClient.java
+++ b/src/main/java/whinlead/mesh/sidecar/ControlClient.java
@@ -49,6 +49,7 @@
     private final PeerMessage.Hello hello;
     private final UnaryOperator<InetSocketAddress> dialAddresses;
     private final QuotaClient quota;
+    private final KeyClient keys;
     private final Listener listener;
     private final ConfigReader reader = new ConfigReader();
     private final ExecutorService readExecutor = Executors.newSingleThreadExecutor(r -> {
@@ -76,6 +77,9 @@
         /** A control node has come into reach. */
         void controlNodeUp();
 
+        /** Owners of keys. */
+        void keyRoutesReceived(PeerMessage.KeyRoutesUpdate update);
+
         /** A newer configuration is in force. */
         void configChanged(RoutingTable routing);
     }
@@ -87,12 +91,14 @@
             PeerMessage.Hello hello,
             UnaryOperator<InetSocketAddress> dialAddresses,
             QuotaClient quota,
+            KeyClient keys,
             Listener listener) {
         this.loop = loop;
         this.settings = settings;
         this.hello = hello;
         this.dialAddresses = dialAddresses;
         this.quota = quota;
+        this.keys = keys;
         this.listener = listener;
     }
 
@@ -155,7 +161,9 @@
                                 && before == ReconnectingConnection.State.DIALLING) {
                             Event.CONTROL_NODE_UP.log(ip);
                             listener.controlNodeUp();
-                            quota.connected(ip, new QuotaConnection(t));
+                            ControlConnection opened = new ControlConnection(t);
+                            quota.connected(ip, opened);
+                            keys.connected(ip, opened);
                             t.send(new PeerMessage.Subscribe(slot()));
                         } else if (t.state() == ReconnectingConnection.State.DOWN
                                 && before != ReconnectingConnection.State.DIALLING) {
@@ -190,6 +198,12 @@
             quota.granted(ip, lease.grant());
         } else if (message instanceof PeerMessage.QuotaTokenResponse token) {
             quota.answered(token.response());
+        } else if (message instanceof PeerMessage.KeyGrantorChanged) {
+            keys.grantorChanged(ip);
+        } else if (message instanceof PeerMessage.KeyLeaseGrant lease) {
+            keys.leased(ip, lease.lease());
+        } else if (message instanceof PeerMessage.KeyRoutesUpdate update) {
+            listener.keyRoutesReceived(update);
         }
     }
 
@@ -310,11 +324,13 @@
         ReconnectingConnection connection = controlNodes.remove(ip);
         announcedSlots.remove(connection);
         quota.removed(ip);
+        keys.removed(ip);
         connection.close();
     }
 
-    /** What the client of tenants' limits sees of a connection. */
-    private record QuotaConnection(ReconnectingConnection connection) implements QuotaClient.Connection {
+    /** What the clients of tenants' limits and of keys see of a connection. */
+    private record ControlConnection(ReconnectingConnection connection)
+            implements QuotaClient.Connection, KeyClient.Connection {
         @Override
         public boolean isUp() {
             return connection.isUp();
--- a/src/main/java/whinlead/mesh/sidecar/EgressListener.java
+++ b/src/main/java/whinlead/mesh/sidecar/EgressListener.java
@@ -35,6 +35,11 @@
     /** Until when to come back where no configuration is known yet, in milliseconds. */
     private static final double NO_CONFIG_RETRY_MS = 300;
 
+    /** The same where nobody owns a request's key: it is about to be granted to someone. */
+    private static final double NO_OWNER_RETRY_MS = 200;
+    /** In place of a key, for a service whose endpoints run any request. */
+    private static final int NOT_DIVIDED = -2;
+
     private static final int BACKLOG = 512;
     private static final double MILLIS_IN_SECOND = 1000;
 
@@ -42,6 +47,11 @@
     interface Balancers {
         /** For requests with large bodies, or for the others. */
         ServiceBalancer of(String target, boolean large);
+
+        /** For requests of this key, at a service that is divided by key; null if no owner is known. */
+        default ServiceBalancer ofKey(String target, int key) {
+            return null;
+        }
     }
 
     private final EventLoop loop;
@@ -266,8 +276,21 @@
         RoutingTable.NamedRoute route = request.route();
         RoutingTable.NamedTenant tenant = request.tenant();
         String target = route.service(random.nextDouble());
-        ServiceBalancer balancer =
-                balancers.of(target, MeshConfig.INGEST.equals(route.route().kind()));
+        RoutingTable inForce = routing.get();
+        int key = inForce != null && inForce.isDivided(target)
+                ? ShardKey.of(request.head().headers())
+                : NOT_DIVIDED;
+        if (key == ShardKey.NONE) {
+            ClientExchange.refuse(request.response(), HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        boolean large = MeshConfig.INGEST.equals(route.route().kind());
+        Supplier<ServiceBalancer> balancer =
+                () -> key == NOT_DIVIDED ? balancers.of(target, large) : balancers.ofKey(target, key);
+        if (balancer.get() == null) {
+            ClientExchange.refuse(request.response(), HttpResponseStatus.SERVICE_UNAVAILABLE, NO_OWNER_RETRY_MS);
+            return;
+        }
         Integer tenantRank = tenant == null ? null : tenant.tenant().rank();
         ClientExchange exchange = new ClientExchange(
                 timers,
--- a/src/main/java/whinlead/mesh/sidecar/EndpointDelivery.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointDelivery.java
@@ -16,6 +16,8 @@
     private final String node;
     private final EndpointGate gate;
     private final EndpointConnections connections;
+    private final KeyClient keys;
+    private final double lastCallsMs;
     private final EndpointRequests requests = new EndpointRequests();
     private final ForwardedTime forwardedTime = new ForwardedTime();
 
@@ -23,13 +25,24 @@
      * Delivers to the endpoint of this gate.
      *
      * @param node this sidecar's, which stands for the sender of its own requests
+     * @param keys those that the endpoint owns, where its service is divided by key
+     * @param lastCallsMs how long the owner of keys still gets requests once it drains, for nobody else may have them
      */
-    EndpointDelivery(Executor loop, Timers timers, String node, EndpointGate gate, EndpointConnections connections) {
+    EndpointDelivery(
+            Executor loop,
+            Timers timers,
+            String node,
+            EndpointGate gate,
+            EndpointConnections connections,
+            KeyClient keys,
+            double lastCallsMs) {
         this.loop = loop;
         this.timers = timers;
         this.node = node;
         this.gate = gate;
         this.connections = connections;
+        this.keys = keys;
+        this.lastCallsMs = lastCallsMs;
     }
 
     @Override
@@ -68,13 +81,9 @@
     }
 
     private void deliver(Object sender, PeerMessage.ForwardRequest request, Consumer<PeerMessage> done) {
-        EndpointGate.Admission admission = gate.admit(timers.now(), request.target(), request.rank());
+        EndpointGate.Admission admission = admit(request);
         if (admission != EndpointGate.Admission.OPEN) {
-            PeerMessage refusal = failure(
-                    request,
-                    admission == EndpointGate.Admission.FULL
-                            ? PeerMessage.FailureReason.FULL
-                            : PeerMessage.FailureReason.MOVED);
+            PeerMessage refusal = failure(request, reason(admission));
             // Not in the caller's own call: it has not noted yet that it sent.
             loop.execute(() -> done.accept(refusal));
             return;
@@ -89,6 +98,27 @@
         requests.sent(sender, request.stream(), sent);
     }
 
+    // Of divided services the key decides first: whoever asks the wrong owner learns nothing of this endpoint's load.
+    private EndpointGate.Admission admit(PeerMessage.ForwardRequest request) {
+        double now = timers.now();
+        if (!keys.isDivided() || !request.target().equals(gate.target())) {
+            return gate.admit(now, request.target(), request.rank());
+        }
+        int key = ShardKey.of(request.headers());
+        if (key == ShardKey.NONE || !keys.admit(key)) {
+            return EndpointGate.Admission.NOT_OWNER;
+        }
+        return gate.admit(now, request.target(), request.rank(), lastCallsMs);
+    }
+
+    private static PeerMessage.FailureReason reason(EndpointGate.Admission admission) {
+        return switch (admission) {
+            case FULL -> PeerMessage.FailureReason.FULL;
+            case NOT_OWNER -> PeerMessage.FailureReason.NOT_OWNER;
+            case MOVED, OPEN -> PeerMessage.FailureReason.MOVED;
+        };
+    }
+
     // What came of it at the endpoint, with how busy that is.
     private PeerMessage withLoad(PeerMessage.ForwardRequest request, PeerMessage outcome) {
         if (outcome instanceof PeerMessage.ForwardResponse response) {
--- a/src/main/java/whinlead/mesh/sidecar/EndpointGate.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointGate.java
@@ -127,6 +127,11 @@
         return state == State.SERVING ? EndpointRecord.Phase.SERVING : EndpointRecord.Phase.DRAINING;
     }
 
+    /** When it was last heard of. */
+    public double heardAt() {
+        return beatAt;
+    }
+
     /** Requests that it works on at a time. */
     public int capacity() {
         return capacity;
@@ -141,13 +146,24 @@
     public enum Admission {
         OPEN,
         FULL,
-        MOVED
+        MOVED,
+        /** The endpoint does not own the request's key. */
+        NOT_OWNER
     }
 
     /** Whether a request for this service, of this rank, may go to the endpoint now. */
     public Admission admit(double now, String service, int rank) {
+        return admit(now, service, rank, LAST_CALLS_MS);
+    }
+
+    /**
+     * Whether a request for this service, of this rank, may go to the endpoint now.
+     *
+     * @param lastCallsMs how long requests may still go to it once it drains
+     */
+    public Admission admit(double now, String service, int rank, double lastCallsMs) {
         boolean there = service.equals(target)
-                && (state == State.SERVING || state == State.DRAINING && now - drainAt < LAST_CALLS_MS);
+                && (state == State.SERVING || state == State.DRAINING && now - drainAt < lastCallsMs);
         if (!there) {
             return Admission.MOVED;
         }
--- a/src/main/java/whinlead/mesh/sidecar/RequestForwarder.java
+++ b/src/main/java/whinlead/mesh/sidecar/RequestForwarder.java
@@ -325,6 +325,8 @@
         return switch (((PeerMessage.ForwardFailure) message).why()) {
             case FULL, TURNED_AWAY -> Contract.Outcome.FULL;
             case MOVED, UNREACHED -> Contract.Outcome.CONNECT_FAILED;
+            // Tells nothing of the endpoint but whose keys it has.
+            case NOT_OWNER -> Contract.Outcome.NEVER_SENT;
             case BROKEN -> Contract.Outcome.RESET;
             case LATE -> Contract.Outcome.TIMED_OUT;
         };
--- a/src/main/java/whinlead/mesh/sidecar/ServiceBalancer.java
+++ b/src/main/java/whinlead/mesh/sidecar/ServiceBalancer.java
@@ -87,13 +87,24 @@
                 0);
     }
 
+    /**
+     * The one endpoint that owns the keys, or null: it gets their requests as long as it has them, also if it drains.
+     */
+    void updateOwner(EndpointRecord owner) {
+        list(owner == null ? List.of() : List.of(owner), true);
+    }
+
     /** The endpoints as listed now. */
     void update(List<EndpointRecord> records) {
+        list(records, false);
+    }
+
+    private void list(List<EndpointRecord> records, boolean ownsKeys) {
         nodes.clear();
         List<EndpointList.Entry> entries = new ArrayList<>();
         Map<String, Double> times = new HashMap<>();
         for (EndpointRecord l : records) {
-            boolean up = l.acceptsRequests() && forwarder.isReachable(l.node());
+            boolean up = (ownsKeys || l.acceptsRequests()) && forwarder.isReachable(l.node());
             double now = timers.now();
             double start = started.getOrDefault(l.endpoint(), l.warmMs() > 0 ? now - (COLD_MS - l.warmMs()) : 0);
             times.put(l.endpoint(), start);
--- a/src/main/java/whinlead/mesh/sidecar/Sidecar.java
+++ b/src/main/java/whinlead/mesh/sidecar/Sidecar.java
@@ -18,6 +18,7 @@
 import whinlead.loop.LoopTimers;
 import whinlead.membership.EndpointList;
 import whinlead.mesh.config.RoutingTable;
+import whinlead.mesh.keys.KeyTerms;
 import whinlead.mesh.log.Event;
 import whinlead.mesh.quota.QuotaRules;
 import whinlead.mesh.quota.TenantQuota;
@@ -45,6 +46,9 @@
     /** Connections of peers that wait to be accepted. */
     private static final int BACKLOG = 512;
 
+    /** Of the time that an endpoint drains for, the part in which an owner of keys still gets their requests. */
+    private static final double OWNER_DRAIN_PART = 0.7;
+
     private static final double NANOS_IN_MILLI = 1e6;
     private static final double MILLIS_IN_SECOND = 1000;
 
@@ -56,6 +60,7 @@
     private final PeerMessage.Hello greeting;
     private final EndpointGate gate;
     private final EndpointConnections endpointConnections;
+    private final KeyClient keys;
     private final EndpointDelivery delivery;
     private final EndpointRegistry registry = new EndpointRegistry();
     private final OutdatedLists outdatedLists;
@@ -91,7 +96,9 @@
         this.gate = new EndpointGate(settings.substrate().heartbeatS() * MILLIS_IN_SECOND);
         this.endpointConnections = new EndpointConnections(
                 loop, EndpointList.address(NodeSettings.require(settings.self().appAddr(), "Self.AppAddr")));
-        this.delivery = new EndpointDelivery(loop, timers, node, gate, endpointConnections);
+        this.keys = keys();
+        double lastCallsMs = settings.clauses().bounds().drainS() * MILLIS_IN_SECOND * OWNER_DRAIN_PART;
+        this.delivery = new EndpointDelivery(loop, timers, node, gate, endpointConnections, keys, lastCallsMs);
         this.forwarder = new RequestForwarder(
                 loop,
                 node,
@@ -103,7 +110,8 @@
         RequestClasses classes = new RequestClasses();
         this.balancers = new ServiceBalancers(periodTimers(), classes, settings, registry, forwarder);
         this.quota = quota();
-        this.controlClient = new ControlClient(loop, settings, greeting, dialAddresses, quota, new ControlListener());
+        this.controlClient =
+                new ControlClient(loop, settings, greeting, dialAddresses, quota, keys, new ControlListener());
         this.publisher = new RecordPublisher(
                 timers,
                 node,
@@ -114,14 +122,7 @@
                 outdatedLists,
                 record -> controlClient.publish(List.of(record)));
         this.egress = new EgressListener(
-                loop,
-                timers,
-                controlClient::routing,
-                balancers::of,
-                this::service,
-                registry::presentCount,
-                quota,
-                classes);
+                loop, timers, controlClient::routing, balancers, this::service, registry::presentCount, quota, classes);
     }
 
     // The balancers' periods begin together, so that the process wakes once for all of them.
@@ -130,6 +131,24 @@
         return new AlignedTimers(timers, period, timers.now() + untilNext((long) period) / NANOS_IN_MILLI);
     }
 
+    private KeyClient keys() {
+        EndpointGrants grants = new EndpointGrants(
+                loop, timers, EndpointList.address(settings.self().appAddr()));
+        Double holdCapS = settings.clauses().bounds().holdCapS();
+        double maxHoldMs = holdCapS == null ? KeyTerms.HOLD_MS : holdCapS * MILLIS_IN_SECOND;
+        return new KeyClient(
+                timers, gate, grants, this::isDivided, this::isLeaving, maxHoldMs, new SecureRandom().nextLong() >>> 1);
+    }
+
+    private boolean isDivided(String target) {
+        RoutingTable inForce = controlClient.routing();
+        return inForce != null && inForce.isDivided(target);
+    }
+
+    private boolean isLeaving() {
+        return publisher.isLeaving();
+    }
+
     private QuotaClient quota() {
         NodeSettings.Bounds bounds = settings.clauses().bounds();
         QuotaRules rules = new QuotaRules(bounds.quotaWindowS(), bounds.quotaExcess(), bounds.quotaSlack());
@@ -221,6 +240,7 @@
         controlClient.tick();
         publisher.repeatIfDue();
         quota.tick();
+        keys.tick();
     }
 
     // Connections to the endpoint that was there before are of no use any more.
@@ -237,6 +257,7 @@
                 Event.ENDPOINT.log(depart.endpoint() + " has left");
                 quota.hold(false);
                 endpointChanged();
+                keys.tick();
             }
             respond.accept(RpcResponse.done());
         } else {
@@ -257,6 +278,7 @@
             } else {
                 endpointChanged();
             }
+            keys.tick();
         }
         return RpcResponse.done();
     }
@@ -288,6 +310,11 @@
                     .toList();
         }
 
+        @Override
+        public void keyRoutesReceived(PeerMessage.KeyRoutesUpdate update) {
+            balancers.routesReceived(update.service(), update.routes());
+        }
+
         @Override
         public void controlNodeUp() {
             controlClient.publish(List.of(registry.find(node)));
--- a/src/main/java/whinlead/mesh/wire/PeerConnection.java
+++ b/src/main/java/whinlead/mesh/wire/PeerConnection.java
@@ -15,7 +15,7 @@
  * message of a later version's kind is passed over. A malformed one is refused by name; it ends the connection if
  * nobody would say it again, for the new connection says all anew. One that is too long ends it.
  */
-public final class PeerConnection {
+public final class PeerConnection implements MessageSender {
     /** The longest message: a request's body at most, and what goes around it. */
     public static final int MAX_MESSAGE_BYTES = 24 << 20;
 
@@ -58,13 +58,14 @@
     }
 
     /** Sends a message; it is lost if the link goes down, or the other side does not know its kind yet. */
+    @Override
     public void send(PeerMessage message) {
         if (PeerMessageCodec.since(message) <= version) {
             send(PeerMessageCodec.write(message));
         }
     }
 
-    /** Sends a message that is written already, of a kind that every version knows. */
+    @Override
     public void send(byte[] written) {
         ByteBuf length = Unpooled.buffer(LENGTH_BYTES).writeInt(written.length);
         channel.writeAndFlush(Unpooled.wrappedBuffer(length, Unpooled.wrappedBuffer(written)), channel.voidPromise());
@@ -81,6 +82,7 @@
     }
 
     /** Who the other side said that it is; null before that. */
+    @Override
     public String peer() {
         return peer;
     }
@@ -91,6 +93,7 @@
     }
 
     /** The protocol version that both sides speak; the least one until the other side has greeted. */
+    @Override
     public int version() {
         return version;
     }
--- a/src/main/java/whinlead/mesh/wire/PeerMessage.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessage.java
@@ -3,6 +3,11 @@
 import java.util.List;
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.consensus.Message;
+import whinlead.mesh.duty.DutyRequest;
+import whinlead.mesh.duty.DutyVote;
+import whinlead.mesh.keys.KeyLease;
+import whinlead.mesh.keys.KeyReport;
+import whinlead.mesh.keys.KeyRoute;
 import whinlead.mesh.quota.LeaseGrant;
 import whinlead.mesh.quota.LeaseReport;
 import whinlead.mesh.quota.TenantDemand;
@@ -86,6 +91,29 @@
     /** The answer. */
     record QuotaTokenResponse(TokenResponse response) implements PeerMessage {}
 
+    /** A control node asks a voter for its vote for a duty. */
+    record DutyQuestion(DutyRequest request) implements PeerMessage {}
+
+    /** The voter's answer. */
+    record DutyAnswer(DutyVote vote) implements PeerMessage {}
+
+    /** A control node grants keys from now on: sidecars with keys report to it. */
+    record KeyGrantorChanged(long epoch) implements PeerMessage {}
+
+    /** A sidecar tells the control node that grants keys what it holds and needs. */
+    record KeyLeaseReport(KeyReport report) implements PeerMessage {}
+
+    /** A control node leases keys. */
+    record KeyLeaseGrant(KeyLease lease) implements PeerMessage {}
+
+    /** Where requests of a service go, by key. */
+    record KeyRoutesUpdate(String service, List<KeyRoute> routes) implements PeerMessage {
+        /** Copies the list. */
+        public KeyRoutesUpdate {
+            routes = List.copyOf(routes);
+        }
+    }
+
     /** A sidecar of an earlier version tells what it is asked for, and may ask for the sums. */
     record DemandReport(List<TenantDemand> uses, boolean wanted) implements PeerMessage {}
 
@@ -162,7 +190,9 @@
         /** It may have run: the connection broke or the answer was spoilt. */
         BROKEN(false),
         /** It may have run: the time was up. */
-        LATE(false);
+        LATE(false),
+        /** It has not run: the endpoint does not own its key, as the sidecar beside it knows. */
+        NOT_OWNER(true);
 
         /** Whether it is certain that it has not run and will not. */
         public final boolean neverRan;
--- a/src/main/java/whinlead/mesh/wire/PeerMessageCodec.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessageCodec.java
@@ -54,6 +54,8 @@
                         .packLong(l.stream())
                         .packInt(l.why().ordinal());
                 p.packDouble(l.util()).packDouble(l.perSecond());
+            } else if (KeyMessageCodec.isAboutKeys(peerMessage)) {
+                KeyMessageCodec.write(p, peerMessage);
             } else {
                 writeControl(p, peerMessage);
             }
@@ -130,6 +132,9 @@
         if (QuotaMessageCodec.isQuota(peerMessage)) {
             return ProtocolVersion.LEASES;
         }
+        if (KeyMessageCodec.isAboutKeys(peerMessage)) {
+            return ProtocolVersion.KEYS;
+        }
         return peerMessage instanceof PeerMessage.Cancel ? ProtocolVersion.TOLERANT : ProtocolVersion.UNVERSIONED;
     }
 
@@ -202,6 +207,8 @@
             case CANCEL -> new PeerMessage.Cancel(u.unpackLong(), u.unpackBoolean());
             case QUOTA_LEASE_REPORT, QUOTA_LEASE_GRANT, QUOTA_TOKEN_REQUEST, QUOTA_TOKEN_RESPONSE ->
                 QuotaMessageCodec.read(kind, u);
+            case DUTY_REQUEST, DUTY_VOTE, KEY_GRANTOR_CHANGED, KEY_REPORT, KEY_LEASE, KEY_ROUTES ->
+                KeyMessageCodec.read(kind, u);
         };
     }
 
--- a/src/main/java/whinlead/mesh/wire/PeerMessageKind.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessageKind.java
@@ -43,7 +43,19 @@
     /** A sidecar asks for one token of a tenant's. */
     QUOTA_TOKEN_REQUEST(20, true),
     /** Whether it gets one. */
-    QUOTA_TOKEN_RESPONSE(21, true);
+    QUOTA_TOKEN_RESPONSE(21, true),
+    /** Asks for a vote for a duty. */
+    DUTY_REQUEST(22, true),
+    /** The vote, or that there is none. */
+    DUTY_VOTE(23, true),
+    /** A control node grants keys from now on. */
+    KEY_GRANTOR_CHANGED(24, true),
+    /** What a sidecar holds of its service's keys. */
+    KEY_REPORT(25, true),
+    /** A lease of keys. */
+    KEY_LEASE(26, true),
+    /** Where requests go by key. */
+    KEY_ROUTES(27, true);
 
     private final byte tag;
     private final boolean repeated;
--- a/src/main/java/whinlead/mesh/wire/ProtocolVersion.java
+++ b/src/main/java/whinlead/mesh/wire/ProtocolVersion.java
@@ -14,8 +14,10 @@
     public static final int TOLERANT = 2;
     /** Tenants' limits are leased. */
     public static final int LEASES = 3;
+    /** Keys of divided services are leased, by the control node that holds that duty. */
+    public static final int KEYS = 4;
     /** What this program speaks. */
-    public static final ProtocolVersion OURS = new ProtocolVersion(LEASES, UNVERSIONED);
+    public static final ProtocolVersion OURS = new ProtocolVersion(KEYS, UNVERSIONED);
     /** What a program speaks whose greeting names no version. */
     public static final ProtocolVersion NONE_NAMED = new ProtocolVersion(UNVERSIONED, UNVERSIONED);
 
--- a/src/test/java/whinlead/PackagesTest.java
+++ b/src/test/java/whinlead/PackagesTest.java
@@ -80,13 +80,20 @@
     void whatTheMeshDecidesDoesNoInputOrOutput() {
         noClasses()
                 .that()
-                .resideInAnyPackage("whinlead.mesh.consensus", "whinlead.mesh.registry", "whinlead.mesh.quota")
+                .resideInAnyPackage(
+                        "whinlead.mesh.consensus",
+                        "whinlead.mesh.registry",
+                        "whinlead.mesh.quota",
+                        "whinlead.mesh.duty",
+                        "whinlead.mesh.keys")
                 .should()
                 .dependOnClassesThat()
                 .resideOutsideOfPackages(
                         "whinlead.mesh.consensus",
                         "whinlead.mesh.registry",
                         "whinlead.mesh.quota",
+                        "whinlead.mesh.duty",
+                        "whinlead.mesh.keys",
                         "java.lang..",
                         "java.util",
                         "java.util.function",
--- a/src/test/java/whinlead/mesh/DividedServiceTest.java
+++ b/src/test/java/whinlead/mesh/DividedServiceTest.java
@@ -16,12 +16,12 @@
 import whinlead.testbed.mesh.Talk;
 
 /**
- * Incidents SHORT of issue 56, and CONFIG of issue 59: of a service that is divided by key nothing was served, neither on
- * its first routes nor on those that were added.
+ * Incidents SHORT of issue 56, and CONFIG of issue 59: of a service that is divided by key nothing was served, neither
+ * on its first routes nor on those that were added.
  *
- * <p>How it came about: endpoints of such a service start without keys and answer 421 until they are granted some. Cause:
- * nobody granted keys. Proof: an endpoint that keeps to the published protocol serves here once it is granted keys, and
- * answered 421 to all before keys were leased.
+ * <p>How it came about: endpoints of such a service start without keys and answer 421 until they are granted some.
+ * Cause: nobody granted keys. Proof: an endpoint that keeps to the published protocol serves here once it is granted
+ * keys, and answered 421 to all before keys were leased.
  */
 public class DividedServiceTest {
     private static final int MAX_KEY = 65_535;
--- a/src/test/java/whinlead/mesh/PeerMessageCodecTest.java
+++ b/src/test/java/whinlead/mesh/PeerMessageCodecTest.java
@@ -14,6 +14,16 @@
 import whinlead.mesh.consensus.Ballot;
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.consensus.Message;
+import whinlead.mesh.duty.DutyRequest;
+import whinlead.mesh.duty.DutyVote;
+import whinlead.mesh.keys.HeldKeys;
+import whinlead.mesh.keys.KeyLease;
+import whinlead.mesh.keys.KeyLoad;
+import whinlead.mesh.keys.KeyRange;
+import whinlead.mesh.keys.KeyReport;
+import whinlead.mesh.keys.KeyRoute;
+import whinlead.mesh.keys.LeasedKeys;
+import whinlead.mesh.keys.ReleasedKeys;
 import whinlead.mesh.log.Event;
 import whinlead.mesh.quota.LeaseGrant;
 import whinlead.mesh.quota.LeaseReport;
@@ -78,10 +88,38 @@
                 new PeerMessage.QuotaTokenResponse(new TokenResponse(8, false, 20)));
     }
 
+    private static List<PeerMessage> messagesAboutKeys() {
+        return List.of(
+                new PeerMessage.DutyQuestion(new DutyRequest(4, 64)),
+                new PeerMessage.DutyAnswer(new DutyVote(4, true, 64, true)),
+                new PeerMessage.KeyGrantorChanged(64),
+                new PeerMessage.KeyLeaseReport(new KeyReport(
+                        7,
+                        3,
+                        "s",
+                        "i",
+                        6,
+                        true,
+                        2.5,
+                        List.of(new HeldKeys(KeyRange.ALL, 1L << 40, true)),
+                        List.of(new ReleasedKeys(new KeyRange(3, 3), 9, "5c0e")),
+                        List.of(new KeyLoad(new KeyRange(0, 9), 1.5)))),
+                new PeerMessage.KeyLeaseGrant(new KeyLease(
+                        64,
+                        2,
+                        7,
+                        3,
+                        List.of(new LeasedKeys(new KeyRange(0, 9), 10, "5c0e")),
+                        List.of(new LeasedKeys(new KeyRange(10, 19), 9, "")))),
+                new PeerMessage.KeyRoutesUpdate("s", List.of(new KeyRoute(new KeyRange(0, 9), 10, "10.0.0.1:7000"))));
+    }
+
     @Test
     public void messagesComeBackAsTheyWere() throws IOException {
-        for (PeerMessage message : messages()) {
-            assertEquals(PeerMessageCodec.read(PeerMessageCodec.write(message)), message);
+        for (List<PeerMessage> some : List.of(messages(), messagesAboutKeys())) {
+            for (PeerMessage message : some) {
+                assertEquals(PeerMessageCodec.read(PeerMessageCodec.write(message)), message);
+            }
         }
         PeerMessage.ForwardRequest p = (PeerMessage.ForwardRequest) PeerMessageCodec.read(PeerMessageCodec.write(
                 new PeerMessage.ForwardRequest(1, "GET", "/a", List.of("A", "b"), new byte[] {9}, 100, "s", "i", 2)));
--- /dev/null
+++ b/src/test/java/whinlead/mesh/keys/KeyMapTest.java
@@ -0,0 +1,71 @@
+package whinlead.mesh.keys;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** Ranges of keys with values, against an array of them. */
+public class KeyMapTest {
+    private static final int KEYS = 64;
+
+    @Test
+    public void itSaysWhatAnArrayWouldSay() {
+        Random random = new Random(3);
+        KeyMap<Integer> map = new KeyMap<>();
+        Integer[] array = new Integer[KEYS];
+        for (int i = 0; i < 5000; i++) {
+            int from = random.nextInt(KEYS);
+            KeyRange range = new KeyRange(from, from + random.nextInt(KEYS - from));
+            int value = random.nextInt(5);
+            int what = random.nextInt(3);
+            if (what == 0) {
+                map.put(range, value);
+            } else if (what == 1) {
+                map.remove(range);
+            } else {
+                map.update(range, each -> each == value ? null : each + 1);
+            }
+            for (int key = range.from(); key <= range.to(); key++) {
+                boolean gone = what == 1 || what == 2 && (array[key] == null || array[key] == value);
+                array[key] = gone ? null : what == 0 ? value : Integer.valueOf(array[key] + 1);
+            }
+            assertSame(map, array, range);
+        }
+    }
+
+    private static void assertSame(KeyMap<Integer> map, Integer[] array, KeyRange range) {
+        for (int key = 0; key < KEYS; key++) {
+            assertEquals(map.get(key), array[key], "key " + key);
+        }
+        int covered = 0;
+        for (KeyMap.Entry<Integer> each : map.overlapping(range)) {
+            covered += each.range().size();
+            assertEquals(each.value(), array[each.range().from()]);
+        }
+        for (KeyRange gap : map.gaps(range)) {
+            covered += gap.size();
+            assertTrue(array[gap.from()] == null && array[gap.to()] == null);
+        }
+        assertEquals(covered, range.size());
+    }
+
+    @Test
+    public void aRouteWithAHigherFenceHoldsInWhateverOrderTheyCome() {
+        List<KeyRoute> routes = List.of(
+                new KeyRoute(new KeyRange(0, 100), 1, "a"),
+                new KeyRoute(new KeyRange(50, 200), 3, "b"),
+                new KeyRoute(new KeyRange(60, 70), 2, "c"));
+        for (int first = 0; first < routes.size(); first++) {
+            KeyRoutes known = new KeyRoutes();
+            for (int i = 0; i < routes.size(); i++) {
+                known.merge("s", List.of(routes.get((first + i) % routes.size())));
+            }
+            assertEquals(known.owner("s", 10), "a");
+            assertEquals(known.owner("s", 65), "b");
+            assertEquals(known.owner("s", 200), "b");
+        }
+    }
+}
--- a/src/test/java/whinlead/mesh/sidecar/RetryBudgetTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/RetryBudgetTest.java
@@ -31,9 +31,10 @@
  * request in 10 s where 1,995 are allowed; each request went to four endpoints of a route with fewer tries.
  *
  * <p>How it came about: the endpoints held no keys, so each turned each request away with 421. Cause: an endpoint's 421
- * was taken for a request that never arrived there ({@code MOVED}), like one that the sidecar beside it keeps back. So it
- * counted neither as one of the route's tries nor against the budget of retries, and the next endpoint was tried free.
- * Proof: here endpoints answer 421, 503 with {@code Not-Executed}, or reset; only the first went beyond the bounds.
+ * was taken for a request that never arrived there ({@code MOVED}), like one that the sidecar beside it keeps back. So
+ * it counted neither as one of the route's tries nor against the budget of retries, and the next endpoint was tried
+ * free. Proof: here endpoints answer 421, 503 with {@code Not-Executed}, or reset; only the first went beyond the
+ * bounds.
  */
 public class RetryBudgetTest {
     private static final double RETRY_RATIO = 0.2;
--- /dev/null
+++ b/src/test/java/whinlead/mesh/storage/DutyStoreTest.java
@@ -0,0 +1,58 @@
+package whinlead.mesh.storage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import whinlead.mesh.duty.DutyPromise;
+
+/** For whom a voter voted, on disk. */
+public class DutyStoreTest {
+    private Path folder;
+    private List<String> synced;
+
+    @BeforeMethod
+    public void make() throws Exception {
+        folder = Files.createTempDirectory("duty");
+        synced = new ArrayList<>();
+    }
+
+    private DutyStore store() {
+        return new DutyStore(folder, new Syncer() {
+            @Override
+            public void file(Path file) {
+                synced.add(file.getFileName().toString());
+            }
+
+            @Override
+            public void folder(Path which) {
+                synced.add("folder");
+            }
+        });
+    }
+
+    @Test
+    public void whatWasWrittenIsReadByTheNextProcess() throws Exception {
+        assertEquals(store().read(), DutyPromise.NONE);
+        store().write(new DutyPromise(64, "10.0.0.1#0"));
+        assertEquals(store().read(), new DutyPromise(64, "10.0.0.1#0"));
+    }
+
+    @Test
+    public void theNewFileIsSyncedBeforeItTakesTheOldOnesNameAndTheNameAfterwards() throws Exception {
+        store().write(new DutyPromise(1, "a"));
+        assertEquals(synced, List.of("duty.new", "folder"));
+    }
+
+    @Test
+    public void whatIsDamagedIsSaid() throws Exception {
+        Files.writeString(folder.resolve("duty"), "sixty\na\n");
+        assertThrows(IOException.class, () -> store().read());
+    }
+}
