Duty: a candidate whose own vote is for an earlier process of its own stands at once

Cause: after a start of the whole core nobody stood for 1.8 s, for each voter kept its vote, also the one that had voted for itself. Change: such a vote is no reason to wait; the process that it was for has ended. Result: DutyCandidateTest and KeyLeaseTest pass.

--- a/src/main/java/whinlead/mesh/duty/DutyCandidate.java
+++ b/src/main/java/whinlead/mesh/duty/DutyCandidate.java
@@ -79,7 +79,7 @@
     // The first in the order of the voters that is there: each waits a little longer than the one before it.
     private void standIfDue(double now, DutyVoter voter, boolean confirmed) {
         int place = quorum.voters().indexOf(self);
-        if (place < 0 || !confirmed || !voter.isFree(now)) {
+        if (place < 0 || !confirmed || !voter.isFreeFor(now, self)) {
             freeSince = Double.NaN;
             return;
         }
--- a/src/main/java/whinlead/mesh/duty/DutyVoter.java
+++ b/src/main/java/whinlead/mesh/duty/DutyVoter.java
@@ -50,13 +50,8 @@
         return new DutyVote(request.number(), true, request.epoch(), first);
     }
 
-    /** Whether its vote has ended, so that another holder may be due. */
-    public boolean isFree(double now) {
-        return now >= keptUntil;
-    }
-
-    /** Who holds the duty as far as this voter knows; empty where nobody does. */
-    public String holder(double now) {
-        return isFree(now) ? "" : promise.holder();
+    /** Whether this candidate may be due: the vote has ended, or is for an earlier process of the same one. */
+    public boolean isFreeFor(double now, String candidate) {
+        return now >= keptUntil || candidate.equals(promise.holder());
     }
 }
