--- a/src/main/java/whinlead/mesh/sidecar/ServiceBalancer.java
+++ b/src/main/java/whinlead/mesh/sidecar/ServiceBalancer.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import whinlead.Contract;
 import whinlead.decide.Decide;
 import whinlead.engine.Engine;
@@ -42,6 +43,10 @@
     private final Map<String, String> nodes = new HashMap<>();
     private final Map<String, Double> started = new HashMap<>();
     private long seq;
+    /** What {@link #updateOwner} was told last. */
+    private EndpointRecord lastOwner;
+
+    private boolean ownerReachable;
 
     /**
      * A service.
@@ -91,7 +96,13 @@
      * The one endpoint that owns the keys, or null: it gets their requests as long as it has them, also if it drains.
      */
     void updateOwner(EndpointRecord owner) {
-        list(owner == null ? List.of() : List.of(owner), true);
+        boolean reachable = owner != null && forwarder.isReachable(owner.node());
+        // Of many owners few change at a time.
+        if (seq == 0 || reachable != ownerReachable || !Objects.equals(owner, lastOwner)) {
+            lastOwner = owner;
+            ownerReachable = reachable;
+            list(owner == null ? List.of() : List.of(owner), true);
+        }
     }
 
     /** The endpoints as listed now. */
