--- a/src/main/java/whinlead/mesh/sidecar/EndpointGrants.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointGrants.java
@@ -25,7 +25,6 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleUnaryOperator;
 import whinlead.engine.Timers;
 import whinlead.mesh.keys.GrantCall;
@@ -44,10 +43,11 @@
     private static final int RELEASE_TIMEOUT_MS = 6000;
 
     private static final int MAX_ANSWER_BYTES = 1 << 16;
-    /** Connections that are kept for later calls. */
-    private static final int MAX_IDLE = 2;
-    /** Calls at a time; others wait for their turn. */
-    private static final int MAX_CALLS = 6;
+    /** Grants at a time, and connections that are kept for later calls: a connection costs more than a short wait. */
+    private static final int MAX_GRANTS = 2;
+
+    /** Releases at a time, each of which may wait for what runs. */
+    private static final int MAX_RELEASES = 4;
 
     private static final int OK = 200;
     private static final int CONFLICT = 409;
@@ -60,13 +60,16 @@
 
         int timeoutMs();
 
+        boolean isRelease();
+
         void ended(FullHttpResponse answer);
     }
 
     private final EventLoop loop;
     private final Timers timers;
     private final SocketAddress address;
-    private final Deque<Call> waiting = new ArrayDeque<>();
+    private final Deque<Call> waitingGrants = new ArrayDeque<>();
+    private final Deque<Call> waitingReleases = new ArrayDeque<>();
     private final Deque<Connection> idle = new ArrayDeque<>();
     private final Set<Connection> busy = new HashSet<>();
 
@@ -94,6 +97,11 @@
                 return GRANT_TIMEOUT_MS;
             }
 
+            @Override
+            public boolean isRelease() {
+                return false;
+            }
+
             @Override
             public void ended(FullHttpResponse answer) {
                 int status = answer == null ? 0 : answer.status().code();
@@ -121,6 +129,11 @@
                 return RELEASE_TIMEOUT_MS;
             }
 
+            @Override
+            public boolean isRelease() {
+                return true;
+            }
+
             @Override
             public void ended(FullHttpResponse answer) {
                 if (answer != null && answer.status().code() == OK) {
@@ -160,7 +173,8 @@
 
     @Override
     public void clear() {
-        waiting.clear();
+        waitingGrants.clear();
+        waitingReleases.clear();
         Set.copyOf(busy).forEach(Connection::abandon);
         while (!idle.isEmpty()) {
             idle.poll().channel.close();
@@ -168,20 +182,29 @@
     }
 
     private void add(Call call) {
-        waiting.add(call);
-        next();
+        (call.isRelease() ? waitingReleases : waitingGrants).add(call);
+        beginWaiting();
+    }
+
+    private void beginWaiting() {
+        begin(waitingGrants, MAX_GRANTS, false);
+        begin(waitingReleases, MAX_RELEASES, true);
     }
 
-    private void next() {
-        while (!waiting.isEmpty() && busy.size() < MAX_CALLS) {
+    private void begin(Deque<Call> waiting, int most, boolean releases) {
+        while (!waiting.isEmpty()
+                && busy.stream()
+                                .filter(each -> each.call.isRelease() == releases)
+                                .count()
+                        < most) {
             Call call = waiting.poll();
             Connection kept = idle.poll();
             while (kept != null && !kept.channel.isActive()) {
                 kept = idle.poll();
             }
             Connection connection = kept == null ? new Connection() : kept;
-            busy.add(connection);
             connection.call = call;
+            busy.add(connection);
             if (kept == null) {
                 connect(connection);
             } else {
@@ -251,7 +274,7 @@
         private void end(FullHttpResponse answer) {
             Call over = call;
             abandonCall();
-            boolean keep = answer != null && HttpUtil.isKeepAlive(answer) && idle.size() < MAX_IDLE;
+            boolean keep = answer != null && HttpUtil.isKeepAlive(answer) && idle.size() < MAX_GRANTS;
             if (keep) {
                 idle.add(this);
             } else if (channel != null) {
@@ -261,12 +284,12 @@
                 over.ended(answer);
             }
             // Not in the caller's own call, which may be a failed connect of one of many.
-            loop.schedule(EndpointGrants.this::next, 0, TimeUnit.MILLISECONDS);
+            loop.execute(EndpointGrants.this::beginWaiting);
         }
 
         private void abandonCall() {
-            call = null;
             busy.remove(this);
+            call = null;
             if (timer != null) {
                 timer.cancel();
                 timer = null;
