--- a/review/standins/Case1.java
+++ b/review/standins/LargeUpload.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** One client's large upload, and the orders of others that are under way to the same machine. */
-final class Case1 extends Case {
+final class LargeUpload extends Case {
     private static final double DEADLINE_S = 5;
     /** 25 MiB; the configuration's BodyBytes allow 64 MiB. */
     private static final int LARGE_BYTES = 25 << 20;
@@ -13,12 +13,12 @@
 
     private static final int UPLOADS = 5;
 
-    private Case1(String recordFile) {
+    private LargeUpload(String recordFile) {
         super(recordFile);
     }
 
     public static void main(String[] args) {
-        new Case1(args[0]).run(3, 12, "storefront", "backroom");
+        new LargeUpload(args[0]).run(3, 12, "storefront", "backroom");
     }
 
     @Override
