--- a/review/standins/Endpoint.java
+++ b/review/standins/Endpoint.java
@@ -47,8 +47,9 @@
     private final AtomicInteger present = new AtomicInteger();
     private final AtomicLong calls = new AtomicLong();
     private final java.util.concurrent.Semaphore slots;
-    private volatile String phase = "serving";
+    private final String phase = "serving";
     private volatile boolean closed;
+    private volatile boolean beating = true;
 
     Endpoint(Record record, String id, String service, String address, String control, String zone, int capacity)
             throws IOException {
@@ -75,7 +76,7 @@
     /** Sends heartbeats from now on, each so many milliseconds. */
     void beatEvery(long millis) {
         thread(() -> {
-            while (!closed) {
+            while (!closed && beating) {
                 try {
                     beat();
                 } catch (IOException e) {
@@ -88,9 +89,19 @@
 
     /** Sends one heartbeat; its status. */
     int beat() throws IOException {
+        return beat(calls.incrementAndGet());
+    }
+
+    /** Takes the number of the next call, for a heartbeat that arrives late. */
+    long nextCall() {
+        return calls.incrementAndGet();
+    }
+
+    /** Sends the heartbeat with this number; its status. */
+    int beat(long callSeq) throws IOException {
         String body = "{\"Target\":\"" + service + "\",\"Address\":\"" + address + "\",\"Zone\":\"" + zone
                 + "\",\"Epoch\":\"v1\",\"Capacity\":" + capacity + ",\"Phase\":\"" + phase
-                + "\",\"WarmupS\":0,\"CallSeq\":" + calls.incrementAndGet() + "}";
+                + "\",\"WarmupS\":0,\"CallSeq\":" + callSeq + "}";
         Http.Message answer = Http.ask(
                 control,
                 "POST /whinlead/rpc?call=members.heartbeat&of=" + id,
@@ -201,9 +212,9 @@
         }
     }
 
-    /** Says from the next heartbeat on that it leaves. */
-    void drain() {
-        phase = "draining";
+    /** Sends no further heartbeats on its own. */
+    void stopBeating() {
+        beating = false;
     }
 
     /** Says that it has left; the status. */
--- a/review/standins/Mesh.java
+++ b/review/standins/Mesh.java
@@ -227,7 +227,7 @@
     /** Sends a signal to the process of a machine. */
     void signal(Machine machine, String signal) throws IOException, InterruptedException {
         record.say("signal " + signal + " to " + machine.name);
-        new ProcessBuilder("kill", "-" + signal, Long.toString(machine.process.pid()))
+        new ProcessBuilder("bash", "-c", "kill -" + signal + " " + machine.process.pid())
                 .inheritIO()
                 .start()
                 .waitFor();
