--- a/src/main/java/whinlead/mesh/log/Event.java
+++ b/src/main/java/whinlead/mesh/log/Event.java
@@ -26,6 +26,7 @@
     ENDPOINT(304, Level.INFO, "endpoint"),
     UNKNOWN_INPUT_IGNORED(305, Level.INFO, "passed over, of a later version"),
     PEER_REJECTED(306, Level.WARNING, "peer refused"),
+    MESSAGE_TOO_LONG(307, Level.WARNING, "message too long, not sent"),
     /** 4xx: configuration at sidecars. */
     CONFIG_IN_FORCE(401, Level.INFO, "configuration in force"),
     CONFIG_UNREADABLE(402, Level.WARNING, "configuration can't be read"),
--- a/src/main/java/whinlead/mesh/sidecar/ClientConnection.java
+++ b/src/main/java/whinlead/mesh/sidecar/ClientConnection.java
@@ -1,8 +1,5 @@
 package whinlead.mesh.sidecar;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -29,12 +26,14 @@
 import whinlead.engine.Timers;
 import whinlead.mesh.config.MeshConfig;
 import whinlead.mesh.log.Event;
+import whinlead.mesh.wire.PeerMessage;
 
 /**
- * One client's HTTP/1.1 connection: reads complete requests, passes them to the handler, and writes the responses in
- * the order of the requests. Runs on its event loop's thread.
+ * One client's HTTP/1.1 connection: reads requests, passes them to the handler, and writes the responses in the order
+ * of the requests. A request is passed on when it is complete, or before that if its body is long. Runs on its event
+ * loop's thread.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements PendingResponse.Queue {
     /** Maximum number of requests pending on one connection; reading stops when it is reached. */
     private static final int MAX_PENDING_REQUESTS = 16;
 
@@ -44,10 +43,16 @@
      */
     private static final double SHUTDOWN_IDLE_S = 0.2;
 
-    /** Handles complete requests. */
+    /**
+     * How long the rest of a body is read and discarded after the response, in milliseconds. Closing at once would
+     * reset the connection, and the client might lose the response.
+     */
+    private static final double DISCARD_MS = 2000;
+
+    /** Handles requests. */
     interface RequestHandler {
         /** Handles one request, which must be answered exactly once, on this thread. */
-        void handle(HttpRequest head, byte[] body, PendingResponse response);
+        void handle(HttpRequest head, RequestBody body, PendingResponse response);
 
         /** The limits in force; never null. */
         MeshConfig.Limits limits();
@@ -68,67 +73,21 @@
         Timers timers();
     }
 
-    /** The response to one request. Responses are sent in the order of their requests. */
-    final class PendingResponse {
-        private final boolean keepAlive;
-        private final boolean headRequest;
-        private final int reservedBytes;
-        /** Time from the head to the end of the request, in milliseconds. */
-        private final double readDurationMs;
-
-        private FullHttpResponse httpResponse;
-        private Runnable disconnectListener = () -> {};
-
-        private PendingResponse(boolean keepAlive, boolean headRequest, int reservedBytes, double readDurationMs) {
-            this.keepAlive = keepAlive;
-            this.headRequest = headRequest;
-            this.reservedBytes = reservedBytes;
-            this.readDurationMs = readDurationMs;
-        }
-
-        /** Time it took to read the request, from its head to its end, in milliseconds. */
-        double readDurationMs() {
-            return readDurationMs;
-        }
-
-        /** Sets the listener that runs if the client disconnects before the response is sent. */
-        void onClientDisconnect(Runnable listener) {
-            disconnectListener = listener;
-        }
-
-        /**
-         * Sends the response as soon as all earlier ones are sent.
-         *
-         * @param headers names and values alternating
-         */
-        void send(HttpResponseStatus status, List<String> headers, byte[] body) {
-            if (httpResponse != null || ClientConnection.this.disconnected) {
-                return;
-            }
-            FullHttpResponse fullResponse =
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
-            for (int i = 0; i + 1 < headers.size(); i += 2) {
-                fullResponse.headers().add(headers.get(i), headers.get(i + 1));
-            }
-            if (!HttpResponseStatus.NO_CONTENT.equals(status)
-                    && !HttpResponseStatus.NOT_MODIFIED.equals(status)
-                    && !(headRequest && body.length == 0)) {
-                fullResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-            }
-            httpResponse = fullResponse;
-            handler.release(reservedBytes);
-            writeReadyResponses();
-        }
-    }
-
     private final RequestHandler handler;
     private final ArrayDeque<PendingResponse> pending = new ArrayDeque<>();
     private Channel channel;
+    /** The head of the request that is being read; null between requests, and once the request is handled. */
     private HttpRequest requestHead;
-    private ByteBuf requestBody;
-    private int reservedBytes;
+    /** Reads the body of a request; null while none is expected. */
+    private RequestBodyReader bodyReader;
+    /** The response to the request whose body is still arriving; null if there is none. */
+    private PendingResponse streamedResponse;
+
     private boolean continueExpected;
     private boolean closing;
+    /** Whether the rest of a body is read only so that the client gets the response before the connection is closed. */
+    private boolean discarding;
+
     private boolean disconnected;
     private boolean autoRead = true;
     private double lastActivityMs;
@@ -165,6 +124,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
             if (closing) {
+                discard(message);
                 return;
             }
             if (message instanceof HttpObject object && object.decoderResult().isFailure()) {
@@ -175,8 +135,8 @@
             if (message instanceof HttpRequest request) {
                 beginRequest(request);
             }
-            if (message instanceof HttpContent content && requestHead != null && !closing) {
-                appendBody(content);
+            if (message instanceof HttpContent content && bodyReader != null && !closing) {
+                readBody(content);
             }
         } finally {
             ReferenceCountUtil.release(message);
@@ -185,17 +145,7 @@
 
     private void beginRequest(HttpRequest request) {
         lastActivityMs = nowMs();
-        boolean multipleLengths =
-                request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1;
-        boolean lengthAndCoding = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-                && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        boolean unsupportedCoding = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-                && !HttpUtil.isTransferEncodingChunked(request);
-        // Request smuggling: if the end of a request is ambiguous, another request may be hidden behind it.
-        if (multipleLengths
-                || lengthAndCoding
-                || unsupportedCoding
-                || !HttpVersion.HTTP_1_1.equals(request.protocolVersion())) {
+        if (!RequestValidator.isFramed(request)) {
             reject(HttpResponseStatus.BAD_REQUEST);
             return;
         }
@@ -205,8 +155,8 @@
         }
         requestHead = request;
         headReceivedMs = lastActivityMs;
-        requestBody = Unpooled.buffer(0);
-        reservedBytes = 0;
+        long declaredLength = HttpUtil.getContentLength(request, PeerMessage.UNKNOWN_LENGTH);
+        bodyReader = new RequestBodyReader(handler, declaredLength, this::updateAutoRead);
         continueExpected = HttpUtil.is100ContinueExpected(request);
         sendContinueIfDue();
     }
@@ -219,24 +169,52 @@
         }
     }
 
-    private void appendBody(HttpContent content) {
-        int byteCount = content.content().readableBytes();
-        if (requestBody.readableBytes() + (long) byteCount > handler.limits().bodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            return;
-        }
-        if (byteCount > 0 && !handler.tryReserve(byteCount)) {
-            reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
-            return;
-        }
-        reservedBytes += byteCount;
-        requestBody.writeBytes(content.content());
+    private void readBody(HttpContent content) {
+        boolean handledBefore = bodyReader.isStreamed();
+        RequestBodyReader.Progress progress = bodyReader.read(content);
         lastActivityMs = nowMs();
-        if (content instanceof LastHttpContent) {
-            completeRequest();
+        switch (progress) {
+            case TOO_LARGE ->
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, !(content instanceof LastHttpContent));
+            case OUT_OF_MEMORY -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE, !(content instanceof LastHttpContent));
+            case ARRIVING -> {
+                if (bodyReader.isStreamed() && !handledBefore) {
+                    handleRequest(false);
+                }
+                updateAutoRead();
+            }
+            case COMPLETE -> {
+                if (handledBefore) {
+                    completeStreamedBody();
+                } else {
+                    handleRequest(true);
+                }
+            }
+            default -> throw new IllegalStateException("unknown progress " + progress);
         }
     }
 
+    // The response may have been decided before the end of the body; then the connection can be kept after all.
+    private void completeStreamedBody() {
+        closing |= !streamedResponse.keepAlive();
+        streamedResponse = null;
+        bodyReader = null;
+        updateAutoRead();
+    }
+
+    // Reads on after the response to a request whose body was not complete.
+    private void discard(Object message) {
+        if (discarding && message instanceof LastHttpContent) {
+            channel.close();
+        }
+    }
+
+    private void closeAfterBody() {
+        discarding = true;
+        channel.config().setAutoRead(true);
+        handler.timers().schedule(DISCARD_MS, channel::close);
+    }
+
     // Most requests arrive completely in one read and need no timer.
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -251,22 +229,26 @@
         ctx.fireChannelReadComplete();
     }
 
-    private void completeRequest() {
+    private void handleRequest(boolean bodyComplete) {
         HttpRequest request = requestHead;
-        byte[] bytes = ByteBufUtil.getBytes(requestBody);
+        RequestBody body = bodyReader.body();
         PendingResponse response = new PendingResponse(
+                this,
                 HttpUtil.isKeepAlive(request),
                 "HEAD".equals(request.method().name()),
-                reservedBytes,
+                bodyReader.reservedBytes(),
                 lastActivityMs - headReceivedMs);
         requestHead = null;
-        requestBody = null;
-        reservedBytes = 0;
         cancelBodyTimer();
         pending.add(response);
-        closing |= !response.keepAlive;
+        if (bodyComplete) {
+            bodyReader = null;
+            closing |= !response.keepAlive();
+        } else {
+            streamedResponse = response;
+        }
         updateAutoRead();
-        handle(request, bytes, response);
+        handle(request, body, response);
     }
 
     private void cancelBodyTimer() {
@@ -277,9 +259,9 @@
     }
 
     // An exception in the handling of one request must neither leave it unanswered nor affect the others.
-    private void handle(HttpRequest request, byte[] bytes, PendingResponse response) {
+    private void handle(HttpRequest request, RequestBody body, PendingResponse response) {
         try {
-            handler.handle(request, bytes, response);
+            handler.handle(request, body, response);
         } catch (RuntimeException fault) {
             logFault(fault);
             response.send(HttpResponseStatus.INTERNAL_SERVER_ERROR, List.of(), new byte[0]);
@@ -291,43 +273,75 @@
         Event.INTERNAL_ERROR.log(fault + " at " + (trace.length > 0 ? trace[0] : "?"));
     }
 
-    // Answers a request that can't be accepted, after the earlier responses, and closes the connection.
     private void reject(HttpResponseStatus status) {
+        reject(status, false);
+    }
+
+    // Answers a request that can't be accepted, after the earlier responses, and closes the connection, if the client
+    // is still sending the body after its end.
+    private void reject(HttpResponseStatus status, boolean bodyContinues) {
+        List<String> headers =
+                HttpResponseStatus.SERVICE_UNAVAILABLE.equals(status) ? List.of("Retry-After", "0.5") : List.of();
+        if (streamedResponse != null) {
+            // The request is being handled already.
+            streamedResponse.clientDisconnected();
+            streamedResponse.send(status, headers, new byte[0]);
+            return;
+        }
         closing = true;
         requestHead = null;
         cancelBodyTimer();
-        handler.release(reservedBytes);
-        reservedBytes = 0;
-        PendingResponse response = new PendingResponse(false, false, 0, 0);
+        PendingResponse response = new PendingResponse(this, false, false, releasableBytes(), 0);
+        bodyReader = null;
+        streamedResponse = bodyContinues ? response : null;
         pending.add(response);
-        response.send(
-                status,
-                HttpResponseStatus.SERVICE_UNAVAILABLE.equals(status) ? List.of("Retry-After", "0.5") : List.of(),
-                new byte[0]);
+        response.send(status, headers, new byte[0]);
+    }
+
+    // What is reserved for a body whose request has no pending response yet.
+    private int releasableBytes() {
+        return bodyReader == null || streamedResponse != null ? 0 : bodyReader.reservedBytes();
     }
 
     private void updateAutoRead() {
-        boolean wanted = pending.size() < MAX_PENDING_REQUESTS;
+        boolean wanted =
+                discarding || pending.size() < MAX_PENDING_REQUESTS && (bodyReader == null || !bodyReader.isFull());
         if (wanted != autoRead) {
             autoRead = wanted;
             channel.config().setAutoRead(wanted);
         }
     }
 
+    @Override
+    public boolean isDisconnected() {
+        return disconnected;
+    }
+
+    @Override
+    public void responseDecided(PendingResponse response) {
+        handler.release(response.reservedBytes());
+        writeReadyResponses();
+    }
+
     private void writeReadyResponses() {
         boolean wrote = false;
-        while (!pending.isEmpty() && pending.peek().httpResponse != null) {
+        while (!pending.isEmpty() && pending.peek().isDecided()) {
             PendingResponse response = pending.poll();
-            FullHttpResponse httpResponse = response.httpResponse;
-            boolean lastResponse =
-                    !response.keepAlive || handler.shuttingDown() && pending.isEmpty() && requestHead == null;
+            FullHttpResponse httpResponse = response.httpResponse();
+            boolean bodyIncomplete = response == streamedResponse;
+            boolean lastResponse = bodyIncomplete
+                    || !response.keepAlive()
+                    || handler.shuttingDown() && pending.isEmpty() && requestHead == null;
             if (lastResponse) {
                 closing = true;
                 httpResponse.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             ChannelFuture writeFuture = channel.write(httpResponse);
             wrote = true;
-            if (lastResponse) {
+            if (bodyIncomplete) {
+                closeAfterBody();
+                break;
+            } else if (lastResponse) {
                 writeFuture.addListener(ChannelFutureListener.CLOSE);
                 break;
             }
@@ -360,12 +374,12 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         cancelBodyTimer();
-        handler.release(reservedBytes);
-        reservedBytes = 0;
+        handler.release(releasableBytes());
+        bodyReader = null;
         for (PendingResponse response : pending) {
-            if (response.httpResponse == null) {
-                handler.release(response.reservedBytes);
-                response.disconnectListener.run();
+            if (!response.isDecided()) {
+                handler.release(response.reservedBytes());
+                response.clientDisconnected();
             }
         }
         pending.clear();
--- a/src/main/java/whinlead/mesh/sidecar/ClientExchange.java
+++ b/src/main/java/whinlead/mesh/sidecar/ClientExchange.java
@@ -29,8 +29,8 @@
     private final String method;
     private final String uri;
     private final List<String> headers;
-    private final byte[] body;
-    private final ClientConnection.PendingResponse response;
+    private final RequestBody body;
+    private final PendingResponse response;
     private final RoutingTable.NamedRoute route;
     private final String target;
     private final int rank;
@@ -55,8 +55,8 @@
             Timers timers,
             Consumer<ClientExchange> onEnd,
             HttpRequest head,
-            byte[] body,
-            ClientConnection.PendingResponse response,
+            RequestBody body,
+            PendingResponse response,
             RoutingTable.NamedRoute route,
             RoutingTable.NamedTenant tenant,
             String caller,
@@ -99,7 +99,7 @@
                 timeoutMs,
                 false,
                 1,
-                body.length);
+                bodyBytes());
         ServiceBalancer balancer = balancerSupplier.get();
         acceptedRequest = balancer.accept(request, sidecarCount, this, this);
         otherBalancerAttempt = () -> {
@@ -117,6 +117,14 @@
         });
     }
 
+    // Of a body whose end is not known, what has arrived.
+    private int bodyBytes() {
+        BodyStream stream = body.streamOrNull();
+        return stream == null
+                ? body.wholeBytes().length
+                : (int) Math.min(Integer.MAX_VALUE, Math.max(stream.length(), stream.availableBytes()));
+    }
+
     /** Ends the exchange with the response that is possible now, because the process is about to end. */
     void abort() {
         otherBalancerAttempt = () -> false;
@@ -127,7 +135,13 @@
     @Override
     public PeerMessage.ForwardRequest request(String endpoint) {
         int remainingMs = (int) Math.max(1, deadlineMs - timers.nowMs());
-        return new PeerMessage.ForwardRequest(0, method, uri, headers, body, remainingMs, target, endpoint, rank);
+        return new PeerMessage.ForwardRequest(
+                0, method, uri, headers, body.wholeBytes(), remainingMs, target, endpoint, rank);
+    }
+
+    @Override
+    public BodyStream bodyStream() {
+        return body.streamOrNull();
     }
 
     @Override
@@ -190,12 +204,12 @@
     }
 
     /** Answers a request with a status only. */
-    static void reject(ClientConnection.PendingResponse response, HttpResponseStatus status) {
+    static void reject(PendingResponse response, HttpResponseStatus status) {
         response.send(status, List.of(), new byte[0]);
     }
 
     /** Answers a request that has not run, with a {@code Retry-After} header. */
-    static void reject(ClientConnection.PendingResponse response, HttpResponseStatus status, double retryAfterMs) {
+    static void reject(PendingResponse response, HttpResponseStatus status, double retryAfterMs) {
         String seconds = String.format(Locale.ROOT, "%.3f", Math.max(1, retryAfterMs) / MILLIS_PER_SECOND);
         response.send(status, List.of("Retry-After", seconds), new byte[0]);
     }
--- a/src/main/java/whinlead/mesh/sidecar/ClientSide.java
+++ b/src/main/java/whinlead/mesh/sidecar/ClientSide.java
@@ -55,7 +55,8 @@
                 () -> "",
                 () -> SIDECAR_COUNT,
                 quota,
-                classes);
+                classes,
+                new BodyBudget());
         this.shutdown = new Shutdown(timers, bounds.graceS(), egress, () -> 0);
     }
 
--- a/src/main/java/whinlead/mesh/sidecar/ConnectionPath.java
+++ b/src/main/java/whinlead/mesh/sidecar/ConnectionPath.java
@@ -38,6 +38,11 @@
         return connection.state();
     }
 
+    @Override
+    public int version() {
+        return connection.version();
+    }
+
     @Override
     public boolean send(PeerMessage message) {
         return connection.send(message);
--- a/src/main/java/whinlead/mesh/sidecar/EgressListener.java
+++ b/src/main/java/whinlead/mesh/sidecar/EgressListener.java
@@ -28,8 +28,6 @@
  * request to the service's balancer. Runs on its loop's thread.
  */
 final class EgressListener implements ClientConnection.RequestHandler {
-    /** Maximum size of all buffered request bodies, in bytes; beyond it, clients get a 503 with {@code Retry-After}. */
-    private static final long MAX_RESERVED_BYTES = 40L << 20;
     /** Limits until a configuration is known. */
     private static final MeshConfig.Limits DEFAULT_LIMITS = new MeshConfig.Limits(16384, 64 << 20, 3, 15);
     /** {@code Retry-After} while no configuration is known, in milliseconds. */
@@ -62,11 +60,11 @@
     private final IntSupplier knownSidecars;
     private final QuotaClient quota;
     private final RequestClasses classes;
+    private final BodyBudget bodyBudget;
     private final SplittableRandom random = new SplittableRandom();
     private final Set<ClientConnection> connections = new HashSet<>();
     private final Set<ClientExchange> exchanges = new LinkedHashSet<>();
     private final Set<QuotaAdmission> admissions = new LinkedHashSet<>();
-    private long reservedBytes;
     private boolean shuttingDown;
     private boolean rejecting;
 
@@ -76,6 +74,7 @@
      * @param routing the configuration in force, or null
      * @param callerService the service of the endpoint beside this sidecar; empty if none is known
      * @param knownSidecars how many sidecars are known
+     * @param bodyBudget limits the bodies that are held; beyond it, clients get a 503 with {@code Retry-After}
      */
     EgressListener(
             EventLoop loop,
@@ -85,7 +84,8 @@
             Supplier<String> callerService,
             IntSupplier knownSidecars,
             QuotaClient quota,
-            RequestClasses classes) {
+            RequestClasses classes,
+            BodyBudget bodyBudget) {
         this.loop = loop;
         this.timers = timers;
         this.routing = routing;
@@ -94,6 +94,7 @@
         this.knownSidecars = knownSidecars;
         this.quota = quota;
         this.classes = classes;
+        this.bodyBudget = bodyBudget;
     }
 
     /** Starts listening; the future fails if the address is in use. */
@@ -160,16 +161,12 @@
 
     @Override
     public boolean tryReserve(int bytes) {
-        if (reservedBytes + bytes > MAX_RESERVED_BYTES) {
-            return false;
-        }
-        reservedBytes += bytes;
-        return true;
+        return bodyBudget.tryReserve(bytes);
     }
 
     @Override
     public void release(int bytes) {
-        reservedBytes -= bytes;
+        bodyBudget.release(bytes);
     }
 
     @Override
@@ -183,7 +180,7 @@
     }
 
     @Override
-    public void handle(HttpRequest head, byte[] body, ClientConnection.PendingResponse response) {
+    public void handle(HttpRequest head, RequestBody body, PendingResponse response) {
         RoutingTable currentRouting = routing.get();
         if (currentRouting == null || rejecting) {
             ClientExchange.reject(response, HttpResponseStatus.SERVICE_UNAVAILABLE, NO_CONFIG_RETRY_MS);
@@ -222,8 +219,8 @@
      */
     private record IncomingRequest(
             HttpRequest head,
-            byte[] body,
-            ClientConnection.PendingResponse response,
+            RequestBody body,
+            PendingResponse response,
             RoutingTable.NamedRoute route,
             RoutingTable.NamedTenant tenant,
             double deadlineMs) {}
--- a/src/main/java/whinlead/mesh/sidecar/EndpointDelivery.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointDelivery.java
@@ -11,6 +11,9 @@
  * the endpoint now, sends it, and reports its result once. Runs on the loop's thread.
  */
 final class EndpointDelivery implements RequestForwarder.LocalEndpoint {
+    /** How much of a body another sidecar may have sent without its having been passed on, in bytes. */
+    static final int BODY_WINDOW_BYTES = 512 << 10;
+
     private final Executor loop;
     private final Timers timers;
     private final String node;
@@ -18,6 +21,7 @@
     private final EndpointConnections connections;
     private final KeyClient keys;
     private final double ownerDrainMs;
+    private final BodyBudget bodyBudget;
     private final EndpointRequests requests = new EndpointRequests();
     private final ForwardedTime forwardedTime = new ForwardedTime();
 
@@ -28,6 +32,7 @@
      * @param keys the keys that the endpoint owns, if its service is sharded by key
      * @param ownerDrainMs how long a draining owner of keys still gets their requests, since no other endpoint may run
      *     them
+     * @param bodyBudget limits the bodies that are held; a request that it has no room for is refused before it runs
      */
     EndpointDelivery(
             Executor loop,
@@ -36,7 +41,8 @@
             EndpointGate gate,
             EndpointConnections connections,
             KeyClient keys,
-            double ownerDrainMs) {
+            double ownerDrainMs,
+            BodyBudget bodyBudget) {
         this.loop = loop;
         this.timers = timers;
         this.node = node;
@@ -44,11 +50,12 @@
         this.connections = connections;
         this.keys = keys;
         this.ownerDrainMs = ownerDrainMs;
+        this.bodyBudget = bodyBudget;
     }
 
     @Override
-    public void deliver(PeerMessage.ForwardRequest request, Consumer<PeerMessage> resultListener) {
-        deliver(node, request, resultListener);
+    public void deliver(PeerMessage.ForwardRequest request, BodyStream body, Consumer<PeerMessage> resultListener) {
+        deliver(node, request, body, resultListener);
     }
 
     @Override
@@ -68,20 +75,61 @@
 
     /** Delivers a request from another sidecar; its result is sent on the same connection if that is still open. */
     void deliverForwarded(PeerConnection source, PeerMessage.ForwardRequest request) {
+        deliverForwarded(source, request, null, request.body().length);
+    }
+
+    /** Delivers a request from another sidecar whose body follows, as soon as credit is granted for it. */
+    void deliverForwarded(PeerConnection source, PeerMessage.ForwardRequestHead head) {
+        PeerMessage.ForwardRequest request = head.request();
+        BodyStream body = new BodyStream(head.bodyBytes(), new ForwardedBody(source, request.stream()));
+        deliverForwarded(source, request, body, BODY_WINDOW_BYTES);
+    }
+
+    private void deliverForwarded(
+            PeerConnection source, PeerMessage.ForwardRequest request, BodyStream body, int heldBytes) {
         int remainingMs = forwardedTime.remainingMs(timers.nowMs(), source.transitClock(), request);
         if (remainingMs == 0) {
             // Its time ran out on the way and its caller has been answered, so it is not started.
             source.send(failure(request, PeerMessage.FailureReason.UNREACHED));
             return;
         }
-        deliver(source, request.withLeft(remainingMs), result -> {
+        if (!bodyBudget.tryReserve(heldBytes)) {
+            source.send(failure(request, PeerMessage.FailureReason.FULL));
+            return;
+        }
+        deliver(source, request.withLeft(remainingMs), body, result -> {
+            bodyBudget.release(heldBytes);
             if (source.isOpen()) {
                 source.send(result);
             }
         });
     }
 
-    private void deliver(Object sender, PeerMessage.ForwardRequest request, Consumer<PeerMessage> resultListener) {
+    /** Handles a part of a body of a request that arrived on this connection. */
+    void bodyPartReceived(PeerConnection source, PeerMessage.BodyPart part) {
+        requests.bodyPartReceived(source, part, BODY_WINDOW_BYTES);
+    }
+
+    /** Handles that a connection was closed: bodies that were still arriving on it can't be completed. */
+    void disconnected(PeerConnection source) {
+        requests.senderDisconnected(source);
+    }
+
+    /** A body that another sidecar sends as credit is granted for it. */
+    private record ForwardedBody(PeerConnection source, long stream) implements BodyStream.Producer {
+        @Override
+        public void opened() {
+            source.send(new PeerMessage.BodyCredit(stream, BODY_WINDOW_BYTES));
+        }
+
+        @Override
+        public void released(int bytes) {
+            source.send(new PeerMessage.BodyCredit(stream, bytes));
+        }
+    }
+
+    private void deliver(
+            Object sender, PeerMessage.ForwardRequest request, BodyStream body, Consumer<PeerMessage> resultListener) {
         EndpointGate.Admission admission = admit(request);
         if (admission != EndpointGate.Admission.OPEN) {
             PeerMessage refusal = failure(request, reason(admission));
@@ -91,7 +139,10 @@
         }
         gate.requestStarted(timers.nowMs());
         requests.requestStarting(sender, request.stream());
-        EndpointConnections.SentRequest sentRequest = connections.send(request, gate.endpoint(), outcome -> {
+        if (body != null && sender != node) {
+            requests.bodyExpected(sender, request.stream(), body);
+        }
+        EndpointConnections.SentRequest sentRequest = connections.send(request, body, gate.endpoint(), outcome -> {
             requests.requestEnded(sender, request.stream());
             gate.requestEnded(timers.nowMs(), outcome instanceof PeerMessage.ForwardResponse);
             resultListener.accept(addLoad(request, outcome));
--- a/src/main/java/whinlead/mesh/sidecar/PeerPath.java
+++ b/src/main/java/whinlead/mesh/sidecar/PeerPath.java
@@ -14,6 +14,12 @@
     /** The state of the connection. */
     ReconnectingConnection.State state();
 
+    /**
+     * The protocol version that both sides use; certain once the other side has sent a message on the current
+     * connection, and the lowest one before that.
+     */
+    int version();
+
     /** Sends a message; false if none of it was sent. */
     boolean send(PeerMessage message);
 
--- a/src/main/java/whinlead/mesh/sidecar/RequestForwarder.java
+++ b/src/main/java/whinlead/mesh/sidecar/RequestForwarder.java
@@ -20,6 +20,7 @@
 import whinlead.mesh.registry.EndpointRecord;
 import whinlead.mesh.registry.EndpointRegistry;
 import whinlead.mesh.wire.PeerMessage;
+import whinlead.mesh.wire.ProtocolVersion;
 import whinlead.mesh.wire.ReconnectingConnection;
 
 /**
@@ -32,8 +33,12 @@
 
     /** Accepts requests for the endpoint beside this sidecar. */
     public interface LocalEndpoint {
-        /** Delivers a request and reports its result once. */
-        void deliver(PeerMessage.ForwardRequest request, Consumer<PeerMessage> resultListener);
+        /**
+         * Delivers a request and reports its result once.
+         *
+         * @param body the body if it is passed on while it arrives; null if the request contains it
+         */
+        void deliver(PeerMessage.ForwardRequest request, BodyStream body, Consumer<PeerMessage> resultListener);
 
         /** Cancels a delivered request whose client has disconnected. */
         default void cancel(PeerMessage.Cancel cancel) {}
@@ -98,56 +103,6 @@
         this.reachabilityListener = reachabilityListener;
     }
 
-    /** A request that was passed to a path and has not ended. */
-    static final class PendingForward implements SentRequest {
-        private final Consumer<PeerMessage> resultListener;
-        private final boolean repeatable;
-        private final BooleanSupplier otherEndpointAllowed;
-        private Runnable removal = () -> {};
-        /** Notifies the other sidecar that the client has disconnected. */
-        private Runnable cancelNotification = () -> {};
-
-        private boolean written;
-        private boolean ended;
-
-        private PendingForward(
-                Consumer<PeerMessage> resultListener, boolean repeatable, BooleanSupplier otherEndpointAllowed) {
-            this.resultListener = resultListener;
-            this.repeatable = repeatable;
-            this.otherEndpointAllowed = otherEndpointAllowed;
-        }
-
-        private void end(PeerMessage result) {
-            if (!ended) {
-                ended = true;
-                resultListener.accept(result);
-            }
-        }
-
-        // Whether the request fails at once on a silent path. Silence ends no request that can't be sent to another
-        // endpoint.
-        private boolean failsOnSilence() {
-            return repeatable && (!written || otherEndpointAllowed.getAsBoolean());
-        }
-
-        @Override
-        public boolean abort() {
-            ended = true;
-            if (!written) {
-                removal.run();
-            }
-            return written;
-        }
-
-        @Override
-        public void cancel() {
-            if (!ended && abort()) {
-                removal.run();
-                cancelNotification.run();
-            }
-        }
-    }
-
     /** A request that waits for its path, and the time from which its response is of no use. */
     private record WaitingRequest(PeerMessage.ForwardRequest request, double deadlineMs) {}
 
@@ -156,6 +111,8 @@
         private final Map<Long, PendingForward> pending = new LinkedHashMap<>();
         /** Requests that wait for the connection to be established. */
         private final Map<Long, WaitingRequest> waiting = new LinkedHashMap<>();
+        /** Whether the other side has sent a message on this connection, so that its version is certain. */
+        private boolean isVersionKnown;
 
         private PeerRoute(String node) {
             this.path = pathFactory.apply(node, this);
@@ -164,14 +121,13 @@
         @Override
         public void stateChanged(ReconnectingConnection.State newState, ReconnectingConnection.State previousState) {
             if (newState == ReconnectingConnection.State.UP) {
-                List<WaitingRequest> requests = new ArrayList<>(waiting.values());
-                waiting.clear();
-                requests.forEach(this::write);
+                writeWaiting();
             } else if (newState == ReconnectingConnection.State.SUSPECT) {
                 // Responses may still arrive, but a repeatable request is better served by another endpoint.
                 fail(PeerMessage.FailureReason.BROKEN, true);
             } else if (newState == ReconnectingConnection.State.DOWN
                     || newState == ReconnectingConnection.State.CLOSED) {
+                isVersionKnown = false;
                 fail(PeerMessage.FailureReason.BROKEN, false);
             }
             if (newState != ReconnectingConnection.State.DIALLING && newState != ReconnectingConnection.State.CLOSED) {
@@ -179,6 +135,12 @@
             }
         }
 
+        private void writeWaiting() {
+            List<WaitingRequest> requests = new ArrayList<>(waiting.values());
+            waiting.clear();
+            requests.forEach(this::write);
+        }
+
         private void fail(PeerMessage.FailureReason reason, boolean onSilence) {
             for (Map.Entry<Long, PendingForward> entry : new ArrayList<>(pending.entrySet())) {
                 PendingForward pendingForward = entry.getValue();
@@ -187,7 +149,7 @@
                     waiting.remove(entry.getKey());
                     pendingForward.end(new PeerMessage.ForwardFailure(
                             entry.getKey(),
-                            pendingForward.written ? reason : PeerMessage.FailureReason.UNREACHED,
+                            pendingForward.isWritten() ? reason : PeerMessage.FailureReason.UNREACHED,
                             0,
                             0));
                 }
@@ -198,18 +160,41 @@
         private void write(WaitingRequest waitingRequest) {
             long stream = waitingRequest.request.stream();
             PendingForward pendingForward = pending.get(stream);
-            if (pendingForward == null || pendingForward.ended) {
+            if (pendingForward == null || pendingForward.hasEnded()) {
                 pending.remove(stream);
                 return;
             }
+            BodyStream body = pendingForward.body();
+            if (body != null && !isVersionKnown) {
+                waiting.put(stream, waitingRequest);
+                return;
+            }
+            if (body != null && path.version() < ProtocolVersion.BODY_PARTS) {
+                endUnwritten(stream, pendingForward, PeerMessage.FailureReason.UNSUPPORTED);
+                return;
+            }
             double remainingMs = waitingRequest.deadlineMs - timers.nowMs();
-            pendingForward.written = remainingMs >= 1;
-            if (!pendingForward.written
-                    || !path.send(withStream(
-                            stream, waitingRequest.request, (int) Math.round(remainingMs), timestampMicros()))) {
-                pendingForward.written = false;
-                pending.remove(stream);
-                pendingForward.end(new PeerMessage.ForwardFailure(stream, PeerMessage.FailureReason.UNREACHED, 0, 0));
+            pendingForward.setWritten(remainingMs >= 1);
+            PeerMessage.ForwardRequest request =
+                    withStream(stream, waitingRequest.request, (int) Math.round(remainingMs), timestampMicros());
+            PeerMessage message = body == null ? request : new PeerMessage.ForwardRequestHead(request, body.length());
+            if (!pendingForward.isWritten() || !path.send(message)) {
+                endUnwritten(stream, pendingForward, PeerMessage.FailureReason.UNREACHED);
+            }
+        }
+
+        private void endUnwritten(long stream, PendingForward pendingForward, PeerMessage.FailureReason reason) {
+            pendingForward.setWritten(false);
+            pending.remove(stream);
+            pendingForward.end(new PeerMessage.ForwardFailure(stream, reason, 0, 0));
+        }
+
+        private void creditReceived(PeerMessage.BodyCredit credit) {
+            PendingForward pendingForward = pending.get(credit.stream());
+            if (pendingForward != null) {
+                pendingForward.creditGranted(
+                        credit.bytes(),
+                        part -> path.send(new PeerMessage.BodyPart(credit.stream(), part.bytes(), part.last())));
             }
         }
 
@@ -225,6 +210,14 @@
 
         @Override
         public void messageReceived(PeerMessage message) {
+            if (!isVersionKnown) {
+                isVersionKnown = true;
+                writeWaiting();
+            }
+            if (message instanceof PeerMessage.BodyCredit credit) {
+                creditReceived(credit);
+                return;
+            }
             long stream = message instanceof PeerMessage.ForwardResponse response
                     ? response.stream()
                     : message instanceof PeerMessage.ForwardFailure failure ? failure.stream() : -1;
@@ -291,23 +284,44 @@
             boolean repeatable,
             BooleanSupplier otherEndpointAllowed,
             Consumer<PeerMessage> resultListener) {
-        PendingForward pendingForward = new PendingForward(resultListener, repeatable, otherEndpointAllowed);
+        return send(node, draft, null, repeatable, otherEndpointAllowed, resultListener);
+    }
+
+    /**
+     * Sends a request at most once.
+     *
+     * @param draft the request, with any stream number
+     * @param body the body if it is passed on while it arrives, of which nothing was taken; null if the draft contains
+     *     it
+     * @param repeatable whether the request may run again
+     * @param otherEndpointAllowed whether another endpoint may be tried, so that the request need not wait for a silent
+     *     path; evaluated when the path becomes silent
+     * @param resultListener gets the result once, unless the request is given up before
+     */
+    SentRequest send(
+            String node,
+            PeerMessage.ForwardRequest draft,
+            BodyStream body,
+            boolean repeatable,
+            BooleanSupplier otherEndpointAllowed,
+            Consumer<PeerMessage> resultListener) {
+        PendingForward pendingForward = new PendingForward(resultListener, repeatable, otherEndpointAllowed, body);
         long stream = ++lastStream;
         PeerMessage.Cancel cancel = new PeerMessage.Cancel(stream, repeatable);
         if (node.equals(localNode)) {
-            pendingForward.written = true;
-            pendingForward.cancelNotification = () -> localEndpoint.cancel(cancel);
+            pendingForward.setWritten(true);
+            pendingForward.onCancel(() -> localEndpoint.cancel(cancel));
             localEndpoint.deliver(
-                    withStream(stream, draft, draft.leftMs(), PeerMessage.UNSTAMPED), pendingForward::end);
+                    withStream(stream, draft, draft.leftMs(), PeerMessage.UNSTAMPED), body, pendingForward::end);
             return pendingForward;
         }
         PeerRoute route = route(node);
         route.pending.put(stream, pendingForward);
-        pendingForward.removal = () -> {
+        pendingForward.onRemoval(() -> {
             route.pending.remove(stream);
             route.waiting.remove(stream);
-        };
-        pendingForward.cancelNotification = () -> route.path.send(cancel);
+        });
+        pendingForward.onCancel(() -> route.path.send(cancel));
         WaitingRequest waitingRequest = new WaitingRequest(
                 withStream(stream, draft, draft.leftMs(), PeerMessage.UNSTAMPED), timers.nowMs() + draft.leftMs());
         if (route.path.state() == ReconnectingConnection.State.UP) {
@@ -345,8 +359,8 @@
         return switch (((PeerMessage.ForwardFailure) message).reason()) {
             case FULL, TURNED_AWAY -> Contract.Outcome.FULL;
             case MOVED, UNREACHED -> Contract.Outcome.CONNECT_FAILED;
-            // Says nothing about the endpoint except that it does not own the key.
-            case NOT_OWNER -> Contract.Outcome.NEVER_SENT;
+            // Says nothing about how well the endpoint serves.
+            case NOT_OWNER, UNSUPPORTED -> Contract.Outcome.NEVER_SENT;
             case BROKEN -> Contract.Outcome.RESET;
             case LATE -> Contract.Outcome.TIMED_OUT;
         };
--- a/src/main/java/whinlead/mesh/sidecar/ServiceBalancer.java
+++ b/src/main/java/whinlead/mesh/sidecar/ServiceBalancer.java
@@ -145,6 +145,9 @@
         /** The message to send, with the remaining time. */
         PeerMessage.ForwardRequest request(String endpoint);
 
+        /** The body if it is passed on while it arrives; null if the message contains it. */
+        BodyStream bodyStream();
+
         /** The request's attempts so far. */
         EndpointAttempts attempts();
 
@@ -194,7 +197,9 @@
         public AttemptHandle send(
                 String endpoint, int attempt, double withinMs, OutcomeListener<PeerMessage.ForwardResponse> listener) {
             String node = nodesByEndpoint.get(endpoint);
-            if (node == null || attempts.mayHaveArrived() && !(attempts.mayArriveAgain() && retryBudget.trySpend())) {
+            if (node == null
+                    || isBodyTaken()
+                    || attempts.mayHaveArrived() && !(attempts.mayArriveAgain() && retryBudget.trySpend())) {
                 listener.ended(Contract.Outcome.NEVER_SENT, null, null);
                 return () -> false;
             }
@@ -203,8 +208,9 @@
             RequestForwarder.SentRequest sentRequest = forwarder.send(
                     node,
                     forwarded.request(endpoint),
+                    forwarded.bodyStream(),
                     forwarded.isIdempotent(),
-                    () -> attempts.mayArriveAgain() && retryBudget.canSpend(),
+                    () -> !isBodyTaken() && attempts.mayArriveAgain() && retryBudget.canSpend(),
                     message -> received(message, listener));
             outstanding = sentRequest;
             return () -> {
@@ -217,6 +223,11 @@
             };
         }
 
+        // What an earlier attempt took of a streamed body is gone.
+        private boolean isBodyTaken() {
+            return forwarded.bodyStream() != null && forwarded.bodyStream().isTaken();
+        }
+
         private void cancel() {
             if (outstanding != null) {
                 outstanding.cancel();
--- a/src/main/java/whinlead/mesh/sidecar/Sidecar.java
+++ b/src/main/java/whinlead/mesh/sidecar/Sidecar.java
@@ -98,7 +98,9 @@
                 loop, EndpointList.address(NodeSettings.require(settings.self().appAddr(), "Self.AppAddr")));
         this.keys = keys();
         double ownerDrainMs = settings.clauses().bounds().drainS() * MILLIS_PER_SECOND * OWNER_DRAIN_FRACTION;
-        this.delivery = new EndpointDelivery(loop, timers, node, gate, endpointConnections, keys, ownerDrainMs);
+        BodyBudget bodyBudget = new BodyBudget();
+        this.delivery =
+                new EndpointDelivery(loop, timers, node, gate, endpointConnections, keys, ownerDrainMs, bodyBudget);
         this.forwarder = new RequestForwarder(
                 loop,
                 node,
@@ -129,7 +131,8 @@
                 this::endpointService,
                 registry::presentCount,
                 quota,
-                classes);
+                classes,
+                bodyBudget);
     }
 
     // The periods of all balancers are aligned, so that the process wakes up once for all of them.
@@ -353,7 +356,9 @@
         public void connected(PeerConnection connection) {}
 
         @Override
-        public void disconnected(PeerConnection connection) {}
+        public void disconnected(PeerConnection connection) {
+            delivery.disconnected(connection);
+        }
 
         @Override
         public void message(PeerConnection connection, PeerMessage message) {
@@ -363,6 +368,10 @@
                 connection.send(new PeerMessage.Pong(ping.number(), node, -1));
             } else if (message instanceof PeerMessage.ForwardRequest request) {
                 delivery.deliverForwarded(connection, request);
+            } else if (message instanceof PeerMessage.ForwardRequestHead head) {
+                delivery.deliverForwarded(connection, head);
+            } else if (message instanceof PeerMessage.BodyPart part) {
+                delivery.bodyPartReceived(connection, part);
             } else if (message instanceof PeerMessage.Cancel cancel) {
                 delivery.cancel(connection, cancel);
             } else if (message instanceof PeerMessage.FindControlNodes) {
--- a/src/main/java/whinlead/mesh/wire/FieldCodec.java
+++ b/src/main/java/whinlead/mesh/wire/FieldCodec.java
@@ -81,6 +81,17 @@
         return list;
     }
 
+    // The last field of a message, which older versions neither write nor read.
+    static void sendingTime(MessageBufferPacker packer, long sentAtMicros) throws IOException {
+        if (sentAtMicros != PeerMessage.UNSTAMPED) {
+            packer.packLong(sentAtMicros);
+        }
+    }
+
+    static long sendingTime(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext() ? unpacker.unpackLong() : PeerMessage.UNSTAMPED;
+    }
+
     static void bytes(MessageBufferPacker packer, byte[] bytes) throws IOException {
         packer.packBinaryHeader(bytes.length).writePayload(bytes);
     }
--- a/src/main/java/whinlead/mesh/wire/PeerConnection.java
+++ b/src/main/java/whinlead/mesh/wire/PeerConnection.java
@@ -9,15 +9,16 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import whinlead.mesh.log.Event;
 
 /**
  * One TCP connection between two processes of the system, used on its event loop's thread. Each message follows its
  * length. A message of a later version's kind is ignored. A malformed message is rejected with its kind; it ends the
  * connection if its sender would not repeat it, because a new connection transfers the whole state again. A message
- * that is too long ends the connection.
+ * that is too long is not sent; one that is received ends the connection.
  */
 public final class PeerConnection implements MessageSender {
-    /** The longest message: the largest body of a request and the fields around it. */
+    /** The longest message with the length before it, in bytes; earlier versions send whole bodies of requests. */
     public static final int MAX_MESSAGE_BYTES = 24 << 20;
 
     private static final int LENGTH_BYTES = 4;
@@ -61,9 +62,21 @@
     /** Sends a message; it is lost if the connection breaks or the other side's version does not know its kind. */
     @Override
     public void send(PeerMessage message) {
-        if (PeerMessageCodec.minVersion(message) <= version) {
-            send(PeerMessageCodec.write(message));
+        trySend(message);
+    }
+
+    /** Sends a message as {@link #send(PeerMessage)} does; returns false if it is too long, and so was not sent. */
+    boolean trySend(PeerMessage message) {
+        if (PeerMessageCodec.minVersion(message) > version) {
+            return true;
+        }
+        byte[] encoded = PeerMessageCodec.write(message);
+        if (encoded.length > MAX_MESSAGE_BYTES - LENGTH_BYTES) {
+            Event.MESSAGE_TOO_LONG.log(message.getClass().getSimpleName() + " of " + encoded.length + " bytes");
+            return false;
         }
+        send(encoded);
+        return true;
     }
 
     @Override
--- a/src/main/java/whinlead/mesh/wire/PeerMessage.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessage.java
@@ -19,6 +19,8 @@
 public sealed interface PeerMessage {
     /** Value of a sending time that the sender did not give. */
     long UNSTAMPED = Long.MIN_VALUE;
+    /** Length of a body of which only the end will tell how long it is. */
+    long UNKNOWN_LENGTH = -1;
 
     /**
      * The first message on every connection: the sender's name and whether it is a control node. A greeting that
@@ -158,6 +160,11 @@
             this(stream, method, uri, headers, body, leftMs, target, endpoint, rank, UNSTAMPED);
         }
 
+        /** Copies this request with another sending time. */
+        public ForwardRequest withSentAt(long newSentAt) {
+            return new ForwardRequest(stream, method, uri, headers, body, leftMs, target, endpoint, rank, newSentAt);
+        }
+
         /** Copies this request with another remaining time. */
         public ForwardRequest withLeft(int newRemainingMs) {
             return new ForwardRequest(
@@ -165,6 +172,20 @@
         }
     }
 
+    /**
+     * A request whose body follows in parts, none of which is sent before the receiver has granted credit for it.
+     *
+     * @param request the request, with an empty body
+     * @param bodyBytes length of the body, or {@link #UNKNOWN_LENGTH}
+     */
+    record ForwardRequestHead(ForwardRequest request, long bodyBytes) implements PeerMessage {}
+
+    /** The next part of a request's body; the last one may be empty. */
+    record BodyPart(long stream, byte[] bytes, boolean last) implements PeerMessage {}
+
+    /** Grants credit for this many further bytes of a request's body. */
+    record BodyCredit(long stream, int bytes) implements PeerMessage {}
+
     /**
      * The client of a request that was sent on this connection has left: if the request has not yet been sent to the
      * endpoint, it must not be.
@@ -196,7 +217,9 @@
         /** Possibly executed: the time limit was reached. */
         LATE(false),
         /** Not executed: the endpoint does not own the request's key, as the sidecar beside it knows. */
-        NOT_OWNER(true);
+        NOT_OWNER(true),
+        /** Not executed: the other sidecar's version can't take the request. Never sent. */
+        UNSUPPORTED(true);
 
         /** Whether the request certainly has not been executed and never will be. */
         public final boolean neverRan;
--- a/src/main/java/whinlead/mesh/wire/PeerMessageCodec.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessageCodec.java
@@ -1,9 +1,9 @@
 package whinlead.mesh.wire;
 
-import static whinlead.mesh.wire.FieldCodec.bytes;
 import static whinlead.mesh.wire.FieldCodec.checkedSize;
 import static whinlead.mesh.wire.FieldCodec.demands;
 import static whinlead.mesh.wire.FieldCodec.record;
+import static whinlead.mesh.wire.FieldCodec.sendingTime;
 import static whinlead.mesh.wire.FieldCodec.strings;
 
 import java.io.IOException;
@@ -23,37 +23,13 @@
  * separate list at the end of the message. A message of a new kind is sent only to readers of a version that knows it.
  */
 public final class PeerMessageCodec {
-    private static final PeerMessage.FailureReason[] REASONS = PeerMessage.FailureReason.values();
-
     private PeerMessageCodec() {}
 
     /** Encodes a message. */
     public static byte[] write(PeerMessage message) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            if (message instanceof PeerMessage.ForwardRequest msg) {
-                packer.packByte(PeerMessageKind.FORWARD_REQUEST.tag())
-                        .packLong(msg.stream())
-                        .packString(msg.method())
-                        .packString(msg.uri());
-                strings(packer, msg.headers());
-                bytes(packer, msg.body());
-                packer.packInt(msg.leftMs())
-                        .packString(msg.target())
-                        .packString(msg.endpoint())
-                        .packInt(msg.rank());
-                sendingTime(packer, msg.sentAt());
-            } else if (message instanceof PeerMessage.ForwardResponse msg) {
-                packer.packByte(PeerMessageKind.FORWARD_RESPONSE.tag())
-                        .packLong(msg.stream())
-                        .packInt(msg.status());
-                strings(packer, msg.headers());
-                bytes(packer, msg.body());
-                packer.packDouble(msg.util()).packDouble(msg.perSecond());
-            } else if (message instanceof PeerMessage.ForwardFailure msg) {
-                packer.packByte(PeerMessageKind.FORWARD_FAILURE.tag())
-                        .packLong(msg.stream())
-                        .packInt(msg.reason().ordinal());
-                packer.packDouble(msg.util()).packDouble(msg.perSecond());
+            if (ForwardingMessageCodec.isAboutForwarding(message)) {
+                ForwardingMessageCodec.write(packer, message);
             } else if (KeyMessageCodec.isAboutKeys(message)) {
                 KeyMessageCodec.write(packer, message);
             } else {
@@ -111,22 +87,9 @@
         } else if (message instanceof PeerMessage.ControlNodes msg) {
             packer.packByte(PeerMessageKind.CONTROL_NODES.tag());
             strings(packer, msg.addresses());
-        } else if (message instanceof PeerMessage.Cancel msg) {
-            packer.packByte(PeerMessageKind.CANCEL.tag()).packLong(msg.stream()).packBoolean(msg.whileRunning());
         }
     }
 
-    // The last field of a message, which older versions neither write nor read.
-    private static void sendingTime(MessageBufferPacker packer, long sentAtMicros) throws IOException {
-        if (sentAtMicros != PeerMessage.UNSTAMPED) {
-            packer.packLong(sentAtMicros);
-        }
-    }
-
-    private static long sendingTime(MessageUnpacker in) throws IOException {
-        return in.hasNext() ? in.unpackLong() : PeerMessage.UNSTAMPED;
-    }
-
     /** The first protocol version whose readers know this message's kind. */
     static int minVersion(PeerMessage message) {
         if (QuotaMessageCodec.isAboutQuota(message)) {
@@ -135,7 +98,7 @@
         if (KeyMessageCodec.isAboutKeys(message)) {
             return ProtocolVersion.KEYS;
         }
-        return message instanceof PeerMessage.Cancel ? ProtocolVersion.TOLERANT : ProtocolVersion.UNVERSIONED;
+        return ForwardingMessageCodec.minVersion(message);
     }
 
     /**
@@ -183,29 +146,17 @@
             case PING -> new PeerMessage.Ping(in.unpackLong(), sendingTime(in));
             case PONG -> new PeerMessage.Pong(in.unpackLong(), in.unpackString(), in.unpackLong());
             case CONSENSUS -> new PeerMessage.Consensus(ConsensusMessageCodec.read(in));
-            case FORWARD_REQUEST ->
-                new PeerMessage.ForwardRequest(
-                        in.unpackLong(),
-                        in.unpackString(),
-                        in.unpackString(),
-                        strings(in),
-                        bytes(in),
-                        in.unpackInt(),
-                        in.unpackString(),
-                        in.unpackString(),
-                        in.unpackInt(),
-                        sendingTime(in));
-            case FORWARD_RESPONSE ->
-                new PeerMessage.ForwardResponse(
-                        in.unpackLong(), in.unpackInt(), strings(in), bytes(in), in.unpackDouble(), in.unpackDouble());
-            case FORWARD_FAILURE ->
-                new PeerMessage.ForwardFailure(
-                        in.unpackLong(), failureReason(in.unpackInt()), in.unpackDouble(), in.unpackDouble());
+            case FORWARD_REQUEST,
+                    FORWARD_REQUEST_HEAD,
+                    BODY_PART,
+                    BODY_CREDIT,
+                    FORWARD_RESPONSE,
+                    FORWARD_FAILURE,
+                    CANCEL -> ForwardingMessageCodec.read(kind, in);
             case DEMAND_REPORT -> new PeerMessage.DemandReport(demands(in), in.unpackBoolean());
             case DEMAND_SUMS -> new PeerMessage.DemandSums(in.unpackInt(), demands(in));
             case FIND_CONTROL_NODES -> new PeerMessage.FindControlNodes();
             case CONTROL_NODES -> new PeerMessage.ControlNodes(strings(in));
-            case CANCEL -> new PeerMessage.Cancel(in.unpackLong(), in.unpackBoolean());
             case QUOTA_LEASE_REPORT, QUOTA_LEASE_GRANT, QUOTA_TOKEN_REQUEST, QUOTA_TOKEN_RESPONSE ->
                 QuotaMessageCodec.read(kind, in);
             case DUTY_REQUEST, DUTY_VOTE, KEY_GRANTOR_CHANGED, KEY_REPORT, KEY_LEASE, KEY_ROUTES ->
@@ -217,13 +168,4 @@
     private static ProtocolVersion versions(MessageUnpacker in) throws IOException {
         return in.hasNext() ? new ProtocolVersion(in.unpackInt(), in.unpackInt()) : ProtocolVersion.UNNAMED;
     }
-
-    // A reason that this version does not know guarantees nothing: the request may have been executed.
-    private static PeerMessage.FailureReason failureReason(int number) {
-        if (number < 0 || number >= REASONS.length) {
-            VersionEvents.PROCESS.logIgnored("unknown reason " + number + " of FORWARD_FAILURE");
-            return PeerMessage.FailureReason.BROKEN;
-        }
-        return REASONS[number];
-    }
 }
--- a/src/main/java/whinlead/mesh/wire/PeerMessageKind.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessageKind.java
@@ -55,7 +55,13 @@
     /** A lease of keys. */
     KEY_LEASE(26, true),
     /** Routes of requests by key. */
-    KEY_ROUTES(27, true);
+    KEY_ROUTES(27, true),
+    /** A request that is forwarded to an endpoint without its body, which follows in parts. */
+    FORWARD_REQUEST_HEAD(28, false),
+    /** A part of a request's body. */
+    BODY_PART(29, false),
+    /** How many more bytes of a request's body may be sent. */
+    BODY_CREDIT(30, false);
 
     private final byte tag;
     private final boolean isRepeated;
--- a/src/main/java/whinlead/mesh/wire/ProtocolVersion.java
+++ b/src/main/java/whinlead/mesh/wire/ProtocolVersion.java
@@ -16,8 +16,10 @@
     public static final int LEASES = 3;
     /** Keys of sharded services are leased, by the control node that holds that duty. */
     public static final int KEYS = 4;
+    /** Long request bodies are sent in parts, as the receiver grants credit for them. */
+    public static final int BODY_PARTS = 5;
     /** The versions of this program. */
-    public static final ProtocolVersion SUPPORTED = new ProtocolVersion(KEYS, UNVERSIONED);
+    public static final ProtocolVersion SUPPORTED = new ProtocolVersion(BODY_PARTS, UNVERSIONED);
     /** The versions of a program whose greeting contains none. */
     public static final ProtocolVersion UNNAMED = new ProtocolVersion(UNVERSIONED, UNVERSIONED);
 
--- a/src/main/java/whinlead/mesh/wire/ReconnectingConnection.java
+++ b/src/main/java/whinlead/mesh/wire/ReconnectingConnection.java
@@ -131,13 +131,9 @@
         return connection == null ? ProtocolVersion.UNVERSIONED : connection.version();
     }
 
-    /** Sends a message; returns false if the connection is not open. */
+    /** Sends a message; returns false if the connection is not open or the message is too long. */
     public boolean send(PeerMessage message) {
-        boolean isOpen = connection != null && connection.isOpen();
-        if (isOpen) {
-            connection.send(message);
-        }
-        return isOpen;
+        return connection != null && connection.isOpen() && connection.trySend(message);
     }
 
     /** Closes the connection permanently. */
--- a/src/main/java/whinlead/testbed/mesh/hardening/AnswerPath.java
+++ b/src/main/java/whinlead/testbed/mesh/hardening/AnswerPath.java
@@ -11,6 +11,7 @@
 import whinlead.mesh.sidecar.PeerPath;
 import whinlead.mesh.wire.PeerMessage;
 import whinlead.mesh.wire.PeerMessageCodec;
+import whinlead.mesh.wire.ProtocolVersion;
 import whinlead.mesh.wire.ReconnectingConnection;
 import whinlead.plan.Calendar;
 
@@ -63,6 +64,11 @@
         }
     }
 
+    @Override
+    public int version() {
+        return ProtocolVersion.SUPPORTED.newest();
+    }
+
     @Override
     public void dial() {
         setState(ReconnectingConnection.State.DIALLING);
--- a/src/main/java/whinlead/testbed/mesh/hardening/AnswerPlay.java
+++ b/src/main/java/whinlead/testbed/mesh/hardening/AnswerPlay.java
@@ -69,7 +69,12 @@
                     Integer.toString(i), 1, 1, "z", "i-" + i, SERVICE, EndpointRecord.Phase.SERVING, CAPACITY, 0));
         }
         RequestForwarder forwarder = new RequestForwarder(
-                calendar, task -> calendar.schedule(0, task), "near", (request, done) -> {}, this::path, () -> {});
+                calendar,
+                task -> calendar.schedule(0, task),
+                "near",
+                (request, body, done) -> {},
+                this::path,
+                () -> {});
         routing = routing(1, PREFIXES, SERVICE);
         sidecar = new ClientSide(calendar, nodeSettings, forwarder, () -> routing, seed);
         sidecar.updateEndpoints(SERVICE, records);
--- a/src/main/java/whinlead/testbed/mesh/hardening/RelayPath.java
+++ b/src/main/java/whinlead/testbed/mesh/hardening/RelayPath.java
@@ -9,6 +9,7 @@
 import whinlead.mesh.sidecar.PeerPath;
 import whinlead.mesh.wire.PeerMessage;
 import whinlead.mesh.wire.PeerMessageCodec;
+import whinlead.mesh.wire.ProtocolVersion;
 import whinlead.mesh.wire.ReconnectingConnection;
 import whinlead.mesh.wire.TransitClock;
 import whinlead.plan.Calendar;
@@ -136,6 +137,11 @@
         }
     }
 
+    @Override
+    public int version() {
+        return ProtocolVersion.SUPPORTED.newest();
+    }
+
     @Override
     public void dial() {
         if (state != ReconnectingConnection.State.DOWN) {
--- a/src/main/java/whinlead/testbed/mesh/hardening/RelayPlay.java
+++ b/src/main/java/whinlead/testbed/mesh/hardening/RelayPlay.java
@@ -182,7 +182,7 @@
                 near,
                 task -> calendar.schedule(0, () -> near.execute(task)),
                 "near",
-                (request, done) -> {},
+                (request, body, done) -> {},
                 (node, ear) -> {
                     Far far = fars.get(Integer.parseInt(node));
                     RelayPath path = new RelayPath(
--- a/src/test/java/whinlead/mesh/PeerMessageCodecTest.java
+++ b/src/test/java/whinlead/mesh/PeerMessageCodecTest.java
@@ -85,6 +85,7 @@
                 new PeerMessage.DemandSums(3, List.of(new TenantDemand("t", 0.5))),
                 new PeerMessage.ForwardFailure(4, PeerMessage.FailureReason.MOVED, 0.5, 2),
                 new PeerMessage.Cancel(4, true),
+                new PeerMessage.BodyCredit(4, 65536),
                 new PeerMessage.QuotaLeaseReport(new LeaseReport(
                         7, 3, -9, 2, List.of(new QuotaNeed("t", 0.5, new QuotaAllowance(37.5, 41, 9), 0.5, 0.125)))),
                 new PeerMessage.QuotaLeaseGrant(new LeaseGrant(-9, 4, 3, List.of(new QuotaShare("t", 0.25, 1.5, 12)))),
@@ -134,6 +135,16 @@
                 PeerMessageCodec.read(PeerMessageCodec.write(new PeerMessage.ForwardRequest(
                         1, "GET", "/a", List.of(), new byte[0], 100, "s", "i", 2, Long.MAX_VALUE)));
         assertEquals(stamped.sentAt(), Long.MAX_VALUE);
+        PeerMessage.ForwardRequestHead head = (PeerMessage.ForwardRequestHead) PeerMessageCodec.read(
+                PeerMessageCodec.write(new PeerMessage.ForwardRequestHead(stamped, PeerMessage.UNKNOWN_LENGTH)));
+        assertEquals(head.request().sentAt(), Long.MAX_VALUE);
+        assertEquals(head.request().target(), "s");
+        assertEquals(head.bodyBytes(), PeerMessage.UNKNOWN_LENGTH);
+        PeerMessage.BodyPart part = (PeerMessage.BodyPart)
+                PeerMessageCodec.read(PeerMessageCodec.write(new PeerMessage.BodyPart(3, new byte[] {7}, true)));
+        assertEquals(part.stream(), 3);
+        assertTrue(Arrays.equals(part.bytes(), new byte[] {7}));
+        assertTrue(part.last());
         PeerMessage.ForwardResponse d = (PeerMessage.ForwardResponse) PeerMessageCodec.read(PeerMessageCodec.write(
                 new PeerMessage.ForwardResponse(1, 200, List.of("A", "b"), new byte[] {9}, 0.5, 2)));
         assertEquals(d.status(), 200);
--- a/src/test/java/whinlead/mesh/sidecar/ClientConnectionTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/ClientConnectionTest.java
@@ -29,7 +29,7 @@
 
     private final class RecordingHandler implements ClientConnection.RequestHandler {
         @Override
-        public void handle(HttpRequest head, byte[] body, ClientConnection.PendingResponse response) {
+        public void handle(HttpRequest head, RequestBody body, PendingResponse response) {
             handledUris.add(head.uri());
             responses.add(response);
             response.onClientDisconnect(() -> disconnectedRequests++);
@@ -73,7 +73,7 @@
     private Calendar calendar;
     private ClientConnection connection;
     private List<String> handledUris;
-    private List<ClientConnection.PendingResponse> responses;
+    private List<PendingResponse> responses;
     private EmbeddedChannel channel;
     private int reservedBytes;
     private int maxReservedBytes;
--- a/src/test/java/whinlead/mesh/sidecar/EgressListenerTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/EgressListenerTest.java
@@ -75,6 +75,21 @@
     private EmbeddedChannel channel;
     private StringBuilder sentText;
 
+    private static RoutingTable routingTable() {
+        return new RoutingTable(
+                1,
+                new MeshConfig(
+                        "00000001",
+                        Map.of(
+                                "once", route("/once/", MeshConfig.IDEMPOTENT, 1),
+                                "twice", route("/twice/", MeshConfig.IDEMPOTENT, 2),
+                                "thrice", route("/thrice/", MeshConfig.IDEMPOTENT, 3),
+                                "sign", route("/sign/", MeshConfig.MUTATING, 2)),
+                        Map.of("svc", new MeshConfig.Service("/health", 100)),
+                        new MeshConfig.Limits(16384, 1000, 3, 15),
+                        null));
+    }
+
     @BeforeMethod
     public void start() {
         calendar = new Calendar();
@@ -88,7 +103,7 @@
                 calendar,
                 task -> calendar.schedule(0, task),
                 "here",
-                (forwardRequest, done) -> {},
+                (forwardRequest, body, done) -> {},
                 (node, pathListener) -> new Path(pathListener),
                 () -> {});
         ServiceBalancer balancer = new ServiceBalancer(
@@ -98,18 +113,7 @@
             records.add(new EndpointRecord("n" + i, 1, 1, "z", "i-" + i, "svc", EndpointRecord.Phase.SERVING, 4, 0));
         }
         balancer.update(records);
-        routing = new RoutingTable(
-                1,
-                new MeshConfig(
-                        "00000001",
-                        Map.of(
-                                "once", route("/once/", MeshConfig.IDEMPOTENT, 1),
-                                "twice", route("/twice/", MeshConfig.IDEMPOTENT, 2),
-                                "thrice", route("/thrice/", MeshConfig.IDEMPOTENT, 3),
-                                "sign", route("/sign/", MeshConfig.MUTATING, 2)),
-                        Map.of("svc", new MeshConfig.Service("/health", 100)),
-                        new MeshConfig.Limits(16384, 1000, 3, 15),
-                        null));
+        routing = routingTable();
         EgressListener egress = new EgressListener(
                 null,
                 calendar,
@@ -118,7 +122,8 @@
                 () -> "own",
                 () -> NODE_COUNT,
                 new QuotaClient(calendar, new TenantQuota(new QuotaRules(5, 0.1, 20), 1), () -> NODE_COUNT),
-                classes);
+                classes,
+                new BodyBudget());
         channel = new EmbeddedChannel(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
--- a/src/test/java/whinlead/mesh/sidecar/RequestFairnessTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/RequestFairnessTest.java
@@ -75,7 +75,7 @@
                 calendar,
                 task -> calendar.schedule(0, task),
                 "here",
-                (forwardRequest, done) -> {},
+                (forwardRequest, body, done) -> {},
                 (node, pathListener) -> new AnsweringPath(pathListener),
                 () -> {});
         NodeSettings nodeSettings = new NodeSettings(
--- a/src/test/java/whinlead/mesh/sidecar/RequestForwarderSocketTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/RequestForwarderSocketTest.java
@@ -49,7 +49,7 @@
         return new RequestForwarder(
                 loop,
                 "here",
-                (request, done) -> {},
+                (request, body, done) -> {},
                 new PeerMessage.Hello("here", false),
                 node -> server.getLocalSocketAddress(),
                 () -> {});
--- a/src/test/java/whinlead/mesh/sidecar/RequestForwarderTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/RequestForwarderTest.java
@@ -58,7 +58,7 @@
                 calendar,
                 soon::add,
                 "here",
-                (request, done) -> {},
+                (request, body, done) -> {},
                 (node, pathListener) -> {
                     RecordingPath path = new RecordingPath(pathListener);
                     paths.add(path);
--- a/src/test/java/whinlead/mesh/sidecar/RetryBudgetTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/RetryBudgetTest.java
@@ -85,7 +85,7 @@
                 calendar,
                 task -> calendar.schedule(0, task),
                 "here",
-                (request, done) -> {},
+                (request, body, done) -> {},
                 (node, listener) -> new RejectingPath(listener),
                 () -> {});
         MeshConfig.Route route =
--- a/src/test/java/whinlead/mesh/sidecar/ScriptedPath.java
+++ b/src/test/java/whinlead/mesh/sidecar/ScriptedPath.java
@@ -1,5 +1,6 @@
 package whinlead.mesh.sidecar;
 
+import whinlead.mesh.wire.ProtocolVersion;
 import whinlead.mesh.wire.ReconnectingConnection;
 
 /** A path to another sidecar whose state the test sets; subclasses define what it does with messages. */
@@ -20,6 +21,11 @@
         listener.stateChanged(newState, previousState);
     }
 
+    @Override
+    public int version() {
+        return ProtocolVersion.SUPPORTED.newest();
+    }
+
     @Override
     public void dial() {
         changeState(ReconnectingConnection.State.DIALLING);
--- a/src/test/java/whinlead/mesh/sidecar/ServiceBalancerTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/ServiceBalancerTest.java
@@ -8,6 +8,7 @@
 import whinlead.mesh.registry.EndpointRecord;
 import whinlead.mesh.settings.NodeSettings;
 import whinlead.mesh.wire.PeerMessage;
+import whinlead.mesh.wire.ProtocolVersion;
 import whinlead.mesh.wire.ReconnectingConnection;
 import whinlead.plan.Calendar;
 
@@ -36,6 +37,11 @@
 
     /** A path that is never used. */
     private static final class UnusedPath implements PeerPath {
+        @Override
+        public int version() {
+            return ProtocolVersion.SUPPORTED.newest();
+        }
+
         @Override
         public void dial() {}
 
@@ -68,7 +74,7 @@
                 timers,
                 Runnable::run,
                 "here",
-                (request, done) -> {},
+                (request, body, done) -> {},
                 (node, pathListener) -> new UnusedPath(),
                 () -> {});
         Timers alignedTimers = new AlignedTimers(timers, RequestClasses.periodMs());
