Sidecars: an exception while a request is handled ends that request alone, with an answer

Cause: where a tenant's token comes from a control node, the request goes on while that node's message is handled; an exception passed through the connection's reader, which closed it, and the request was in no list any more.

Change: QuotaAdmission answers 500; an exception in the handling of a message is logged (107) and leaves the connection open; a request that can't be given to the endpoint has a result; a response that is no valid HTTP becomes 502. GuardedTask stands with the events, since both roles use it, and replaces the second copy of its logging.

--- a/src/main/java/whinlead/mesh/control/ControlNode.java
+++ b/src/main/java/whinlead/mesh/control/ControlNode.java
@@ -25,6 +25,7 @@
 import whinlead.mesh.consensus.Message;
 import whinlead.mesh.duty.DutyPromise;
 import whinlead.mesh.log.Event;
+import whinlead.mesh.log.GuardedTask;
 import whinlead.mesh.quota.LeaseTerms;
 import whinlead.mesh.rpc.RpcCall;
 import whinlead.mesh.rpc.RpcResponse;
--- a/src/main/java/whinlead/mesh/control/DutyRecorder.java
+++ b/src/main/java/whinlead/mesh/control/DutyRecorder.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import whinlead.mesh.duty.DutyPromise;
 import whinlead.mesh.log.Event;
+import whinlead.mesh.log.GuardedTask;
 import whinlead.mesh.storage.DutyStore;
 
 /**
--- a/src/main/java/whinlead/mesh/control/LesseeRecorder.java
+++ b/src/main/java/whinlead/mesh/control/LesseeRecorder.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import whinlead.mesh.log.Event;
+import whinlead.mesh.log.GuardedTask;
 import whinlead.mesh.storage.LesseeStore;
 
 /**
--- a/src/main/java/whinlead/mesh/control/OperatorCalls.java
+++ b/src/main/java/whinlead/mesh/control/OperatorCalls.java
@@ -16,6 +16,7 @@
 import whinlead.mesh.consensus.ConsensusNode;
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.log.Event;
+import whinlead.mesh.log.GuardedTask;
 import whinlead.mesh.rpc.RpcCall;
 import whinlead.mesh.rpc.RpcResponse;
 
--- a/src/main/java/whinlead/mesh/sidecar/ClientConnection.java
+++ b/src/main/java/whinlead/mesh/sidecar/ClientConnection.java
@@ -25,7 +25,7 @@
 import java.util.List;
 import whinlead.engine.Timers;
 import whinlead.mesh.config.MeshConfig;
-import whinlead.mesh.log.Event;
+import whinlead.mesh.log.GuardedTask;
 import whinlead.mesh.wire.PeerMessage;
 
 /**
@@ -263,16 +263,11 @@
         try {
             handler.handle(request, body, response);
         } catch (RuntimeException fault) {
-            logFault(fault);
+            GuardedTask.log(fault);
             response.send(HttpResponseStatus.INTERNAL_SERVER_ERROR, List.of(), new byte[0]);
         }
     }
 
-    private static void logFault(RuntimeException fault) {
-        StackTraceElement[] trace = fault.getStackTrace();
-        Event.INTERNAL_ERROR.log(fault + " at " + (trace.length > 0 ? trace[0] : "?"));
-    }
-
     private void reject(HttpResponseStatus status) {
         reject(status, false);
     }
@@ -390,7 +385,7 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         // A broken connection needs no log entry; an error of this program does.
         if (cause instanceof RuntimeException fault) {
-            logFault(fault);
+            GuardedTask.log(fault);
         }
         ctx.close();
     }
--- a/src/main/java/whinlead/mesh/sidecar/ClientExchange.java
+++ b/src/main/java/whinlead/mesh/sidecar/ClientExchange.java
@@ -11,6 +11,7 @@
 import whinlead.engine.ResponseSink;
 import whinlead.engine.Timers;
 import whinlead.mesh.config.RoutingTable;
+import whinlead.mesh.log.GuardedTask;
 import whinlead.mesh.wire.PeerMessage;
 
 /**
@@ -162,8 +163,14 @@
     @Override
     public void served(PeerMessage.ForwardResponse finalResponse) {
         onEnd.accept(this);
-        response.send(
-                HttpResponseStatus.valueOf(finalResponse.status()), finalResponse.headers(), finalResponse.body());
+        try {
+            response.send(
+                    HttpResponseStatus.valueOf(finalResponse.status()), finalResponse.headers(), finalResponse.body());
+        } catch (IllegalArgumentException e) {
+            // Not valid HTTP, though the other sidecar has passed it on.
+            GuardedTask.log(e);
+            reject(response, HttpResponseStatus.BAD_GATEWAY);
+        }
     }
 
     @Override
--- a/src/main/java/whinlead/mesh/sidecar/EgressListener.java
+++ b/src/main/java/whinlead/mesh/sidecar/EgressListener.java
@@ -21,6 +21,7 @@
 import whinlead.engine.Timers;
 import whinlead.mesh.config.MeshConfig;
 import whinlead.mesh.config.RoutingTable;
+import whinlead.mesh.log.GuardedTask;
 import whinlead.mesh.quota.QuotaDecision;
 
 /**
@@ -247,8 +248,19 @@
                     this::quotaDecided);
         }
 
+        // May be called while a control node's message is handled, or by a timer. An exception must neither leave the
+        // request unanswered nor end what it passes through.
         private void quotaDecided(QuotaDecision decision) {
             admissions.remove(this);
+            try {
+                proceed(decision);
+            } catch (RuntimeException fault) {
+                GuardedTask.log(fault);
+                ClientExchange.reject(request.response(), HttpResponseStatus.INTERNAL_SERVER_ERROR);
+            }
+        }
+
+        private void proceed(QuotaDecision decision) {
             if (decision instanceof QuotaDecision.Refused refused) {
                 ClientExchange.reject(request.response(), HttpResponseStatus.TOO_MANY_REQUESTS, refused.retryAfterMs());
             } else if (rejecting) {
--- a/src/main/java/whinlead/mesh/sidecar/EndpointDelivery.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointDelivery.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import whinlead.engine.Timers;
+import whinlead.mesh.log.GuardedTask;
 import whinlead.mesh.wire.PeerConnection;
 import whinlead.mesh.wire.PeerMessage;
 
@@ -142,12 +143,20 @@
         if (body != null && sender != node) {
             requests.bodyExpected(sender, request.stream(), body);
         }
-        EndpointConnections.SentRequest sentRequest = connections.send(request, body, gate.endpoint(), outcome -> {
-            requests.requestEnded(sender, request.stream());
-            gate.requestEnded(timers.nowMs(), outcome instanceof PeerMessage.ForwardResponse);
-            resultListener.accept(addLoad(request, outcome));
-        });
-        requests.requestSent(sender, request.stream(), sentRequest);
+        Consumer<PeerMessage> outcomeListener = outcome -> {
+            if (requests.requestEnded(sender, request.stream())) {
+                gate.requestEnded(timers.nowMs(), outcome instanceof PeerMessage.ForwardResponse);
+                resultListener.accept(addLoad(request, outcome));
+            }
+        };
+        try {
+            requests.requestSent(
+                    sender, request.stream(), connections.send(request, body, gate.endpoint(), outcomeListener));
+        } catch (RuntimeException fault) {
+            // The request must not stay without a result; it may have been written.
+            GuardedTask.log(fault);
+            outcomeListener.accept(failure(request, PeerMessage.FailureReason.BROKEN));
+        }
     }
 
     // For sharded services the key is checked first: a sidecar that asks the wrong owner must not learn this
--- a/src/main/java/whinlead/mesh/sidecar/EndpointRequests.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointRequests.java
@@ -27,10 +27,10 @@
         requests.replace(new Key(sender, stream), sentRequest);
     }
 
-    /** Removes a request that has ended. */
-    public void requestEnded(Object sender, long stream) {
-        requests.remove(new Key(sender, stream));
+    /** Removes a request that has ended; returns false if it had ended before. */
+    public boolean requestEnded(Object sender, long stream) {
         arrivingBodies.remove(new Key(sender, stream));
+        return requests.remove(new Key(sender, stream)) != null;
     }
 
     /** Registers the body of a request that is about to be sent. */
--- a/src/main/java/whinlead/mesh/wire/PeerConnection.java
+++ b/src/main/java/whinlead/mesh/wire/PeerConnection.java
@@ -10,12 +10,14 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import whinlead.mesh.log.Event;
+import whinlead.mesh.log.GuardedTask;
 
 /**
  * One TCP connection between two processes of the system, used on its event loop's thread. Each message follows its
  * length. A message of a later version's kind is ignored. A malformed message is rejected with its kind; it ends the
  * connection if its sender would not repeat it, because a new connection transfers the whole state again. A message
- * that is too long is not sent; one that is received ends the connection.
+ * that is too long is not sent; one that is received ends the connection. An exception in the handling of a message is
+ * logged, and the connection stays open.
  */
 public final class PeerConnection implements MessageSender {
     /** The longest message with the length before it, in bytes; earlier versions send whole bodies of requests. */
@@ -166,7 +168,8 @@
             if (message instanceof PeerMessage.Unknown unknown) {
                 VersionEvents.PROCESS.logIgnored(unknown.kind());
             } else if (!(message instanceof PeerMessage.Hello hello) || connection.negotiateVersion(hello)) {
-                handler.message(connection, message);
+                // An exception in the handling of one message must not end what else is under way on the connection.
+                GuardedTask.run(() -> handler.message(connection, message));
             }
         }
 
--- a/src/test/java/whinlead/mesh/wire/PeerConnectionTest.java
+++ b/src/test/java/whinlead/mesh/wire/PeerConnectionTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,6 +31,9 @@
             @Override
             public void message(PeerConnection source, PeerMessage message) {
                 received.add(message);
+                if (message instanceof PeerMessage.Cancel) {
+                    throw new IllegalStateException("planted");
+                }
             }
 
             @Override
@@ -37,6 +41,11 @@
         }));
     }
 
+    private void receive(PeerMessage message) {
+        byte[] encoded = PeerMessageCodec.write(message);
+        channel.writeInbound(Unpooled.buffer().writeInt(encoded.length).writeBytes(encoded));
+    }
+
     private static PeerMessage response(int bodyBytes) {
         return new PeerMessage.ForwardResponse(1, 200, List.of(), new byte[bodyBytes], 0, 0);
     }
@@ -51,4 +60,15 @@
         assertTrue(channel.isActive());
         assertEquals(received, List.of());
     }
+
+    // Regression: an exception in the handling of one message closed the connection that others used.
+    @Test
+    public void exceptionInTheHandlingOfAMessageLeavesTheConnectionOpen() {
+        PeerMessage failing = new PeerMessage.Cancel(1, true);
+        PeerMessage next = new PeerMessage.Ping(1);
+        receive(failing);
+        receive(next);
+        assertEquals(received, List.of(failing, next));
+        assertTrue(channel.isActive());
+    }
 }
