Sidecars: balancers follow the configuration in force, so that new services are always served

Cause: a balancer was kept for each service that was ever configured, 256 at most. The same of the routes of divided services (64, KeyRoutes).

Routes of services that are not configured make room for others. A sidecar's periodic work goes on after an exception.

--- a/src/main/java/whinlead/engine/Engine.java
+++ b/src/main/java/whinlead/engine/Engine.java
@@ -34,6 +34,7 @@
     private RequestListener requestListener = RequestListener.NONE;
     private Source listSource;
     private boolean dispatching;
+    private boolean stopped;
     private long nextId;
 
     /**
@@ -115,6 +116,11 @@
         return pending;
     }
 
+    /** Ends the module's periodic work once no request is pending. No request may be accepted afterwards. */
+    public void stop() {
+        stopped = true;
+    }
+
     /** Fails all pending requests: the process is about to be killed, and they would otherwise get no answer. */
     public void failAll() {
         // A sink that throws must not prevent the other answers.
@@ -209,6 +215,9 @@
 
     @Override
     public void wake(double timeMs) {
+        if (stopped && pendingRequests.isEmpty()) {
+            return;
+        }
         timers.schedule(timeMs - timers.nowMs(), () -> dispatch(() -> module.wake(timers.nowMs())));
     }
 
--- a/src/main/java/whinlead/mesh/keys/KeyRoutes.java
+++ b/src/main/java/whinlead/mesh/keys/KeyRoutes.java
@@ -6,21 +6,29 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
- * The owners of keys that one sidecar knows, by service. The state can be merged in any order and is bounded. Pure; one
- * thread.
+ * The owners of keys that one sidecar knows, by service. The state can be merged in any order and is bounded: routes of
+ * services that are no longer configured make room for those of others. Pure; one thread.
  */
 public final class KeyRoutes {
-    /** Limits on the services that are stored, and on the ranges of each. */
-    private static final int MAX_SERVICES = 64;
-
+    /** Maximum number of services that are stored; a configuration divides no more. */
+    static final int MAX_SERVICES = KeyTerms.MAX_SERVICES;
+    /** Maximum number of ranges that are stored for each service. */
     private static final int MAX_RANGES = 16_384;
 
     private final Map<String, KeyMap<KeyRoute>> services = new HashMap<>();
 
-    /** Merges routes; returns true if any of them was new. */
-    public boolean merge(String service, List<KeyRoute> routes) {
+    /**
+     * Merges routes; returns true if any of them was new.
+     *
+     * @param configured whether a service is configured; asked only if there is no room left
+     */
+    public boolean merge(String service, List<KeyRoute> routes, Predicate<String> configured) {
+        if (!services.containsKey(service) && services.size() >= MAX_SERVICES) {
+            services.keySet().removeIf(configured.negate());
+        }
         if (!services.containsKey(service) && services.size() >= MAX_SERVICES) {
             return false;
         }
--- a/src/main/java/whinlead/mesh/keys/KeyTerms.java
+++ b/src/main/java/whinlead/mesh/keys/KeyTerms.java
@@ -1,6 +1,6 @@
 package whinlead.mesh.keys;
 
-/** Durations of key leases, in milliseconds. */
+/** Durations of key leases, in milliseconds, and the number of services that they are granted for. */
 public final class KeyTerms {
     /**
      * Validity of a lease, by the sidecar's steady clock, from when the sidecar sent the report that the lease answers.
@@ -25,5 +25,8 @@
     /** Interval between a sidecar's reports while nothing changes. */
     public static final double REPORT_INTERVAL_MS = 1000;
 
+    /** Maximum number of sharded services in a configuration. */
+    public static final int MAX_SERVICES = 1024;
+
     private KeyTerms() {}
 }
--- a/src/main/java/whinlead/mesh/sidecar/ServiceBalancer.java
+++ b/src/main/java/whinlead/mesh/sidecar/ServiceBalancer.java
@@ -140,6 +140,11 @@
         engine.listReceived(Contract.ListKind.FULL, new EndpointList(++listSequence, true, entries));
     }
 
+    /** Ends the balancer once no request is pending; no request may be accepted afterwards. */
+    void close() {
+        engine.stop();
+    }
+
     /** A client's request that is to be forwarded. */
     interface ForwardedRequest {
         /** The message to send, with the remaining time. */
--- a/src/main/java/whinlead/mesh/sidecar/Sidecar.java
+++ b/src/main/java/whinlead/mesh/sidecar/Sidecar.java
@@ -20,6 +20,7 @@
 import whinlead.mesh.config.RoutingTable;
 import whinlead.mesh.keys.KeyTerms;
 import whinlead.mesh.log.Event;
+import whinlead.mesh.log.GuardedTask;
 import whinlead.mesh.quota.QuotaRules;
 import whinlead.mesh.quota.TenantQuota;
 import whinlead.mesh.registry.EndpointRecord;
@@ -198,7 +199,10 @@
             recordPublisher.publishChange();
             controlClient.start();
             loop.scheduleAtFixedRate(
-                    this::tick, nanosUntilNext(TICK_MS), TimeUnit.MILLISECONDS.toNanos(TICK_MS), TimeUnit.NANOSECONDS);
+                    () -> GuardedTask.run(this::tick),
+                    nanosUntilNext(TICK_MS),
+                    TimeUnit.MILLISECONDS.toNanos(TICK_MS),
+                    TimeUnit.NANOSECONDS);
         });
     }
 
@@ -237,7 +241,7 @@
 
     // The services of the node are not looked up, because reachability changes rarely.
     private void reachabilityChanged() {
-        balancers.servicesByBalancerKind().forEach(listRefresher::markOutdated);
+        listRefresher.markOutdated(balancers.services());
     }
 
     private void refresh(Set<String> services) {
@@ -343,10 +347,7 @@
                 ready = true;
                 Event.READY.log(node);
             }
-            // Before the first request: creating a module and its endpoint list takes a moment.
-            routing.config().services().keySet().stream()
-                    .limit(ServiceBalancers.MAX_SERVICES)
-                    .forEach(service -> balancers.forService(service, false));
+            balancers.configChanged(routing.config().services().keySet());
         }
     }
 
--- a/src/test/java/whinlead/mesh/control/KeyMesh.java
+++ b/src/test/java/whinlead/mesh/control/KeyMesh.java
@@ -227,7 +227,7 @@
             } else if (message instanceof PeerMessage.KeyGrantorChanged) {
                 keys.grantorChanged(control);
             } else if (message instanceof PeerMessage.KeyRoutesUpdate update) {
-                routes.merge(update.service(), update.routes());
+                routes.merge(update.service(), update.routes(), SERVICE::equals);
             }
         }
     }
--- a/src/test/java/whinlead/mesh/keys/KeyMapTest.java
+++ b/src/test/java/whinlead/mesh/keys/KeyMapTest.java
@@ -61,11 +61,25 @@
         for (int first = 0; first < routes.size(); first++) {
             KeyRoutes known = new KeyRoutes();
             for (int i = 0; i < routes.size(); i++) {
-                known.merge("s", List.of(routes.get((first + i) % routes.size())));
+                known.merge("s", List.of(routes.get((first + i) % routes.size())), service -> true);
             }
             assertEquals(known.owner("s", 10), "a");
             assertEquals(known.owner("s", 65), "b");
             assertEquals(known.owner("s", 200), "b");
         }
     }
+
+    // Regression: routes of services that had left the configuration were kept, and no further service got any.
+    @Test
+    public void routesOfFormerServicesMakeRoomForOthers() {
+        KeyRoutes known = new KeyRoutes();
+        List<KeyRoute> routes = List.of(new KeyRoute(KeyRange.ALL, 1, "a"));
+        for (int i = 0; i < 3 * KeyRoutes.MAX_SERVICES; i++) {
+            String service = "s-" + i;
+            assertTrue(known.merge(service, routes, each -> each.equals(service) || each.equals("s-0")));
+            assertEquals(known.owner(service, 10), "a");
+            assertEquals(known.owner("s-0", 10), "a", "the service is still configured");
+        }
+        assertTrue(known.services().size() <= KeyRoutes.MAX_SERVICES);
+    }
 }
