Control nodes: keys are granted after many services and after the last fence of a term

By the code, a control node kept a grantor for each divided service of its term, 64 at most, and threw at each assignment after 2^20 fences, so that no key was granted until the next term.

Change: grantors that nobody reports to and that lease nothing make room; 1,024 services may be divided, and a configuration with more is refused by name; without a fence nothing is assigned, and the control node gives up the duty, whose next term has a higher epoch.

--- a/src/main/java/whinlead/mesh/config/ConfigValidator.java
+++ b/src/main/java/whinlead/mesh/config/ConfigValidator.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
+import whinlead.mesh.keys.KeyTerms;
 
 /**
  * Validates a configuration: first the constraints of each field, then those between fields. For any thread; creating
@@ -44,6 +45,7 @@
                     .orElseThrow();
             throw new InvalidConfigException(first.getPropertyPath() + " " + first.getMessage());
         }
+        checkSharding(meshConfig);
         Map<String, String> routesByPrefix = new HashMap<>();
         for (Map.Entry<String, MeshConfig.Route> entry : meshConfig.routes().entrySet()) {
             checkRoute(meshConfig, entry.getKey(), entry.getValue(), routesByPrefix);
@@ -62,6 +64,17 @@
         }
     }
 
+    // Keys are granted for a limited number of services; further ones would never be served.
+    private static void checkSharding(MeshConfig meshConfig) throws InvalidConfigException {
+        long sharded = meshConfig.services().values().stream()
+                .filter(MeshConfig.Service::divided)
+                .count();
+        if (sharded > KeyTerms.MAX_SERVICES) {
+            throw new InvalidConfigException(
+                    "Services has " + sharded + " with Partitioned, at most " + KeyTerms.MAX_SERVICES + " may have it");
+        }
+    }
+
     private static void checkRoute(
             MeshConfig meshConfig, String name, MeshConfig.Route route, Map<String, String> routesByPrefix)
             throws InvalidConfigException {
--- a/src/main/java/whinlead/mesh/control/KeyDuty.java
+++ b/src/main/java/whinlead/mesh/control/KeyDuty.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongFunction;
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.duty.DutyCandidate;
 import whinlead.mesh.duty.DutyPromise;
@@ -33,8 +34,6 @@
  * process that is suspended between two steps leases nothing under a duty that it has lost.
  */
 final class KeyDuty {
-    /** The maximum number of divided services for which keys are granted. */
-    private static final int MAX_SERVICES = 64;
     /** How often keys are planned for all services, in milliseconds. */
     private static final double PLAN_INTERVAL_MS = 250;
 
@@ -69,6 +68,7 @@
 
     private final Map<String, MessageSender> newestConnections = new HashMap<>();
     private final Map<String, KeyGrantor> grantors = new LinkedHashMap<>();
+    private final LongFunction<FenceCounter> fenceCounters;
     private FenceCounter fences;
     private double termStartedAtMs;
     private double plannedAtMs;
@@ -95,6 +95,24 @@
             DutyPromise promise,
             Recorder recorder,
             Peers peers) {
+        this(clockMs, confirmed, id, decided, promise, recorder, peers, FenceCounter::new);
+    }
+
+    /**
+     * The state of a process that starts.
+     *
+     * @param fenceCounters creates the fence counter of a term, by its epoch
+     */
+    KeyDuty(
+            DoubleSupplier clockMs,
+            BooleanSupplier confirmed,
+            String id,
+            Decision decided,
+            DutyPromise promise,
+            Recorder recorder,
+            Peers peers,
+            LongFunction<FenceCounter> fenceCounters) {
+        this.fenceCounters = fenceCounters;
         this.clockMs = clockMs;
         this.confirmed = confirmed;
         this.id = id;
@@ -154,6 +172,10 @@
         // Without a service divided by key, no grantor is needed.
         boolean isNeeded = wasHolder || nowMs - reportedAtMs < DEMAND_VALID_MS;
         candidate.tick(nowMs, voter, isNeeded && confirmed.getAsBoolean());
+        if (fences != null && fences.isExhausted() && fences.epoch() == candidate.epoch()) {
+            // Only a new term has further fences.
+            candidate.resign(nowMs);
+        }
         updateHolder();
         if (holdsDuty(nowMs) && nowMs - plannedAtMs >= PLAN_INTERVAL_MS) {
             plannedAtMs = nowMs;
@@ -174,7 +196,7 @@
         boolean isNewTerm = isHolder && (fences == null || fences.epoch() != candidate.epoch());
         if (isNewTerm) {
             grantors.clear();
-            fences = new FenceCounter(candidate.epoch());
+            fences = fenceCounters.apply(candidate.epoch());
             termStartedAtMs = nowMs;
         }
         if (isHolder && (isNewTerm || !wasHolder)) {
@@ -230,7 +252,10 @@
 
     private KeyGrantor grantorFor(double nowMs, String service) {
         KeyGrantor grantor = grantors.get(service);
-        if (grantor == null && grantors.size() < MAX_SERVICES) {
+        if (grantor == null && grantors.size() >= KeyTerms.MAX_SERVICES) {
+            grantors.values().removeIf(each -> each.isIdle(nowMs));
+        }
+        if (grantor == null && grantors.size() < KeyTerms.MAX_SERVICES) {
             // Before the first term nothing was leased; after the maximum duration of a lease, all leases of earlier
             // terms have ended.
             boolean nothingLeased = candidate.isFirstTerm() || nowMs - termStartedAtMs > KeyTerms.COUNTED_MS;
--- a/src/main/java/whinlead/mesh/duty/DutyCandidate.java
+++ b/src/main/java/whinlead/mesh/duty/DutyCandidate.java
@@ -118,6 +118,13 @@
         voteValidUntilMs.clear();
     }
 
+    /** Gives up the duty, or the campaign for it. A later term has a higher epoch. */
+    public void resign(double nowMs) {
+        if (epoch > 0) {
+            withdraw(nowMs, STAGGER_MS);
+        }
+    }
+
     /** A voter answers. */
     public void voteReceived(double nowMs, String voter, DutyVote vote) {
         highestEpoch = Math.max(highestEpoch, vote.epoch());
--- a/src/main/java/whinlead/mesh/keys/KeyGrantor.java
+++ b/src/main/java/whinlead/mesh/keys/KeyGrantor.java
@@ -229,7 +229,11 @@
                 .forEach((part, name) -> assign(nowMs, part, name, handoff));
     }
 
+    // Without a fence the keys stay free until the next term.
     private void assign(double nowMs, KeyRange range, String name, String handoff) {
+        if (fences.isExhausted()) {
+            return;
+        }
         ownerships.put(range, new Ownership(name, fences.next(), handoff, nowMs + KeyTerms.COUNTED_MS, false, null));
         freeKeys.remove(range);
         nodesToNotify.add(name);
@@ -244,6 +248,12 @@
         nodesToNotify.add(move.fromNode());
     }
 
+    /** Whether nothing is leased and no node has reported for as long as a lease may last. */
+    public boolean isIdle(double nowMs) {
+        advance(nowMs);
+        return nodes.isEmpty() && ownerships.isEmpty() && nowMs - startedAtMs > KeyTerms.COUNTED_MS;
+    }
+
     /** Returns the nodes that are to be sent a lease now, each once. */
     public List<String> takeNodesToNotify() {
         List<String> names = List.copyOf(nodesToNotify);
--- a/src/test/java/whinlead/mesh/ConfigurationTest.java
+++ b/src/test/java/whinlead/mesh/ConfigurationTest.java
@@ -53,6 +53,24 @@
         assertTrue(e.getMessage().lines().count() == 1, e.getMessage());
     }
 
+    private static String withServices(int count, String settings) {
+        StringBuilder services = new StringBuilder("\"Services\":{");
+        for (int i = 0; i < count; i++) {
+            services.append("\"more-").append(i).append("\":").append(settings).append(',');
+        }
+        return LocalMeshRun.config("00000001", "svc").replace("\"Services\":{", services);
+    }
+
+    // A number of services that can't be served is refused by name and not taken in part.
+    @Test
+    public void manyServicesAreTakenAndTooManyPartitionedOnesAreRefused() throws InvalidConfigException {
+        take(withServices(1900, "{}"));
+        take(withServices(1024, "{\"Partitioned\":true}"));
+        InvalidConfigException e =
+                expectThrows(InvalidConfigException.class, () -> take(withServices(1025, "{\"Partitioned\":true}")));
+        assertTrue(e.getMessage().contains("Services") && e.getMessage().contains("Partitioned"), e.getMessage());
+    }
+
     @Test
     public void theLongestPrefixOfTheHostWins() throws InvalidConfigException {
         String json = LocalMeshRun.config("00000001", "svc").replace("\"/b/\"", "\"/a/b/\"");
--- a/src/test/java/whinlead/mesh/duty/DutyCandidateTest.java
+++ b/src/test/java/whinlead/mesh/duty/DutyCandidateTest.java
@@ -48,6 +48,24 @@
         VOTERS.forEach(id -> nodes.put(id, new SimulatedNode(id, DutyPromise.NONE)));
     }
 
+    @Test
+    public void holderThatResignsIsFollowedByALaterTerm() {
+        run(2000);
+        SimulatedNode holder = nodes.values().stream()
+                .filter(SimulatedNode::isHolder)
+                .findFirst()
+                .orElseThrow();
+        long epoch = holder.candidate.epoch();
+        holder.candidate.resign(nowMs);
+        assertFalse(holder.isHolder());
+        run(6000);
+        SimulatedNode next = nodes.values().stream()
+                .filter(SimulatedNode::isHolder)
+                .findFirst()
+                .orElseThrow();
+        assertTrue(next.candidate.epoch() > epoch, next.candidate.epoch() + " after " + epoch);
+    }
+
     private void run(double durationMs) {
         for (double endMs = nowMs + durationMs; nowMs < endMs; nowMs += 50) {
             VOTERS.forEach(id -> {
