Registry: records of sidecars that have gone make room for others

At 4,096 nodes, of which those that had gone were never forgotten, new sidecars were ignored for good. Change: the record of a sidecar that has gone, the one known for longest first, makes room. Present sidecars are kept.

--- a/src/main/java/whinlead/mesh/registry/EndpointRegistry.java
+++ b/src/main/java/whinlead/mesh/registry/EndpointRegistry.java
@@ -12,7 +12,11 @@
  * request uses them. Mergeable state: any order of merges has the same result. Pure; one thread.
  */
 public final class EndpointRegistry {
-    /** Records of further nodes are ignored above this number, so that a faulty peer can't exhaust the memory. */
+    /**
+     * Maximum number of records, so that a faulty peer can't exhaust the memory. Beyond it, records of sidecars that
+     * have gone make room for others, the one known for longest first; if there is none, records of further nodes are
+     * ignored.
+     */
     public static final int MAX_NODES = 4096;
 
     private final Map<String, EndpointRecord> records = new LinkedHashMap<>();
@@ -24,7 +28,7 @@
     /** Merges an endpoint record; returns true if it is new. */
     public boolean merge(EndpointRecord record) {
         EndpointRecord known = records.get(record.node());
-        if (known == null && records.size() >= MAX_NODES || !record.isNewerThan(known)) {
+        if (!record.isNewerThan(known) || known == null && !hasRoom()) {
             return false;
         }
         records.put(record.node(), record);
@@ -35,6 +39,16 @@
         return true;
     }
 
+    private boolean hasRoom() {
+        if (records.size() >= MAX_NODES) {
+            records.values().stream()
+                    .filter(each -> each.phase() == EndpointRecord.Phase.GONE)
+                    .findFirst()
+                    .ifPresent(gone -> records.remove(gone.node()));
+        }
+        return records.size() < MAX_NODES;
+    }
+
     private void add(EndpointRecord record) {
         if (record.phase() == EndpointRecord.Phase.GONE) {
             return;
--- a/src/test/java/whinlead/mesh/registry/EndpointRegistryTest.java
+++ b/src/test/java/whinlead/mesh/registry/EndpointRegistryTest.java
@@ -1,6 +1,8 @@
 package whinlead.mesh.registry;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.HashSet;
 import java.util.List;
@@ -21,6 +23,33 @@
         return expected;
     }
 
+    private static EndpointRecord record(int node, long seq, EndpointRecord.Phase phase) {
+        return new EndpointRecord("node-" + node, 1, seq, "zone", "endpoint", "one", phase, 6, 0);
+    }
+
+    // Regression: records of sidecars that had gone were kept for good, and new sidecars were ignored at the limit.
+    @Test
+    public void sidecarsThatHaveGoneMakeRoomForOthers() {
+        EndpointRegistry registry = new EndpointRegistry();
+        for (int node = 0; node < 2 * EndpointRegistry.MAX_NODES; node++) {
+            assertTrue(registry.merge(record(node, 1, EndpointRecord.Phase.SERVING)), "node " + node);
+            assertTrue(registry.merge(record(node, 2, EndpointRecord.Phase.GONE)));
+        }
+        assertEquals(registry.all().size(), EndpointRegistry.MAX_NODES);
+        assertEquals(registry.presentCount(), 0);
+    }
+
+    @Test
+    public void presentSidecarsAreKeptAtTheLimit() {
+        EndpointRegistry registry = new EndpointRegistry();
+        for (int node = 0; node < EndpointRegistry.MAX_NODES; node++) {
+            registry.merge(record(node, 1, EndpointRecord.Phase.SERVING));
+        }
+        assertFalse(registry.merge(record(-1, 1, EndpointRecord.Phase.SERVING)));
+        assertTrue(registry.merge(record(7, 2, EndpointRecord.Phase.DRAINING)), "known nodes are updated");
+        assertEquals(registry.presentCount(), EndpointRegistry.MAX_NODES);
+    }
+
     @Test
     public void indexesMatchFullScan() {
         for (int seed = 0; seed < 20; seed++) {
