Sidecars: responses of endpoints may have heads of 16 KiB, as requests may

Cause: the client codec's default, while a request may have Limits.HeaderBytes (16,384 in the usual configuration). Change: 16 KiB for the first line and for the headers. EndpointResponseHeadTest failed before (BROKEN for 200) and passes.

--- a/src/main/java/whinlead/mesh/sidecar/EndpointConnections.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointConnections.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -25,6 +26,11 @@
  * not run. A response is passed on only if it is complete and belongs to the request. Runs on its loop's thread.
  */
 public final class EndpointConnections {
+    /** Largest head of a response, in bytes; a client's request may have as large a one in the usual configuration. */
+    private static final int MAX_HEADER_BYTES = 16 << 10;
+
+    private static final HttpDecoderConfig CODEC_CONFIG =
+            new HttpDecoderConfig().setMaxInitialLineLength(MAX_HEADER_BYTES).setMaxHeaderSize(MAX_HEADER_BYTES);
     private static final int CONNECT_TIMEOUT_MS = 800;
     /** Fraction of the endpoint's keep-alive time within which an idle connection is reused. */
     private static final double IDLE_USE_FRACTION = 0.6;
@@ -114,7 +120,7 @@
                 .connect(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), newConnection);
+                        ch.pipeline().addLast(new HttpClientCodec(CODEC_CONFIG, false, false), newConnection);
                     }
                 })
                 .addListener(connectFuture -> {
