Sidecars: a request given up on in the middle of its body is cancelled at its endpoint

Need: a long body of which no further part is sent, because its request's time is up or its client has left, would keep its endpoint waiting until the deadline there. Change: giving up sends the cancellation, once; the other sidecar ends a request whose body is incomplete whatever its kind. StreamedRequestTest.nothingMoreIsSentOnceTheRequestHasEnded asks for it.

--- a/src/main/java/whinlead/mesh/sidecar/EndpointDelivery.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointDelivery.java
@@ -140,7 +140,7 @@
         }
         gate.requestStarted(timers.nowMs());
         requests.requestStarting(sender, request.stream());
-        if (body != null && sender != node) {
+        if (body != null && sender instanceof PeerConnection) {
             requests.bodyExpected(sender, request.stream(), body);
         }
         Consumer<PeerMessage> outcomeListener = outcome -> {
--- a/src/main/java/whinlead/mesh/sidecar/PendingForward.java
+++ b/src/main/java/whinlead/mesh/sidecar/PendingForward.java
@@ -123,12 +123,15 @@
         return repeatable && (!written || otherEndpointAllowed.getAsBoolean());
     }
 
+    // An endpoint must not wait for the rest of a body that will not be sent.
     @Override
     public boolean abort() {
         ended = true;
         abandonBody();
         if (!written) {
             removal.run();
+        } else if (body != null && !body.isFinished()) {
+            notifyCancelled();
         }
         return written;
     }
@@ -137,7 +140,13 @@
     public void cancel() {
         if (!ended && abort()) {
             removal.run();
-            cancelNotification.run();
+            notifyCancelled();
         }
     }
+
+    private void notifyCancelled() {
+        Runnable notification = cancelNotification;
+        cancelNotification = () -> {};
+        notification.run();
+    }
 }
--- a/src/test/java/whinlead/mesh/sidecar/StreamedRequestTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/StreamedRequestTest.java
@@ -136,9 +136,12 @@
         RequestForwarder.SentRequest request = sendConnected(body);
         grant(100_000);
         assertTrue(request.abort(), "part of it was written");
+        assertEquals(sent.get(sent.size() - 1), new PeerMessage.Cancel(1, false), "its endpoint need not wait");
+        int sentBefore = sent.size();
+        request.cancel();
         body.append(new byte[100_000], true);
         grant(200_000);
-        assertEquals(partBytes(), 100_000);
+        assertEquals(sent.size(), sentBefore);
         assertEquals(results, List.of());
     }
 
