Sidecars: an early response is written before its connection is closed

Need: after a response that precedes the end of a long body, the end of that body, or 2 s, closed the connection, also while the response was still being written to a client that reads slowly, which would lose the rest of it. Found by reading; new with the long bodies. Change: the connection is closed once the response is written. LongRequestBodyTest.earlyResponseIsWrittenBeforeTheConnectionIsClosed failed before and passes; 151 tests of the sidecar pass.

--- a/src/main/java/whinlead/mesh/sidecar/ClientConnection.java
+++ b/src/main/java/whinlead/mesh/sidecar/ClientConnection.java
@@ -87,6 +87,8 @@
     private boolean closing;
     /** Whether the rest of a body is read only so that the client gets the response before the connection is closed. */
     private boolean discarding;
+    /** The write of the last response, before whose end the connection is not closed; null until then. */
+    private ChannelFuture lastWrite;
 
     private boolean disconnected;
     private boolean autoRead = true;
@@ -205,14 +207,14 @@
     // Reads on after the response to a request whose body was not complete.
     private void discard(Object message) {
         if (discarding && message instanceof LastHttpContent) {
-            channel.close();
+            lastWrite.addListener(ChannelFutureListener.CLOSE);
         }
     }
 
     private void closeAfterBody() {
         discarding = true;
         channel.config().setAutoRead(true);
-        handler.timers().schedule(DISCARD_MS, channel::close);
+        handler.timers().schedule(DISCARD_MS, () -> lastWrite.addListener(ChannelFutureListener.CLOSE));
     }
 
     // Most requests arrive completely in one read and need no timer.
@@ -334,6 +336,7 @@
             ChannelFuture writeFuture = channel.write(httpResponse);
             wrote = true;
             if (bodyIncomplete) {
+                lastWrite = writeFuture;
                 closeAfterBody();
                 break;
             } else if (lastResponse) {
--- a/src/test/java/whinlead/mesh/sidecar/LongRequestBodyTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/LongRequestBodyTest.java
@@ -7,10 +7,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -78,6 +82,10 @@
     private int disconnectedRequests;
     private EmbeddedChannel channel;
     private int takenBytes;
+    /** Whether writes stay unfinished, as towards a client that does not read. */
+    private boolean writesHeld;
+
+    private List<ChannelPromise> heldWrites;
 
     @BeforeMethod
     public void connect() {
@@ -87,9 +95,22 @@
         responses = new ArrayList<>();
         disconnectedRequests = 0;
         takenBytes = 0;
+        writesHeld = false;
+        heldWrites = new ArrayList<>();
         channel = new EmbeddedChannel(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new ChannelOutboundHandlerAdapter() {
+                    @Override
+                    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                        if (writesHeld) {
+                            ReferenceCountUtil.release(message);
+                            heldWrites.add(promise);
+                        } else {
+                            ctx.write(message, promise);
+                        }
+                    }
+                });
                 new ClientConnection(new RecordingHandler()).addTo(ch);
             }
         });
@@ -191,6 +212,20 @@
         assertEquals(budget.reservedBytes(), 0);
     }
 
+    // Regression: the end of the body closed the connection while an early response was still being written.
+    @Test
+    public void earlyResponseIsWrittenBeforeTheConnectionIsClosed() {
+        writesHeld = true;
+        beginUpload(2 * MIB);
+        respond(HttpResponseStatus.OK);
+        receiveBytes(BODY_BYTES - 2 * MIB);
+        calendar.runUntil(2 * DISCARD_MS);
+        assertTrue(channel.isActive());
+        heldWrites.forEach(ChannelPromise::setSuccess);
+        channel.runPendingTasks();
+        assertFalse(channel.isActive());
+    }
+
     @Test
     public void restOfTheBodyIsNotAwaitedForLong() {
         beginUpload(2 * MIB);
