--- a/src/main/java/whinlead/mesh/storage/LesseeStore.java
+++ b/src/main/java/whinlead/mesh/storage/LesseeStore.java
@@ -1,13 +1,11 @@
 package whinlead.mesh.storage;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -17,7 +15,6 @@
  */
 public final class LesseeStore {
     private static final String FILE = "lessees";
-    private static final String NEW_FILE = "lessees.new";
     /** A first line, distinct from all sidecar names: the reserve may recently have been in use. */
     private static final String RESERVE_MARK = "#reserve";
 
@@ -34,8 +31,7 @@
         }
     }
 
-    private final Path folder;
-    private final Syncer syncer;
+    private final SyncedFile file;
 
     /** The store in this folder, which must exist. */
     public LesseeStore(Path folder) {
@@ -44,8 +40,7 @@
 
     /** The store in this folder, which uses this syncer. */
     public LesseeStore(Path folder, Syncer syncer) {
-        this.folder = folder;
-        this.syncer = syncer;
+        this.file = new SyncedFile(folder, FILE, syncer);
     }
 
     /**
@@ -54,14 +49,11 @@
      * @throws IOException if the file can't be read
      */
     public Entry read() throws IOException {
-        Path file = folder.resolve(FILE);
-        if (!Files.exists(file)) {
+        Optional<List<String>> lines = file.read();
+        if (lines.isEmpty()) {
             return new Entry(Set.of(), false);
         }
-        // An earlier process may have been killed before its sync; sync before anything depends on what is read.
-        syncer.syncFile(file);
-        syncer.syncFolder(folder);
-        Set<String> names = new LinkedHashSet<>(Files.readAllLines(file, StandardCharsets.UTF_8));
+        Set<String> names = new LinkedHashSet<>(lines.get());
         names.remove("");
         boolean reserveInUse = names.remove(RESERVE_MARK);
         return new Entry(names, reserveInUse);
@@ -78,10 +70,6 @@
             lines.add(RESERVE_MARK);
         }
         lines.addAll(entry.lessees());
-        Path newFile = folder.resolve(NEW_FILE);
-        Files.write(newFile, lines, StandardCharsets.UTF_8);
-        syncer.syncFile(newFile);
-        Files.move(newFile, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        syncer.syncFolder(folder);
+        file.write(lines);
     }
 }
