Sidecars: departures are on a majority's disks before they are acknowledged

Cause: an acknowledgement of `draining` or of a departure was kept in the memory of the sidecar's process. A process that had just started did not even do that for an endpoint it had not heard of, and a process that took the place of a killed one knew nothing. A heartbeat sent before the departure that came late then made the endpoint serve.

Change: a sidecar reports departures to the control nodes (protocol version 6), which keep them on disk for two minutes, and acknowledges once a majority of the voters has them; else the call gets 503 after 0.7 s and is repeated by the endpoint. A sidecar that starts lets nothing go to its endpoint before a majority has told it the departures of its earlier processes, or before 10 s are over and a newer heartbeat has come. A departure is final, whatever comes later. Late heartbeats of an endpoint that has left no longer take up leases of limits again.

Why it holds: two majorities share a voter, and the gate beside the endpoint is the only way to it.

--- a/src/main/java/whinlead/mesh/control/ControlNode.java
+++ b/src/main/java/whinlead/mesh/control/ControlNode.java
@@ -31,6 +31,7 @@
 import whinlead.mesh.rpc.RpcResponse;
 import whinlead.mesh.rpc.RpcServer;
 import whinlead.mesh.settings.NodeSettings;
+import whinlead.mesh.storage.DepartureStore;
 import whinlead.mesh.storage.DutyStore;
 import whinlead.mesh.storage.StateStore;
 import whinlead.mesh.storage.StateStoreException;
@@ -71,6 +72,7 @@
     private SidecarChannel sidecars;
     private QuotaLeases leases;
     private KeyDuty keyDuty;
+    private DepartureRecorder departures;
     private String id;
     private boolean isVoter;
 
@@ -137,6 +139,8 @@
         Executor disk = Executors.newSingleThreadExecutor(ControlNode::newLeaseThread);
         leases = new QuotaLeases(ControlNode::nowMs, this::isConfirmed, id, consensus.decided(), folder, disk, loop);
         keyDuty = createKeyDuty(new DutyStore(folder), disk);
+        departures =
+                new DepartureRecorder(ControlNode::nowMs, id, new DepartureStore(folder), disk, loop, peers::broadcast);
     }
 
     private KeyDuty createKeyDuty(DutyStore store, Executor disk) {
@@ -257,6 +261,11 @@
             return List.of(new PeerMessage.Consensus(new Message.Query(0, decidedSlot())), sidecars.allRecords());
         }
 
+        @Override
+        public void departuresReceived(PeerMessage.DepartureUpdate update) {
+            departures.merge(update);
+        }
+
         @Override
         public void pongReceived(double sentAtMs, PeerMessage.Pong pong) {
             GuardedTask.run(() -> consensus.pongReceived(sentAtMs, pong.id(), pong.slot()));
@@ -305,6 +314,10 @@
                 leases.report(connection, report.report());
             } else if (message instanceof PeerMessage.QuotaTokenRequest request) {
                 leases.tokenRequested(connection, request.request());
+            } else if (message instanceof PeerMessage.DepartureReport report) {
+                departures.report(connection, report);
+            } else if (message instanceof PeerMessage.DepartureUpdate update) {
+                departures.merge(update);
             } else {
                 dispatchKeyMessage(connection, message);
             }
@@ -328,9 +341,11 @@
             }
             if (hello.controlNode()) {
                 peers.peerIsListening(ConsensusNode.address(hello.id()));
+                connection.send(departures.all());
             } else {
                 connection.send(sidecars.allRecords());
                 keyDuty.sidecarConnected(connection);
+                departures.sidecarConnected(connection);
             }
         }
 
--- a/src/main/java/whinlead/mesh/control/ControlPeers.java
+++ b/src/main/java/whinlead/mesh/control/ControlPeers.java
@@ -28,6 +28,9 @@
         /** The messages that a peer is sent first on a new connection. */
         List<PeerMessage> greeting();
 
+        /** A peer sends the departures of endpoints that it knows. */
+        void departuresReceived(PeerMessage.DepartureUpdate update);
+
         /** A ping sent at this time, by the steady clock in milliseconds, was answered. */
         void pongReceived(double sentAtMs, PeerMessage.Pong pong);
     }
@@ -128,7 +131,10 @@
 
         @Override
         public void messageReceived(ReconnectingConnection connection, PeerMessage message) {
-            // Peers send messages on the connections that they open; only pongs arrive on this one.
+            // Peers send other messages on the connections that they open; only pongs arrive on this one.
+            if (message instanceof PeerMessage.DepartureUpdate update) {
+                listener.departuresReceived(update);
+            }
         }
 
         @Override
--- a/src/main/java/whinlead/mesh/log/Event.java
+++ b/src/main/java/whinlead/mesh/log/Event.java
@@ -27,6 +27,9 @@
     UNKNOWN_INPUT_IGNORED(305, Level.INFO, "passed over, of a later version"),
     PEER_REJECTED(306, Level.WARNING, "peer refused"),
     MESSAGE_TOO_LONG(307, Level.WARNING, "message too long, not sent"),
+    DEPARTURE_NOT_STORED(308, Level.WARNING, "departure of an endpoint not acknowledged"),
+    DEPARTURES_UNKNOWN(309, Level.INFO, "departures acknowledged by earlier processes not known"),
+    DEPARTURES_NOT_RECORDED(310, Level.WARNING, "disk failed, no departures of endpoints stored"),
     /** 4xx: configuration at sidecars. */
     CONFIG_IN_FORCE(401, Level.INFO, "configuration in force"),
     CONFIG_UNREADABLE(402, Level.WARNING, "configuration can't be read"),
--- a/src/main/java/whinlead/mesh/rpc/RpcCall.java
+++ b/src/main/java/whinlead/mesh/rpc/RpcCall.java
@@ -4,6 +4,9 @@
 
 /** A decoded call of an endpoint or an operator. Whoever runs it sends the response. */
 public sealed interface RpcCall {
+    /** The longest id of an endpoint, in characters. */
+    int MAX_ENDPOINT_ID_LENGTH = 256;
+
     /** An endpoint sends a heartbeat. */
     record Heartbeat(String endpoint, EndpointStatus status) implements RpcCall {}
 
@@ -14,7 +17,14 @@
             @JsonProperty("Capacity") int capacity,
             @JsonProperty("Phase") String phase,
             @JsonProperty("WarmupS") double warmupS,
-            @JsonProperty("CallSeq") long callSeq) {}
+            @JsonProperty("CallSeq") long callSeq) {
+        private static final String DRAINING = "draining";
+
+        /** Whether the endpoint announces that it leaves. */
+        public boolean isDraining() {
+            return DRAINING.equals(phase);
+        }
+    }
 
     /** An endpoint leaves. */
     record Depart(String endpoint) implements RpcCall {}
--- a/src/main/java/whinlead/mesh/rpc/RpcServer.java
+++ b/src/main/java/whinlead/mesh/rpc/RpcServer.java
@@ -105,6 +105,11 @@
         if (endpointId.isEmpty()) {
             throw new InvalidCallException(HttpResponseStatus.BAD_REQUEST, "of is missing");
         }
+        if (endpointId.length() > RpcCall.MAX_ENDPOINT_ID_LENGTH) {
+            throw new InvalidCallException(
+                    HttpResponseStatus.BAD_REQUEST,
+                    "of has more than " + RpcCall.MAX_ENDPOINT_ID_LENGTH + " characters");
+        }
         return endpointId;
     }
 
--- a/src/main/java/whinlead/mesh/sidecar/ControlClient.java
+++ b/src/main/java/whinlead/mesh/sidecar/ControlClient.java
@@ -23,6 +23,7 @@
 import whinlead.mesh.registry.EndpointRecord;
 import whinlead.mesh.settings.NodeSettings;
 import whinlead.mesh.wire.PeerMessage;
+import whinlead.mesh.wire.ProtocolVersion;
 import whinlead.mesh.wire.ReconnectingConnection;
 
 /**
@@ -81,6 +82,15 @@
         /** Called when a connection to a control node is up. */
         void controlNodeUp();
 
+        /** A control node has told which departures of this sidecar's endpoints it has on disk. */
+        void departuresStored(PeerMessage.DeparturesStored message);
+
+        /** The control node at this address runs a version that stores no departures. */
+        void controlNodeWithoutDepartures(String ip);
+
+        /** A newer decision is known; it has these voters. */
+        void votersChanged(List<String> voters);
+
         /** Receives the owners of keys. */
         void keyRoutesReceived(PeerMessage.KeyRoutesUpdate update);
 
@@ -123,8 +133,12 @@
 
     /** Sends endpoint records to all connected control nodes. */
     void publish(List<EndpointRecord> records) {
-        PeerMessage.EndpointUpdate update = new PeerMessage.EndpointUpdate(records);
-        controlNodes.values().forEach(t -> t.send(update));
+        broadcast(new PeerMessage.EndpointUpdate(records));
+    }
+
+    /** Sends a message to all connected control nodes. */
+    void broadcast(PeerMessage message) {
+        controlNodes.values().forEach(connection -> connection.send(message));
     }
 
     private static double nowMs() {
@@ -193,6 +207,9 @@
     }
 
     private void receive(String ip, ReconnectingConnection connection, PeerMessage message) {
+        if (connection.version() < ProtocolVersion.DEPARTURES) {
+            listener.controlNodeWithoutDepartures(ip);
+        }
         if (message instanceof PeerMessage.EndpointUpdate update) {
             listener.recordsReceived(update.records());
         } else if (message instanceof PeerMessage.ConfigAvailable available) {
@@ -210,6 +227,8 @@
             keys.leaseReceived(ip, lease.lease());
         } else if (message instanceof PeerMessage.KeyRoutesUpdate update) {
             listener.keyRoutesReceived(update);
+        } else if (message instanceof PeerMessage.DeparturesStored stored) {
+            listener.departuresStored(stored);
         }
     }
 
@@ -307,8 +326,8 @@
         }
         boolean sameVersion = newestDecision != null && newestDecision.version() == decision.version();
         newestDecision = decision;
-        PeerMessage.Subscribe subscription = new PeerMessage.Subscribe(decision.slot());
-        controlNodes.values().forEach(t -> t.send(subscription));
+        listener.votersChanged(decision.voters());
+        broadcast(new PeerMessage.Subscribe(decision.slot()));
         decision.voters().forEach(e -> addControlNode(ConsensusNode.address(e)));
         removeFormerVoters(decision);
         if (sameVersion && routing != null) {
--- a/src/main/java/whinlead/mesh/sidecar/EndpointGate.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointGate.java
@@ -1,11 +1,18 @@
 package whinlead.mesh.sidecar;
 
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import whinlead.mesh.registry.EndpointRecord;
 import whinlead.mesh.rpc.RpcCall;
 
 /**
  * What the sidecar knows directly about the endpoint beside it, and whether a request may go to it now. Pure; used by
  * one thread; times in milliseconds on one clock.
+ *
+ * <p>An endpoint that has announced its departure never counts as serving again: heartbeats may arrive late, and out of
+ * order. Earlier processes of this sidecar may have acknowledged departures, so no endpoint counts as serving before
+ * these are known ({@link #departuresComplete}).
  */
 public final class EndpointGate {
     /** The endpoint's state. */
@@ -20,6 +27,8 @@
         GONE
     }
 
+    /** Maximum number of departures that are remembered; the oldest is dropped first. */
+    private static final int MAX_DEPARTURES = 64;
     /** After this many missed heartbeats an endpoint counts as gone. */
     private static final double MAX_MISSED_HEARTBEATS = 3.5;
     /** How long a draining endpoint still accepts requests, from callers that have not been notified yet. */
@@ -39,6 +48,11 @@
     private static final double LOAD_HALF_LIFE_MS = 500;
 
     private final double heartbeatIntervalMs;
+    /** Ids of endpoints that have announced their departure, oldest first. */
+    private final Set<String> departing = new LinkedHashSet<>();
+    /** Whether the departures that earlier processes of this sidecar have acknowledged are known. */
+    private boolean departuresComplete;
+
     private State state = State.UNKNOWN;
     private String endpoint = "";
     private String target = "";
@@ -61,10 +75,10 @@
 
     /** Records a heartbeat; true if it changes what other nodes need to know. */
     public boolean heartbeat(double nowMs, String id, RpcCall.EndpointStatus status) {
-        if (id.equals(endpoint) && (status.callSeq() <= callSeq || state == State.GONE && callSeq < 0)) {
+        boolean newEndpoint = !id.equals(endpoint);
+        if (hasLeft(id) || !newEndpoint && status.callSeq() <= callSeq) {
             return false;
         }
-        boolean newEndpoint = !id.equals(endpoint);
         State previousState = state;
         endpoint = id;
         target = status.target();
@@ -72,45 +86,90 @@
         callSeq = status.callSeq();
         lastHeartbeatMs = nowMs;
         warmUntilMs = nowMs + Math.max(0, status.warmupS()) * 1000;
-        if ("draining".equals(status.phase())) {
-            if (newEndpoint || previousState != State.DRAINING) {
-                drainStartMs = nowMs;
-            }
-            setState(State.DRAINING);
-        } else {
-            setState(State.SERVING);
+        if (status.isDraining()) {
+            startDraining(nowMs, id, !newEndpoint && state() == State.SERVING);
         }
-        return newEndpoint || state != previousState;
+        state = departing.contains(id) ? State.DRAINING : State.SERVING;
+        return departuresComplete && (newEndpoint || state != previousState);
+    }
+
+    // Only an endpoint that served until now still accepts requests: another one may have been draining for long.
+    private void startDraining(double nowMs, String id, boolean wasServing) {
+        if (departing.add(id)) {
+            drainStartMs = wasServing ? nowMs : Double.NEGATIVE_INFINITY;
+            dropOldestDepartures();
+        }
+    }
+
+    /** Whether this endpoint has left, so that its heartbeats are ignored. */
+    public boolean hasLeft(String id) {
+        return departing.contains(id) && !(id.equals(endpoint) && state == State.DRAINING);
     }
 
-    /** Records that the endpoint has left; true if that is new. */
+    /** Records that the endpoint has left; true if that changes what other nodes need to know. */
     public boolean departed(String id) {
+        departing.add(id);
+        dropOldestDepartures();
         if (!id.equals(endpoint) || state == State.GONE) {
             return false;
         }
-        // Late heartbeats of this endpoint are ignored from now on.
-        callSeq = Long.MAX_VALUE;
-        setState(State.GONE);
-        return true;
+        state = State.GONE;
+        return departuresComplete;
+    }
+
+    /**
+     * Records departures that an earlier process of this sidecar has acknowledged; true if that changes what other
+     * nodes need to know.
+     */
+    public boolean departuresLearned(Collection<String> ids) {
+        boolean isNew = !departing.contains(endpoint) && ids.contains(endpoint);
+        departing.addAll(ids);
+        dropOldestDepartures();
+        if (isNew) {
+            state = State.GONE;
+        }
+        return isNew && departuresComplete;
+    }
+
+    /** All departures acknowledged by earlier processes have been recorded; true if an endpoint is known. */
+    public boolean departuresComplete() {
+        departuresComplete = true;
+        return state != State.UNKNOWN;
+    }
+
+    /**
+     * Departures acknowledged by earlier processes can't be learned, but heartbeats that arrive from now on were sent
+     * after them; true if that changes what other nodes need to know.
+     */
+    public boolean departuresOutdated() {
+        departuresComplete = true;
+        if (state != State.SERVING) {
+            return state != State.UNKNOWN;
+        }
+        // The heartbeats so far may have been sent before a departure.
+        state = State.UNKNOWN;
+        return false;
+    }
+
+    private void dropOldestDepartures() {
+        while (departing.size() > MAX_DEPARTURES) {
+            departing.remove(departing.iterator().next());
+        }
     }
 
     /** Called periodically; true if the endpoint has stopped sending heartbeats. */
     public boolean tick(double nowMs) {
         if ((state == State.SERVING || state == State.DRAINING)
                 && nowMs - lastHeartbeatMs > heartbeatIntervalMs * MAX_MISSED_HEARTBEATS) {
-            setState(State.GONE);
-            return true;
+            state = State.GONE;
+            return departuresComplete;
         }
         return false;
     }
 
-    private void setState(State next) {
-        state = next;
-    }
-
-    /** The endpoint's state. */
+    /** The endpoint's state; it is not {@link State#SERVING} before departures are known. */
     public State state() {
-        return state;
+        return state == State.SERVING && !departuresComplete ? State.UNKNOWN : state;
     }
 
     /** The endpoint's id; empty if none is known. */
@@ -125,7 +184,7 @@
 
     /** The phase that is published to other nodes. */
     public EndpointRecord.Phase phase() {
-        return state == State.SERVING ? EndpointRecord.Phase.SERVING : EndpointRecord.Phase.DRAINING;
+        return state() == State.SERVING ? EndpointRecord.Phase.SERVING : EndpointRecord.Phase.DRAINING;
     }
 
     /** Time of the last heartbeat. */
@@ -164,7 +223,7 @@
      */
     public Admission admit(double nowMs, String service, int rank, double drainAcceptMs) {
         boolean accepting = service.equals(target)
-                && (state == State.SERVING || state == State.DRAINING && nowMs - drainStartMs < drainAcceptMs);
+                && (state() == State.SERVING || state == State.DRAINING && nowMs - drainStartMs < drainAcceptMs);
         if (!accepting) {
             return Admission.MOVED;
         }
--- a/src/main/java/whinlead/mesh/sidecar/Sidecar.java
+++ b/src/main/java/whinlead/mesh/sidecar/Sidecar.java
@@ -5,13 +5,11 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import whinlead.engine.Clock;
 import whinlead.engine.Timers;
@@ -25,8 +23,6 @@
 import whinlead.mesh.quota.TenantQuota;
 import whinlead.mesh.registry.EndpointRecord;
 import whinlead.mesh.registry.EndpointRegistry;
-import whinlead.mesh.rpc.RpcCall;
-import whinlead.mesh.rpc.RpcResponse;
 import whinlead.mesh.rpc.RpcServer;
 import whinlead.mesh.settings.NodeSettings;
 import whinlead.mesh.wire.PeerConnection;
@@ -70,6 +66,7 @@
     private final QuotaClient quota;
     private final ControlClient controlClient;
     private final RecordPublisher recordPublisher;
+    private final EndpointCalls endpointCalls;
     private final EgressListener egress;
     private boolean ready;
 
@@ -124,6 +121,7 @@
                 registry,
                 listRefresher,
                 record -> controlClient.publish(List.of(record)));
+        this.endpointCalls = new EndpointCalls(timers::nowMs, gate, controlClient::broadcast, new EndpointListener());
         this.egress = new EgressListener(
                 loop,
                 timers,
@@ -186,7 +184,7 @@
                 .childHandler(PeerConnection.handlers(new PeerMessageHandler()))
                 .bind(EndpointList.address(node))
                 .sync();
-        new RpcServer(loop, mapper, this::handleCall)
+        new RpcServer(loop, mapper, endpointCalls::run)
                 .listen(EndpointList.address(NodeSettings.require(bind.control(), "Network.Bind.Control")))
                 .sync();
         new ReadinessServer(loop, () -> ready && !recordPublisher.isDraining())
@@ -251,10 +249,7 @@
 
     private void tick() {
         delivery.recordRunning();
-        if (gate.tick(timers.nowMs())) {
-            Event.ENDPOINT.log(gate.endpoint() + " is silent");
-            endpointChanged();
-        }
+        endpointCalls.tick();
         endpointConnections.tick();
         egress.tick();
         controlClient.tick();
@@ -263,50 +258,32 @@
         keys.tick();
     }
 
-    // Connections to the previous endpoint are of no use any more.
-    private void endpointChanged() {
-        endpointConnections.clear();
-        recordPublisher.publishChange();
+    /** The address on which the sidecar accepts requests for its endpoint. */
+    public InetSocketAddress ingressAddress() {
+        return EndpointList.address(node);
     }
 
-    private void handleCall(RpcCall call, Consumer<RpcResponse> responseListener) {
-        if (call instanceof RpcCall.Heartbeat heartbeat) {
-            responseListener.accept(heartbeat(heartbeat));
-        } else if (call instanceof RpcCall.Depart depart) {
-            if (gate.departed(depart.endpoint())) {
-                Event.ENDPOINT.log(depart.endpoint() + " has left");
-                quota.setLeasesEnabled(false);
-                endpointChanged();
-                keys.tick();
+    /** Receives events from the endpoint beside this sidecar. */
+    private final class EndpointListener implements EndpointCalls.Listener {
+        @Override
+        public void endpointChanged(boolean sameEndpoint) {
+            if (!sameEndpoint) {
+                // Connections to the previous endpoint are of no use any more.
+                endpointConnections.clear();
             }
-            responseListener.accept(RpcResponse.done());
-        } else {
-            responseListener.accept(
-                    RpcResponse.error(HttpResponseStatus.NOT_FOUND, "operators call the control nodes"));
+            recordPublisher.publishChange();
+            keys.tick();
         }
-    }
 
-    private RpcResponse heartbeat(RpcCall.Heartbeat heartbeat) {
-        if (heartbeat.status() == null || heartbeat.status().target() == null) {
-            return RpcResponse.error(HttpResponseStatus.BAD_REQUEST, "Target is missing");
-        }
-        String previousEndpoint = gate.endpoint();
-        quota.setLeasesEnabled(!recordPublisher.isDraining());
-        if (gate.heartbeat(timers.nowMs(), heartbeat.endpoint(), heartbeat.status())) {
-            Event.ENDPOINT.log(heartbeat.endpoint() + " of " + gate.target() + " " + gate.state());
-            if (heartbeat.endpoint().equals(previousEndpoint)) {
-                recordPublisher.publishChange();
-            } else {
-                endpointChanged();
-            }
-            keys.tick();
+        @Override
+        public void endpointPresent() {
+            quota.setLeasesEnabled(!recordPublisher.isDraining());
         }
-        return RpcResponse.done();
-    }
 
-    /** The address on which the sidecar accepts requests for its endpoint. */
-    public InetSocketAddress ingressAddress() {
-        return EndpointList.address(node);
+        @Override
+        public void endpointLeft() {
+            quota.setLeasesEnabled(false);
+        }
     }
 
     /** Receives events from the control nodes. */
@@ -331,6 +308,21 @@
                     .toList();
         }
 
+        @Override
+        public void departuresStored(PeerMessage.DeparturesStored message) {
+            endpointCalls.departures().stored(message);
+        }
+
+        @Override
+        public void controlNodeWithoutDepartures(String ip) {
+            endpointCalls.departures().withoutStore(ip);
+        }
+
+        @Override
+        public void votersChanged(List<String> voters) {
+            endpointCalls.departures().votersChanged(voters);
+        }
+
         @Override
         public void keyRoutesReceived(PeerMessage.KeyRoutesUpdate update) {
             balancers.routesReceived(update.service(), update.routes());
--- a/src/main/java/whinlead/mesh/wire/PeerMessage.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.consensus.Message;
+import whinlead.mesh.departure.Departure;
 import whinlead.mesh.duty.DutyRequest;
 import whinlead.mesh.duty.DutyVote;
 import whinlead.mesh.keys.KeyLease;
@@ -119,6 +120,36 @@
         }
     }
 
+    /** A sidecar asks a control node to store that these endpoints beside it have announced their departure. */
+    record DepartureReport(List<String> endpoints) implements PeerMessage {
+        /** Copies the list. */
+        public DepartureReport {
+            endpoints = List.copyOf(endpoints);
+        }
+    }
+
+    /**
+     * Departures that a control node has on disk: the answer to a {@link DepartureReport}, and sent to each sidecar
+     * that connects.
+     *
+     * @param controlNode id of the control node
+     * @param endpoints of the receiving sidecar
+     */
+    record DeparturesStored(String controlNode, List<String> endpoints) implements PeerMessage {
+        /** Copies the list. */
+        public DeparturesStored {
+            endpoints = List.copyOf(endpoints);
+        }
+    }
+
+    /** Departures that a control node knows, sent to the other ones: all to each that connects, and then new ones. */
+    record DepartureUpdate(List<Departure> departures) implements PeerMessage {
+        /** Copies the list. */
+        public DepartureUpdate {
+            departures = List.copyOf(departures);
+        }
+    }
+
     /** A sidecar of an earlier version reports its demand and may ask for the totals. */
     record DemandReport(List<TenantDemand> demands, boolean wantsTotals) implements PeerMessage {}
 
--- a/src/main/java/whinlead/mesh/wire/PeerMessageCodec.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessageCodec.java
@@ -32,6 +32,8 @@
                 ForwardingMessageCodec.write(packer, message);
             } else if (KeyMessageCodec.isAboutKeys(message)) {
                 KeyMessageCodec.write(packer, message);
+            } else if (DepartureMessageCodec.isAboutDepartures(message)) {
+                DepartureMessageCodec.write(packer, message);
             } else {
                 writeControl(packer, message);
             }
@@ -98,6 +100,9 @@
         if (KeyMessageCodec.isAboutKeys(message)) {
             return ProtocolVersion.KEYS;
         }
+        if (DepartureMessageCodec.isAboutDepartures(message)) {
+            return ProtocolVersion.DEPARTURES;
+        }
         return ForwardingMessageCodec.minVersion(message);
     }
 
@@ -161,6 +166,7 @@
                 QuotaMessageCodec.read(kind, in);
             case DUTY_REQUEST, DUTY_VOTE, KEY_GRANTOR_CHANGED, KEY_REPORT, KEY_LEASE, KEY_ROUTES ->
                 KeyMessageCodec.read(kind, in);
+            case DEPARTURE_REPORT, DEPARTURES_STORED, DEPARTURE_UPDATE -> DepartureMessageCodec.read(kind, in);
         };
     }
 
--- a/src/main/java/whinlead/mesh/wire/PeerMessageKind.java
+++ b/src/main/java/whinlead/mesh/wire/PeerMessageKind.java
@@ -61,7 +61,13 @@
     /** A part of a request's body. */
     BODY_PART(29, false),
     /** How many more bytes of a request's body may be sent. */
-    BODY_CREDIT(30, false);
+    BODY_CREDIT(30, false),
+    /** Endpoints beside a sidecar have announced their departure. */
+    DEPARTURE_REPORT(31, true),
+    /** The departures of a sidecar's endpoints that a control node has on disk. */
+    DEPARTURES_STORED(32, true),
+    /** Departures that a control node knows, for another one. */
+    DEPARTURE_UPDATE(33, true);
 
     private final byte tag;
     private final boolean isRepeated;
--- a/src/main/java/whinlead/mesh/wire/ProtocolVersion.java
+++ b/src/main/java/whinlead/mesh/wire/ProtocolVersion.java
@@ -18,8 +18,10 @@
     public static final int KEYS = 4;
     /** Long request bodies are sent in parts, as the receiver grants credit for them. */
     public static final int BODY_PARTS = 5;
+    /** Control nodes store departures of endpoints. */
+    public static final int DEPARTURES = 6;
     /** The versions of this program. */
-    public static final ProtocolVersion SUPPORTED = new ProtocolVersion(BODY_PARTS, UNVERSIONED);
+    public static final ProtocolVersion SUPPORTED = new ProtocolVersion(DEPARTURES, UNVERSIONED);
     /** The versions of a program whose greeting contains none. */
     public static final ProtocolVersion UNNAMED = new ProtocolVersion(UNVERSIONED, UNVERSIONED);
 
--- a/src/main/java/whinlead/testbed/mesh/StandInApp.java
+++ b/src/main/java/whinlead/testbed/mesh/StandInApp.java
@@ -39,6 +39,8 @@
         boolean answered(Talk talk, Talk.Message request) throws IOException;
     }
 
+    private static final long STOP_WAIT_S = 30;
+
     private final CountDownLatch gate = new CountDownLatch(1);
     private final Script script;
     private final String id;
@@ -76,11 +78,21 @@
         threads.execute(this::accept);
     }
 
-    /** Beats once; the answer's status. */
+    /** Sends one heartbeat; returns the status of the response. */
     public int beat(String phase) throws IOException {
+        return beat(phase, nextCall());
+    }
+
+    /** Takes the number of the next call, for a heartbeat that arrives late. */
+    public long nextCall() {
+        return calls.incrementAndGet();
+    }
+
+    /** Sends the heartbeat with this number; returns the status of the response. */
+    public int beat(String phase, long callSeq) throws IOException {
         String body = "{\"Target\":\"" + target + "\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"hall-a\","
                 + "\"Epoch\":\"v1\",\"Capacity\":6,\"Phase\":\"" + phase + "\",\"WarmupS\":0,\"CallSeq\":"
-                + calls.incrementAndGet() + "}";
+                + callSeq + "}";
         return Talk.ask(
                         beats,
                         "POST /whinlead/rpc?call=members.heartbeat&of=" + id,
@@ -105,6 +117,18 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Sends no further heartbeats at an interval, and waits for the one under way.
+     *
+     * @throws InterruptedException if interrupted
+     */
+    public void stopBeating() throws InterruptedException {
+        beating.shutdown();
+        if (!beating.awaitTermination(STOP_WAIT_S, TimeUnit.SECONDS)) {
+            throw new IllegalStateException("a heartbeat did not end in " + STOP_WAIT_S + " s");
+        }
+    }
+
     /** Tells that it has left; the answer's status. */
     public int depart() throws IOException {
         return Talk.ask(beats, "POST /whinlead/rpc?call=members.depart&of=" + id, Map.of(), new byte[0])
--- a/src/test/java/whinlead/PackagesTest.java
+++ b/src/test/java/whinlead/PackagesTest.java
@@ -83,6 +83,7 @@
                 .resideInAnyPackage(
                         "whinlead.mesh.consensus",
                         "whinlead.mesh.registry",
+                        "whinlead.mesh.departure",
                         "whinlead.mesh.quota",
                         "whinlead.mesh.duty",
                         "whinlead.mesh.keys")
@@ -91,6 +92,7 @@
                 .resideOutsideOfPackages(
                         "whinlead.mesh.consensus",
                         "whinlead.mesh.registry",
+                        "whinlead.mesh.departure",
                         "whinlead.mesh.quota",
                         "whinlead.mesh.duty",
                         "whinlead.mesh.keys",
--- a/src/test/java/whinlead/mesh/PeerMessageCodecTest.java
+++ b/src/test/java/whinlead/mesh/PeerMessageCodecTest.java
@@ -14,6 +14,7 @@
 import whinlead.mesh.consensus.Ballot;
 import whinlead.mesh.consensus.Decision;
 import whinlead.mesh.consensus.Message;
+import whinlead.mesh.departure.Departure;
 import whinlead.mesh.duty.DutyRequest;
 import whinlead.mesh.duty.DutyVote;
 import whinlead.mesh.keys.HeldKeys;
@@ -86,6 +87,9 @@
                 new PeerMessage.ForwardFailure(4, PeerMessage.FailureReason.MOVED, 0.5, 2),
                 new PeerMessage.Cancel(4, true),
                 new PeerMessage.BodyCredit(4, 65536),
+                new PeerMessage.DepartureReport(List.of("i-1", "i-2")),
+                new PeerMessage.DeparturesStored("10.0.0.1#0", List.of("i-1")),
+                new PeerMessage.DepartureUpdate(List.of(new Departure("n", "i-1"))),
                 new PeerMessage.QuotaLeaseReport(new LeaseReport(
                         7, 3, -9, 2, List.of(new QuotaNeed("t", 0.5, new QuotaAllowance(37.5, 41, 9), 0.5, 0.125)))),
                 new PeerMessage.QuotaLeaseGrant(new LeaseGrant(-9, 4, 3, List.of(new QuotaShare("t", 0.25, 1.5, 12)))),
--- a/src/test/java/whinlead/mesh/control/KeyMesh.java
+++ b/src/test/java/whinlead/mesh/control/KeyMesh.java
@@ -207,6 +207,7 @@
                     () -> leaving,
                     10_000,
                     random.nextLong() >>> 1);
+            gate.departuresComplete();
             tick();
         }
 
--- a/src/test/java/whinlead/mesh/sidecar/RequestFairnessTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/RequestFairnessTest.java
@@ -177,6 +177,7 @@
     @Test
     public void lowerRanksDoNotTakeThePlacesOfTheHighestRank() {
         EndpointGate gate = new EndpointGate(1500);
+        gate.departuresComplete();
         gate.heartbeat(0, "i-1", new RpcCall.EndpointStatus("svc", "z", 4, "serving", 0, 1));
         for (int ms = 0; ms < 3000; ms += 50) {
             gate.admit(ms, "svc", 0);
