Control nodes: one pending answer about departures for each sidecar

Cause: while a disk hangs, each sidecar that starts asks again every 300 ms, and each question waited by itself, without a bound. Change: the answers that wait are kept by sidecar; the newest covers all.

--- a/src/main/java/whinlead/mesh/control/DepartureRecorder.java
+++ b/src/main/java/whinlead/mesh/control/DepartureRecorder.java
@@ -1,8 +1,9 @@
 package whinlead.mesh.control;
 
 import java.io.IOException;
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
@@ -19,9 +20,6 @@
  * write at a time; departures that arrive during a write go into the next one. On the control node's loop.
  */
 final class DepartureRecorder {
-    /** An answer that waits until this many additions are on disk. */
-    private record PendingAnswer(long additions, MessageSender sidecar) {}
-
     private final DoubleSupplier clockMs;
     private final String id;
     private final DepartureStore store;
@@ -29,7 +27,9 @@
     private final Executor loop;
     private final Consumer<PeerMessage> broadcast;
     private final DepartureLog log = new DepartureLog();
-    private final List<PendingAnswer> pending = new ArrayList<>();
+    /** Sidecars that wait for an answer until so many additions are on disk. */
+    private final Map<MessageSender, Long> pending = new LinkedHashMap<>();
+
     private List<Departure> onDisk = List.of();
     /** Until then this process does not know all that an earlier one stored. */
     private double incompleteUntilMs = Double.NEGATIVE_INFINITY;
@@ -110,7 +110,7 @@
         if (additionsOnDisk == additions) {
             answer(sidecar);
         } else {
-            pending.add(new PendingAnswer(additions, sidecar));
+            pending.put(sidecar, additions);
             writeNext();
         }
     }
@@ -160,10 +160,11 @@
         failing = false;
         onDisk = departures;
         additionsOnDisk = written;
-        List<PendingAnswer> due =
-                pending.stream().filter(answer -> answer.additions() <= written).toList();
-        pending.removeAll(due);
-        due.forEach(answer -> answer(answer.sidecar()));
+        List<MessageSender> due = pending.keySet().stream()
+                .filter(sidecar -> pending.get(sidecar) <= written)
+                .toList();
+        pending.keySet().removeAll(due);
+        due.forEach(this::answer);
         writeNext();
     }
 }
