Tests: settings of the mesh's rigs by that name; one syncer that records

Change: the field and parameters `cards` are `settings` in the tests of the mesh; RecordingSyncer serves the three; DepartureMesh has the restart of its processes once. No check is changed.

--- a/src/test/java/whinlead/mesh/AtMostOnceTest.java
+++ b/src/test/java/whinlead/mesh/AtMostOnceTest.java
@@ -57,7 +57,7 @@
         rig.startControlNodes();
         rig.startSidecars();
         // Only the second sidecar has an endpoint, so that all requests at the first take the connection.
-        far = new StandInApp("i-1", "svc", rig.cards.app(1), rig.cards.beats(1));
+        far = new StandInApp("i-1", "svc", rig.settings.app(1), rig.settings.beats(1));
         far.beatEvery(BEAT_MS);
         rig.change(0, 1, START_MS, RelayedRig.FOUNDERS);
         RelayedRig.await("both sidecars serve", START_MS, () -> served(0) && served(1));
@@ -74,7 +74,7 @@
 
     private boolean served(int sidecar) throws IOException {
         Map<String, String> h = rig.headers(2000);
-        Talk.Message m = Talk.ask(rig.cards.egress(sidecar), "POST /b/x", h, new byte[10]);
+        Talk.Message m = Talk.ask(rig.settings.egress(sidecar), "POST /b/x", h, new byte[10]);
         assertTrue(m.status() != 200 || h.get("Attempt-Id").equals(m.headers().get("attempt-id")));
         return m.status() == 200;
     }
@@ -89,7 +89,7 @@
     private Sent send(int sidecar, String first, int deadlineMs) {
         Map<String, String> h = rig.headers(deadlineMs);
         return new Sent(h.get("Attempt-Id"), CompletableFuture.supplyAsync(() -> {
-            try (Talk talk = new Talk(rig.cards.egress(sidecar))) {
+            try (Talk talk = new Talk(rig.settings.egress(sidecar))) {
                 talk.say(first + " HTTP/1.1", h, new byte[10]);
                 return heard(talk);
             } catch (IOException e) {
@@ -253,7 +253,7 @@
 
     @Test(dependsOnMethods = "aConnectionThatCantBeDialled", alwaysRun = true)
     public void aStormOfResetsCutsHoldsAndAKill() throws Exception {
-        near = new StandInApp("i-0", "svc", rig.cards.app(0), rig.cards.beats(0));
+        near = new StandInApp("i-0", "svc", rig.settings.app(0), rig.settings.beats(0));
         near.beatEvery(BEAT_MS);
         ConcurrentLinkedQueue<End> ends = new ConcurrentLinkedQueue<>();
         double until = RelayedRig.now() + STORM_MS;
@@ -306,7 +306,7 @@
             String path = (mutating ? "POST /b" : once ? "GET /once" : "GET /v1")
                     + (random.nextInt(10) == 0 ? "/reset" : "/x");
             Map<String, String> h = rig.headers(700);
-            try (Talk talk = new Talk(rig.cards.egress(client % 2))) {
+            try (Talk talk = new Talk(rig.settings.egress(client % 2))) {
                 Talk.Message m = talk.ask(path, h, new byte[mutating ? 50 : 0]);
                 ends.add(new End(
                         h.get("Attempt-Id"),
--- a/src/test/java/whinlead/mesh/ConfigUpdateProbe.java
+++ b/src/test/java/whinlead/mesh/ConfigUpdateProbe.java
@@ -25,8 +25,8 @@
     private final List<Seen> seen = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService threads = Executors.newScheduledThreadPool(2);
 
-    ConfigUpdateProbe(TestbedSettings cards, int controlNode) throws IOException {
-        String at = cards.talk(controlNode);
+    ConfigUpdateProbe(TestbedSettings settings, int controlNode) throws IOException {
+        String at = settings.talk(controlNode);
         int colon = at.lastIndexOf(':');
         socket = new Socket(at.substring(0, colon), Integer.parseInt(at.substring(colon + 1)));
         DataOutputStream out = new DataOutputStream(socket.getOutputStream());
--- a/src/test/java/whinlead/mesh/CutOffControlNodeTest.java
+++ b/src/test/java/whinlead/mesh/CutOffControlNodeTest.java
@@ -86,7 +86,7 @@
         int old = version++;
         double ended;
         List<ConfigUpdateProbe.Seen> seen;
-        try (ConfigUpdateProbe probe = new ConfigUpdateProbe(rig.cards, OUT)) {
+        try (ConfigUpdateProbe probe = new ConfigUpdateProbe(rig.settings, OUT)) {
             double began = RelayedRig.now();
             begin.run();
             change(name, old);
@@ -237,7 +237,7 @@
     @Test
     public void oneThatIsFrozen() throws Exception {
         int old = version++;
-        try (ConfigUpdateProbe probe = new ConfigUpdateProbe(rig.cards, OUT)) {
+        try (ConfigUpdateProbe probe = new ConfigUpdateProbe(rig.settings, OUT)) {
             RelayedRig.await("it answers", ACK_MS, () -> !probe.seen().isEmpty());
             double began = RelayedRig.now();
             rig.signal("o" + OUT, "STOP");
--- a/src/test/java/whinlead/mesh/DepartureProcessTest.java
+++ b/src/test/java/whinlead/mesh/DepartureProcessTest.java
@@ -47,7 +47,8 @@
     @BeforeMethod
     public void startEndpoint() throws Exception {
         mesh.apps.get(LEAVING).close();
-        StandInApp app = new StandInApp("i-life-" + ++lives, "svc", mesh.cards.app(LEAVING), mesh.cards.beats(LEAVING));
+        StandInApp app =
+                new StandInApp("i-life-" + ++lives, "svc", mesh.settings.app(LEAVING), mesh.settings.beats(LEAVING));
         mesh.apps.set(LEAVING, app);
         app.beatEvery(BEAT_MS);
         MeshRig.await("it gets requests", () -> {
--- a/src/test/java/whinlead/mesh/LocalMesh.java
+++ b/src/test/java/whinlead/mesh/LocalMesh.java
@@ -36,7 +36,7 @@
     private static final int DEADLINE_MS = 60_000;
     private static final int BIND_TRIES = 5;
 
-    final TestbedSettings cards;
+    final TestbedSettings settings;
     final StandInApp app;
     final Sidecar near;
     final Sidecar far;
@@ -65,21 +65,21 @@
 
     private LocalMesh(int graceS, StandInApp.Script script) throws Exception {
         Logs.configure();
-        cards = new TestbedSettings(1);
+        settings = new TestbedSettings(1);
         NodeSettingsReader reader = new NodeSettingsReader(new ObjectMapper());
         EventLoop others = otherLoops.next();
         new ControlNode(
-                        reader.parse(cards.controlNode(
+                        reader.parse(settings.controlNode(
                                 0, Files.createTempDirectory("mesh").toString(), true)),
                         others,
                         new ObjectMapper())
                 .start();
         near = new Sidecar(
-                reader.parse(grace(cards.sidecar(0, "client"), graceS)), nearLoop.next(), new ObjectMapper());
-        far = new Sidecar(reader.parse(grace(cards.sidecar(1, "svc"), graceS)), others, new ObjectMapper());
+                reader.parse(grace(settings.sidecar(0, "client"), graceS)), nearLoop.next(), new ObjectMapper());
+        far = new Sidecar(reader.parse(grace(settings.sidecar(1, "svc"), graceS)), others, new ObjectMapper());
         near.start();
         far.start();
-        app = new StandInApp("i-1", "svc", cards.app(1), cards.beats(1), script);
+        app = new StandInApp("i-1", "svc", settings.app(1), settings.beats(1), script);
         app.beatEvery(BEAT_MS);
     }
 
@@ -109,7 +109,7 @@
         MeshRig.await(
                 "version " + version + " is taken",
                 () -> Talk.ask(
-                                        cards.control(0),
+                                        settings.control(0),
                                         "POST /whinlead/rpc?call=config.replace",
                                         Map.of("If-Match", before),
                                         configuration.getBytes(StandardCharsets.UTF_8))
@@ -118,7 +118,7 @@
     }
 
     boolean ready() throws IOException {
-        return Talk.ask(cards.readiness(0), "GET /whinlead/readiness", Map.of(), new byte[0])
+        return Talk.ask(settings.readiness(0), "GET /whinlead/readiness", Map.of(), new byte[0])
                         .status()
                 == 200;
     }
@@ -150,7 +150,7 @@
                 headers.get("Attempt-Id"),
                 CompletableFuture.supplyAsync(
                         () -> {
-                            try (Talk talk = new Talk(cards.egress(0))) {
+                            try (Talk talk = new Talk(settings.egress(0))) {
                                 talk.say(first + " HTTP/1.1", headers, new byte[bodyLength]);
                                 return heard(talk);
                             } catch (IOException e) {
--- a/src/test/java/whinlead/mesh/MeshProcessTest.java
+++ b/src/test/java/whinlead/mesh/MeshProcessTest.java
@@ -81,7 +81,7 @@
         headers.put("Caller-Service", "forged");
         headers.put("X-Own", "kept");
         byte[] body = "a body".getBytes(StandardCharsets.UTF_8);
-        Talk.Message answer = Talk.ask(mesh.cards.egress(0), "POST /b/x?q=1%202", headers, body);
+        Talk.Message answer = Talk.ask(mesh.settings.egress(0), "POST /b/x?q=1%202", headers, body);
         assertEquals(answer.status(), 200);
         assertNotNull(answer.headers().get("server-seal"));
         assertEquals(answer.headers().get("attempt-id"), headers.get("Attempt-Id"));
@@ -106,19 +106,21 @@
         Map<String, String> stranger = mesh.headers();
         stranger.put("Api-Key", "no-one's");
         assertEquals(
-                Talk.ask(mesh.cards.egress(0), "GET /a/x", stranger, new byte[0])
+                Talk.ask(mesh.settings.egress(0), "GET /a/x", stranger, new byte[0])
                         .status(),
                 401);
         Map<String, String> odd = mesh.headers();
         odd.put("Deadline-Ms", "soon");
         assertEquals(
-                Talk.ask(mesh.cards.egress(0), "GET /a/x", odd, new byte[0]).status(), 400);
+                Talk.ask(mesh.settings.egress(0), "GET /a/x", odd, new byte[0]).status(), 400);
         Map<String, String> large = mesh.headers();
         large.put("X-Large", "x".repeat(20_000));
         assertEquals(
-                Talk.ask(mesh.cards.egress(0), "GET /a/x", large, new byte[0]).status(), 431);
+                Talk.ask(mesh.settings.egress(0), "GET /a/x", large, new byte[0])
+                        .status(),
+                431);
         // One request may hide in another where both framings are told.
-        try (Talk talk = new Talk(mesh.cards.egress(0))) {
+        try (Talk talk = new Talk(mesh.settings.egress(0))) {
             String hidden = "GET /a/hidden HTTP/1.1\r\nHost: post.example\r\nAttempt-Id: h\r\n\r\n";
             talk.raw(("POST /b/x HTTP/1.1\r\nHost: post.example\r\nAttempt-Id: s\r\nApi-Key: key-1\r\n"
                             + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden)
@@ -133,7 +135,7 @@
         // A burst may be refused in part; then all are sent again. The order holds each time.
         MeshRig.await("ten in a row are served", () -> {
             int served = 0;
-            try (Talk talk = new Talk(mesh.cards.egress(1))) {
+            try (Talk talk = new Talk(mesh.settings.egress(1))) {
                 StringBuilder all = new StringBuilder();
                 for (int i = 0; i < 10; i++) {
                     all.append("GET /a/p HTTP/1.1\r\nHost: post.example\r\nAttempt-Id: p-")
@@ -183,7 +185,7 @@
         MeshRig.await("it is at an endpoint", () -> {
             Map<String, String> headers = mesh.headers();
             String id = headers.get("Attempt-Id");
-            Talk talk = new Talk(mesh.cards.egress(0));
+            Talk talk = new Talk(mesh.settings.egress(0));
             talk.say(route + StandInApp.ENDLESS + " HTTP/1.1", headers, new byte[0]);
             long end = System.nanoTime() + ARRIVES_NS;
             while (System.nanoTime() < end) {
@@ -245,7 +247,7 @@
     @Test(dependsOnMethods = "aControlNodeLostTakesNothingWithIt", priority = 1)
     public void aSidecarThatIsStoppedEndsWhatItHolds() throws Exception {
         CompletableFuture<Talk.Message> slow = CompletableFuture.supplyAsync(() -> {
-            try (Talk talk = new Talk(mesh.cards.egress(2))) {
+            try (Talk talk = new Talk(mesh.settings.egress(2))) {
                 return talk.ask("GET /c" + StandInApp.SLOW, mesh.headers(), new byte[0]);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
--- a/src/test/java/whinlead/mesh/MeshRig.java
+++ b/src/test/java/whinlead/mesh/MeshRig.java
@@ -20,7 +20,7 @@
     private static final long WAIT_S = 30;
     private static final long BEAT_MS = 200;
 
-    final TestbedSettings cards;
+    final TestbedSettings settings;
     final List<StandInApp> apps = new ArrayList<>();
     final List<Process> controlNodes = new ArrayList<>();
     final List<Process> sidecars = new ArrayList<>();
@@ -28,31 +28,31 @@
     private int attempts;
 
     MeshRig(int sidecarCount) throws IOException {
-        cards = new TestbedSettings(3);
+        settings = new TestbedSettings(3);
         folder = Files.createTempDirectory("mesh");
         for (int i = 0; i < 3; i++) {
             controlNodes.add(controlNode(i, true));
         }
         for (int i = 0; i < sidecarCount; i++) {
-            apps.add(new StandInApp("i-" + i, "svc", cards.app(i), cards.beats(i)));
+            apps.add(new StandInApp("i-" + i, "svc", settings.app(i), settings.beats(i)));
             sidecars.add(sidecar(i));
             apps.get(i).beatEvery(BEAT_MS);
         }
     }
 
     Process sidecar(int i) throws IOException {
-        return run("sidecar", "sidecar-" + i, cards.sidecar(i, "svc"));
+        return run("sidecar", "sidecar-" + i, settings.sidecar(i, "svc"));
     }
 
     Process controlNode(int i, boolean bootstrap) throws IOException {
         return run(
                 "control",
                 "control-" + i,
-                cards.controlNode(i, folder.resolve("disk-" + i).toString(), bootstrap));
+                settings.controlNode(i, folder.resolve("disk-" + i).toString(), bootstrap));
     }
 
     private Process run(String role, String name, List<String> lines) throws IOException {
-        Path settings = Files.write(folder.resolve(name + ".conf"), lines);
+        Path settingsFile = Files.write(folder.resolve(name + ".conf"), lines);
         ProcessBuilder b = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1",
@@ -62,7 +62,7 @@
                 System.getProperty("java.class.path"),
                 "whinlead.run.Main",
                 role);
-        b.environment().put("WHINLEAD_NODE_FILE", settings.toString());
+        b.environment().put("WHINLEAD_NODE_FILE", settingsFile.toString());
         File log = folder.resolve(name + ".log").toFile();
         return b.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
@@ -87,18 +87,18 @@
 
     Talk.Message replace(int controlNode, String ifMatch, String body) throws IOException {
         return Talk.ask(
-                cards.control(controlNode),
+                settings.control(controlNode),
                 "POST /whinlead/rpc?call=config.replace",
                 Map.of("If-Match", ifMatch, "Content-Type", "application/json"),
                 body.getBytes(StandardCharsets.UTF_8));
     }
 
     Talk.Message read(int controlNode) throws IOException {
-        return Talk.ask(cards.control(controlNode), "POST /whinlead/rpc?call=config.read", Map.of(), new byte[0]);
+        return Talk.ask(settings.control(controlNode), "POST /whinlead/rpc?call=config.read", Map.of(), new byte[0]);
     }
 
     boolean ready(int sidecar) throws IOException {
-        return Talk.ask(cards.readiness(sidecar), "GET /whinlead/readiness", Map.of(), new byte[0])
+        return Talk.ask(settings.readiness(sidecar), "GET /whinlead/readiness", Map.of(), new byte[0])
                         .status()
                 == 200;
     }
@@ -114,7 +114,7 @@
     }
 
     Talk.Message get(int sidecar, String path) throws IOException {
-        return Talk.ask(cards.egress(sidecar), "GET " + path, headers(), new byte[0]);
+        return Talk.ask(settings.egress(sidecar), "GET " + path, headers(), new byte[0]);
     }
 
     int ran() {
--- a/src/test/java/whinlead/mesh/OlderPeersTest.java
+++ b/src/test/java/whinlead/mesh/OlderPeersTest.java
@@ -60,18 +60,18 @@
         threads.shutdownNow();
     }
 
-    private void controlNode(TestbedSettings cards) throws Exception {
+    private void controlNode(TestbedSettings settings) throws Exception {
         String disk = Files.createTempDirectory("control").toString();
         new ControlNode(
-                        new NodeSettingsReader(new ObjectMapper()).parse(cards.controlNode(0, disk, true)),
+                        new NodeSettingsReader(new ObjectMapper()).parse(settings.controlNode(0, disk, true)),
                         loop,
                         new ObjectMapper())
                 .start();
     }
 
-    private static int replace(TestbedSettings cards) throws IOException {
+    private static int replace(TestbedSettings settings) throws IOException {
         return Talk.ask(
-                        cards.control(0),
+                        settings.control(0),
                         "POST /whinlead/rpc?call=config.replace",
                         Map.of("If-Match", "0"),
                         CONFIG.getBytes(StandardCharsets.UTF_8))
@@ -80,12 +80,12 @@
 
     @Test
     public void anOlderSidecarGetsItsConfigurationAndSumsFromThisControlNode() throws Exception {
-        TestbedSettings cards = new TestbedSettings(1);
-        controlNode(cards);
-        MeshRig.await("the configuration is taken", () -> replace(cards) == 200);
-        try (OlderPeer sidecar = OlderPeer.dial(cards.talk(0), cards.ingress(0), false)) {
+        TestbedSettings settings = new TestbedSettings(1);
+        controlNode(settings);
+        MeshRig.await("the configuration is taken", () -> replace(settings) == 200);
+        try (OlderPeer sidecar = OlderPeer.dial(settings.talk(0), settings.ingress(0), false)) {
             assertEquals(sidecar.hear().kind(), OlderPeer.POST);
-            sidecar.say(OlderPeer.POST, p -> record(p, cards.ingress(0), "i-0"));
+            sidecar.say(OlderPeer.POST, p -> record(p, settings.ingress(0), "i-0"));
             sidecar.say(OlderPeer.ASK, p -> p.packLong(-1));
             assertEquals(sidecar.hear(OlderPeer.NOTICE).unpackLong(), 1);
             sidecar.say(OlderPeer.FETCH, p -> {});
@@ -128,16 +128,16 @@
 
     @Test
     public void anOlderControlNodeVotesWithThisOneAndGetsItsVotes() throws Exception {
-        TestbedSettings cards = new TestbedSettings(2);
-        String older = cards.controlNodeIp(1) + "#0";
-        try (ServerSocket server = OlderPeer.listen(cards.talk(1))) {
-            controlNode(cards);
+        TestbedSettings settings = new TestbedSettings(2);
+        String older = settings.controlNodeIp(1) + "#0";
+        try (ServerSocket server = OlderPeer.listen(settings.talk(1))) {
+            controlNode(settings);
             OlderPeer in = OlderPeer.accept(server, older);
-            OlderPeer out = OlderPeer.dial(cards.talk(0), older, true);
+            OlderPeer out = OlderPeer.dial(settings.talk(0), older, true);
             CompletableFuture<String> accepted = new CompletableFuture<>();
             CompletableFuture<Void> promised = new CompletableFuture<>();
             threads.execute(() -> vote(in, out, accepted, promised));
-            MeshRig.await("the configuration is taken by both", () -> replace(cards) == 200);
+            MeshRig.await("the configuration is taken by both", () -> replace(settings) == 200);
             assertEquals(accepted.get(WAIT_MS, TimeUnit.MILLISECONDS), CONFIG);
             out.say(
                     OlderPeer.PAPER,
@@ -194,8 +194,8 @@
         }
     }
 
-    private static int get(TestbedSettings cards, String attempt) throws IOException {
-        return Talk.ask(cards.egress(0), "GET /a/x", headers(attempt), new byte[0])
+    private static int get(TestbedSettings settings, String attempt) throws IOException {
+        return Talk.ask(settings.egress(0), "GET /a/x", headers(attempt), new byte[0])
                 .status();
     }
 
@@ -205,32 +205,32 @@
 
     @Test
     public void thisSidecarServesBetweenAnOlderControlNodeAndAnOlderSidecar() throws Exception {
-        TestbedSettings cards = new TestbedSettings(1);
-        try (ServerSocket controlNodeServer = OlderPeer.listen(cards.talk(0));
-                ServerSocket sidecarServer = OlderPeer.listen(cards.ingress(1));
-                StandInApp endpoint = new StandInApp("i-0", "svc", cards.app(0), cards.beats(0))) {
+        TestbedSettings settings = new TestbedSettings(1);
+        try (ServerSocket controlNodeServer = OlderPeer.listen(settings.talk(0));
+                ServerSocket sidecarServer = OlderPeer.listen(settings.ingress(1));
+                StandInApp endpoint = new StandInApp("i-0", "svc", settings.app(0), settings.beats(0))) {
             new Sidecar(
-                            new NodeSettingsReader(new ObjectMapper()).parse(cards.sidecar(0, "svc")),
+                            new NodeSettingsReader(new ObjectMapper()).parse(settings.sidecar(0, "svc")),
                             loop,
                             new ObjectMapper())
                     .start();
             OlderPeer controlNode = OlderPeer.accept(controlNodeServer, "127.0.0.1#0");
-            configure(controlNode, cards);
+            configure(controlNode, settings);
             MeshRig.await(
                     "the sidecar is ready",
-                    () -> Talk.ask(cards.readiness(0), "GET /whinlead/readiness", Map.of(), new byte[0])
+                    () -> Talk.ask(settings.readiness(0), "GET /whinlead/readiness", Map.of(), new byte[0])
                                     .status()
                             == 200);
-            OlderPeer far = passesOn(cards, sidecarServer);
-            runsOf(cards, endpoint);
+            OlderPeer far = passesOn(settings, sidecarServer);
+            runsOf(settings, endpoint);
             far.close();
             controlNode.close();
         }
     }
 
-    private void configure(OlderPeer controlNode, TestbedSettings cards) throws Exception {
+    private void configure(OlderPeer controlNode, TestbedSettings settings) throws Exception {
         assertEquals(controlNode.hear(OlderPeer.ASK).unpackLong(), -1);
-        controlNode.say(OlderPeer.POST, p -> record(p, cards.ingress(1), "i-1"));
+        controlNode.say(OlderPeer.POST, p -> record(p, settings.ingress(1), "i-1"));
         controlNode.say(OlderPeer.NOTICE, p -> p.packLong(1));
         controlNode.hear(OlderPeer.FETCH);
         byte[] body = ConfigCodec.deflate(CONFIG.getBytes(StandardCharsets.UTF_8));
@@ -251,18 +251,18 @@
     }
 
     // Requests of clients here run beside the older sidecar; it is told nothing that it can't read.
-    private OlderPeer passesOn(TestbedSettings cards, ServerSocket server) throws Exception {
+    private OlderPeer passesOn(TestbedSettings settings, ServerSocket server) throws Exception {
         CompletableFuture<OlderPeer> accepted = CompletableFuture.supplyAsync(
                 () -> {
                     try {
-                        return OlderPeer.accept(server, cards.ingress(1));
+                        return OlderPeer.accept(server, settings.ingress(1));
                     } catch (IOException e) {
                         throw new IllegalStateException(e);
                     }
                 },
                 threads);
         OlderPeer far;
-        try (Talk leaves = new Talk(cards.egress(0))) {
+        try (Talk leaves = new Talk(settings.egress(0))) {
             leaves.say("GET /a/x HTTP/1.1", headers("leaves"), new byte[0]);
             far = accepted.get(WAIT_MS, TimeUnit.MILLISECONDS);
             request(far, "leaves");
@@ -270,7 +270,7 @@
         CompletableFuture<Integer> status = CompletableFuture.supplyAsync(
                 () -> {
                     try {
-                        return get(cards, "stays");
+                        return get(settings, "stays");
                     } catch (IOException e) {
                         throw new IllegalStateException(e);
                     }
@@ -302,9 +302,9 @@
     }
 
     // An older sidecar's request runs at the endpoint here.
-    private static void runsOf(TestbedSettings cards, StandInApp endpoint) throws Exception {
+    private static void runsOf(TestbedSettings settings, StandInApp endpoint) throws Exception {
         MeshRig.await("the endpoint is known", () -> endpoint.beat("serving") == 200);
-        try (OlderPeer caller = OlderPeer.dial(cards.ingress(0), cards.ingress(1), false)) {
+        try (OlderPeer caller = OlderPeer.dial(settings.ingress(0), settings.ingress(1), false)) {
             caller.say(OlderPeer.REQUEST, p -> {
                 p.packLong(77).packString("GET").packString("/a/y").packInt(2).packString("Attempt-Id");
                 p.packString("older").packBinaryHeader(0).packInt(WAIT_MS).packString("svc");
--- a/src/test/java/whinlead/mesh/OrderOutcomesTest.java
+++ b/src/test/java/whinlead/mesh/OrderOutcomesTest.java
@@ -117,7 +117,7 @@
 
     private int ask(int controlNode, Call call) throws IOException {
         return Talk.ask(
-                        mesh.cards.control(controlNode),
+                        mesh.settings.control(controlNode),
                         call.line(),
                         Map.of("If-Match", call.ifMatch(), "Content-Type", "application/json"),
                         call.body())
--- a/src/test/java/whinlead/mesh/PlannedWorkTest.java
+++ b/src/test/java/whinlead/mesh/PlannedWorkTest.java
@@ -109,7 +109,7 @@
 
     @Test
     public void afterSigtermItEndsAsSoonAsItsConnectionsHave() throws Exception {
-        try (Talk idle = new Talk(mesh.cards.egress(0))) {
+        try (Talk idle = new Talk(mesh.settings.egress(0))) {
             LocalMesh.Sent slow = underWay("POST /b" + StandInApp.SLOW);
             CompletableFuture<Void> ended = mesh.stop();
             MeshRig.await("it tells that it leaves", () -> !mesh.ready());
--- a/src/test/java/whinlead/mesh/RelayedRig.java
+++ b/src/test/java/whinlead/mesh/RelayedRig.java
@@ -44,7 +44,7 @@
     private static final long PAUSE_NS = 5_000_000;
     private static final double NANOS = 1e6;
 
-    final TestbedSettings cards;
+    final TestbedSettings settings;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Map<String, Relay> relays = new LinkedHashMap<>();
     private final Map<String, Process> processes = new LinkedHashMap<>();
@@ -52,7 +52,7 @@
     private final Path folder;
 
     RelayedRig() throws IOException {
-        cards = new TestbedSettings(3);
+        settings = new TestbedSettings(3);
         folder = Files.createTempDirectory("relayed");
         List<String> names = new ArrayList<>();
         for (int i = 0; i < CONTROL_NODES; i++) {
@@ -73,7 +73,7 @@
 
     private String real(String name) {
         int i = number(name);
-        return name.startsWith("o") ? cards.talk(i) : cards.ingress(i);
+        return name.startsWith("o") ? settings.talk(i) : settings.ingress(i);
     }
 
     private static int number(String name) {
@@ -93,7 +93,7 @@
     // --- processes
 
     void controlNode(int i, boolean bootstrap) throws IOException {
-        start("control", "o" + i, cards.controlNode(i, disk(i).toString(), bootstrap));
+        start("control", "o" + i, settings.controlNode(i, disk(i).toString(), bootstrap));
     }
 
     /** Starts the control nodes that found the set of voters, and waits until each runs. */
@@ -115,10 +115,10 @@
 
     /** A sidecar whose seeds are these control nodes, in this order. */
     void sidecar(int i, int... seeds) throws IOException {
-        List<String> lines = cards.sidecar(i, "svc");
+        List<String> lines = settings.sidecar(i, "svc");
         List<String> at = new ArrayList<>();
         for (int s : seeds) {
-            at.add(cards.control(s));
+            at.add(settings.control(s));
         }
         lines.replaceAll(l -> l.startsWith("Network.Seeds=") ? "Network.Seeds=" + String.join(",", at) : l);
         start("sidecar", "c" + i, lines);
@@ -138,7 +138,7 @@
     }
 
     private void start(String role, String name, List<String> lines) throws IOException {
-        Path settings = Files.write(folder.resolve(name + ".conf"), lines);
+        Path settingsFile = Files.write(folder.resolve(name + ".conf"), lines);
         List<String> ways = new ArrayList<>();
         relays.forEach((way, relay) -> {
             if (way.startsWith(name + ">")) {
@@ -159,7 +159,7 @@
                 System.getProperty("java.class.path"),
                 RelayedRole.class.getName(),
                 role);
-        b.environment().put("WHINLEAD_NODE_FILE", settings.toString());
+        b.environment().put("WHINLEAD_NODE_FILE", settingsFile.toString());
         File log = folder.resolve(name + ".log").toFile();
         Process old = processes.put(
                 name,
@@ -247,14 +247,14 @@
 
     Talk.Message replace(int controlNode, int builtOn, String body) throws IOException {
         return Talk.ask(
-                cards.control(controlNode),
+                settings.control(controlNode),
                 "POST /whinlead/rpc?call=config.replace",
                 Map.of("If-Match", epoch(builtOn), "Content-Type", "application/json"),
                 body.getBytes(StandardCharsets.UTF_8));
     }
 
     Talk.Message read(int controlNode) throws IOException {
-        return Talk.ask(cards.control(controlNode), "POST /whinlead/rpc?call=config.read", Map.of(), new byte[0]);
+        return Talk.ask(settings.control(controlNode), "POST /whinlead/rpc?call=config.read", Map.of(), new byte[0]);
     }
 
     /** Waits until each founding control node reads out a configuration. */
@@ -270,7 +270,7 @@
     }
 
     boolean ready(int sidecar) throws IOException {
-        return Talk.ask(cards.readiness(sidecar), "GET /whinlead/readiness", Map.of(), new byte[0])
+        return Talk.ask(settings.readiness(sidecar), "GET /whinlead/readiness", Map.of(), new byte[0])
                         .status()
                 == 200;
     }
@@ -289,7 +289,7 @@
 
     /** Whether this version's own route is there at the sidecar. */
     boolean serves(int sidecar, int version) throws IOException {
-        return Talk.ask(cards.egress(sidecar), "GET /v" + version + "/x", headers(2000), new byte[0])
+        return Talk.ask(settings.egress(sidecar), "GET /v" + version + "/x", headers(2000), new byte[0])
                         .status()
                 != 404;
     }
--- a/src/test/java/whinlead/mesh/ReplacedControlNodeTest.java
+++ b/src/test/java/whinlead/mesh/ReplacedControlNodeTest.java
@@ -48,7 +48,7 @@
     }
 
     private boolean elects(int at, int controlNode) throws Exception {
-        return rig.voters(at).contains(rig.cards.controlNodeIp(controlNode) + "#");
+        return rig.voters(at).contains(rig.settings.controlNodeIp(controlNode) + "#");
     }
 
     @Test
--- a/src/test/java/whinlead/mesh/control/DepartureMesh.java
+++ b/src/test/java/whinlead/mesh/control/DepartureMesh.java
@@ -175,23 +175,43 @@
         }
     }
 
-    private final class SidecarProcess {
+    /** A process that can be killed and is started again. */
+    private abstract class Process {
+        /** Changes with each start and each kill. */
+        int incarnation;
+
+        boolean up = true;
+
+        /** Starts, or starts again without what was in memory. */
+        abstract void start();
+
+        final void restart() {
+            up = false;
+            int killed = ++incarnation;
+            calendar.schedule(200 + random.nextInt(600), () -> {
+                if (incarnation == killed) {
+                    incarnation++;
+                    up = true;
+                    start();
+                }
+            });
+        }
+    }
+
+    private final class SidecarProcess extends Process {
         private EndpointGate gate = new EndpointGate(HEARTBEAT_MS);
         /** What this process has reported itself. */
         private final Set<String> reported = new HashSet<>();
 
         private EndpointCalls calls;
-        private int incarnation;
-        private boolean up = true;
 
         private SidecarProcess() {
             start();
             tick();
         }
 
-        private void start() {
-            incarnation++;
-            up = true;
+        @Override
+        void start() {
             gate = new EndpointGate(HEARTBEAT_MS);
             calls = new EndpointCalls(calendar::nowMs, gate, this::broadcast, new EndpointCalls.Listener() {
                 @Override
@@ -210,16 +230,6 @@
             }
         }
 
-        private void restart() {
-            up = false;
-            int killed = ++incarnation;
-            calendar.schedule(200 + random.nextInt(600), () -> {
-                if (incarnation == killed) {
-                    start();
-                }
-            });
-        }
-
         private void tick() {
             if (up) {
                 calls.tick();
@@ -263,12 +273,10 @@
         }
     }
 
-    private final class ControlProcess {
+    private final class ControlProcess extends Process {
         private final int index;
         private final MessageSender connection = new Connection();
         private DepartureRecorder recorder;
-        private int incarnation;
-        private boolean up = true;
         private double cutUntilMs;
 
         private ControlProcess(int index) {
@@ -280,9 +288,9 @@
             return "10.0.0." + (index + 1) + "#0";
         }
 
-        private void start() {
-            int started = ++incarnation;
-            up = true;
+        @Override
+        void start() {
+            int started = incarnation;
             recorder = new DepartureRecorder(
                     calendar::nowMs,
                     id(),
@@ -294,6 +302,7 @@
                     }),
                     Runnable::run,
                     message -> {});
+            connect();
         }
 
         // A process that keeps departures in memory has an empty disk after each start.
@@ -305,17 +314,6 @@
             }
         }
 
-        private void restart() {
-            up = false;
-            int killed = ++incarnation;
-            calendar.schedule(200 + random.nextInt(600), () -> {
-                if (incarnation == killed) {
-                    start();
-                    connect();
-                }
-            });
-        }
-
         private void connect() {
             deliver(() -> recorder.sidecarConnected(connection));
         }
@@ -323,7 +321,7 @@
         // Messages to this process arrive unless one side has ended meanwhile, or the link is cut.
         private void deliver(Runnable message) {
             int receiver = incarnation;
-            int sender = sidecar == null ? 1 : sidecar.incarnation;
+            int sender = sidecar == null ? 0 : sidecar.incarnation;
             calendar.schedule(1 + random.nextInt(20), () -> {
                 boolean connected = calendar.nowMs() >= cutUntilMs && sidecar.incarnation == sender;
                 if (up && connected && incarnation == receiver) {
--- a/src/test/java/whinlead/mesh/storage/DepartureStoreTest.java
+++ b/src/test/java/whinlead/mesh/storage/DepartureStoreTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -32,20 +31,9 @@
 
     @Test
     public void newFileIsSyncedBeforeRenameAndFolderAfterwards() throws Exception {
-        List<String> synced = new ArrayList<>();
-        Syncer syncer = new Syncer() {
-            @Override
-            public void syncFile(Path file) {
-                synced.add(file.getFileName().toString());
-            }
-
-            @Override
-            public void syncFolder(Path which) {
-                synced.add("folder");
-            }
-        };
+        RecordingSyncer syncer = new RecordingSyncer();
         new DepartureStore(folder, syncer).write(List.of());
-        assertEquals(synced, List.of("departures.new", "folder"));
+        assertEquals(syncer.synced(), List.of("departures.new", "folder"));
     }
 
     @Test
--- a/src/test/java/whinlead/mesh/storage/DutyStoreTest.java
+++ b/src/test/java/whinlead/mesh/storage/DutyStoreTest.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -15,26 +14,16 @@
 /** Persistence of a voter's last vote. */
 public class DutyStoreTest {
     private Path folder;
-    private List<String> synced;
+    private RecordingSyncer syncer;
 
     @BeforeMethod
     public void createFolder() throws Exception {
         folder = Files.createTempDirectory("duty");
-        synced = new ArrayList<>();
+        syncer = new RecordingSyncer();
     }
 
     private DutyStore store() {
-        return new DutyStore(folder, new Syncer() {
-            @Override
-            public void syncFile(Path file) {
-                synced.add(file.getFileName().toString());
-            }
-
-            @Override
-            public void syncFolder(Path which) {
-                synced.add("folder");
-            }
-        });
+        return new DutyStore(folder, syncer);
     }
 
     @Test
@@ -47,7 +36,7 @@
     @Test
     public void newFileIsSyncedBeforeRenameAndFolderAfterwards() throws Exception {
         store().write(new DutyPromise(1, "a"));
-        assertEquals(synced, List.of("duty.new", "folder"));
+        assertEquals(syncer.synced(), List.of("duty.new", "folder"));
     }
 
     @Test
--- a/src/test/java/whinlead/mesh/storage/LesseeStoreTest.java
+++ b/src/test/java/whinlead/mesh/storage/LesseeStoreTest.java
@@ -4,7 +4,6 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
@@ -13,26 +12,16 @@
 /** Persistence of the sidecars that may hold leases. */
 public class LesseeStoreTest {
     private Path folder;
-    private List<String> synced;
+    private RecordingSyncer syncer;
 
     @BeforeMethod
     public void createFolder() throws Exception {
         folder = Files.createTempDirectory("lessees");
-        synced = new ArrayList<>();
+        syncer = new RecordingSyncer();
     }
 
     private LesseeStore store() {
-        return new LesseeStore(folder, new Syncer() {
-            @Override
-            public void syncFile(Path file) {
-                synced.add(file.getFileName().toString());
-            }
-
-            @Override
-            public void syncFolder(Path which) {
-                synced.add("folder");
-            }
-        });
+        return new LesseeStore(folder, syncer);
     }
 
     @Test
@@ -48,7 +37,7 @@
     @Test
     public void newFileIsSyncedBeforeRenameAndFolderAfterwards() throws Exception {
         store().write(new LesseeStore.Entry(Set.of("a"), false));
-        assertEquals(synced, List.of("lessees.new", "folder"));
+        assertEquals(syncer.synced(), List.of("lessees.new", "folder"));
     }
 
     @Test
