Test: the simulated control nodes' disks are removed after each schedule

Cause: DepartureMesh left three folders for each of 500 schedules in the temporary folder, and one more for each start with a planted fault. Change: one folder a schedule, deleted when it is closed.

--- a/src/test/java/whinlead/mesh/control/DepartureMesh.java
+++ b/src/test/java/whinlead/mesh/control/DepartureMesh.java
@@ -4,13 +4,14 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Stream;
 import whinlead.mesh.rpc.RpcCall;
 import whinlead.mesh.sidecar.EndpointCalls;
 import whinlead.mesh.sidecar.EndpointGate;
@@ -26,7 +27,7 @@
  * are killed and start again, links are cut, heartbeats arrive late. Counts how often an endpoint is open to requests
  * later than {@link #DRAIN_MS} after its departure was acknowledged.
  */
-final class DepartureMesh {
+final class DepartureMesh implements AutoCloseable {
     /** Faults that can be planted, to show that the check finds them. */
     enum Fault {
         NONE,
@@ -56,7 +57,9 @@
     private final Calendar calendar = new Calendar();
     private final Random random;
     private final Fault fault;
-    private final List<Path> disks = new ArrayList<>();
+    /** Contains the disks of all control nodes. */
+    private final Path folder = Files.createTempDirectory("departures");
+
     private final ControlProcess[] controlNodes = new ControlProcess[CONTROL_NODES];
     private final Map<String, Double> acknowledgedAtMs = new HashMap<>();
     private SidecarProcess sidecar;
@@ -69,7 +72,6 @@
         this.random = new Random(seed);
         this.fault = fault;
         for (int i = 0; i < CONTROL_NODES; i++) {
-            disks.add(Files.createTempDirectory("departures"));
             controlNodes[i] = new ControlProcess(i);
         }
         sidecar = new SidecarProcess();
@@ -85,6 +87,15 @@
         calendar.runUntil(troubleMs + calmMs);
     }
 
+    @Override
+    public void close() throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
     /** How often an endpoint was open to requests too late after its acknowledged departure. */
     int openTooLate() {
         return openTooLate;
@@ -307,8 +318,9 @@
 
         // A process that keeps departures in memory has an empty disk after each start.
         private Path disk() {
+            String name = fault == Fault.KEPT_IN_MEMORY ? index + "-" + incarnation : Integer.toString(index);
             try {
-                return fault == Fault.KEPT_IN_MEMORY ? Files.createTempDirectory("memory") : disks.get(index);
+                return Files.createDirectories(folder.resolve(name));
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
--- a/src/test/java/whinlead/mesh/control/DepartureMeshTest.java
+++ b/src/test/java/whinlead/mesh/control/DepartureMeshTest.java
@@ -19,11 +19,12 @@
     public void noEndpointServesAfterItsAcknowledgedDeparture() throws Exception {
         int acknowledgements = 0;
         for (long seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
-            DepartureMesh mesh = new DepartureMesh(seed, DepartureMesh.Fault.NONE);
-            mesh.run(TROUBLE_MS, CALM_MS);
-            assertEquals(mesh.openTooLate(), 0, "seed " + seed);
-            assertTrue(mesh.serves(), "the newest endpoint serves in calm times, seed " + seed);
-            acknowledgements += mesh.acknowledgements();
+            try (DepartureMesh mesh = new DepartureMesh(seed, DepartureMesh.Fault.NONE)) {
+                mesh.run(TROUBLE_MS, CALM_MS);
+                assertEquals(mesh.openTooLate(), 0, "seed " + seed);
+                assertTrue(mesh.serves(), "the newest endpoint serves in calm times, seed " + seed);
+                acknowledgements += mesh.acknowledgements();
+            }
         }
         assertTrue(acknowledgements > SCHEDULES, acknowledgements + " departures were acknowledged");
     }
@@ -45,10 +46,11 @@
 
     private static boolean isFound(DepartureMesh.Fault fault) throws Exception {
         for (long seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
-            DepartureMesh mesh = new DepartureMesh(seed, fault);
-            mesh.run(TROUBLE_MS, CALM_MS);
-            if (mesh.openTooLate() > 0) {
-                return true;
+            try (DepartureMesh mesh = new DepartureMesh(seed, fault)) {
+                mesh.run(TROUBLE_MS, CALM_MS);
+                if (mesh.openTooLate() > 0) {
+                    return true;
+                }
             }
         }
         return false;
