Testbed: a closed stand-in endpoint has released its address

A listening socket stays open while a thread is still within accept. Change: StandInApp.close waits for that thread, within a bound.

--- a/src/main/java/whinlead/testbed/mesh/StandInApp.java
+++ b/src/main/java/whinlead/testbed/mesh/StandInApp.java
@@ -57,6 +57,9 @@
         t.setDaemon(true);
         return t;
     });
+    /** Reaches zero when no thread accepts connections any more. */
+    private final CountDownLatch acceptEnded = new CountDownLatch(1);
+
     private final Queue<Talk.Message> ran = new ConcurrentLinkedQueue<>();
     private final Queue<String> cancelled = new ConcurrentLinkedQueue<>();
     private final AtomicLong calls = new AtomicLong();
@@ -158,13 +161,16 @@
     }
 
     private void accept() {
-        while (!server.isClosed()) {
-            try {
+        try {
+            while (!server.isClosed()) {
                 Socket socket = server.accept();
                 threads.execute(() -> serve(socket));
-            } catch (IOException e) {
-                return;
             }
+        } catch (IOException e) {
+            // The endpoint has ended.
+            return;
+        } finally {
+            acceptEnded.countDown();
         }
     }
 
@@ -223,10 +229,18 @@
         }
     }
 
+    /** Ends the endpoint; its address is free afterwards, which it is not before the thread that accepts has ended. */
     @Override
     public void close() throws IOException {
         server.close();
         beating.shutdownNow();
         threads.shutdownNow();
+        try {
+            if (!acceptEnded.await(STOP_WAIT_S, TimeUnit.SECONDS)) {
+                throw new IOException("the address was not released in " + STOP_WAIT_S + " s");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
