Control nodes: the vote on disk is read by its recorder

Change: DutyRecorder reads the promise that it records; a comment in KeyMesh that repeated its constant's is gone.

--- a/src/main/java/whinlead/mesh/control/ControlNode.java
+++ b/src/main/java/whinlead/mesh/control/ControlNode.java
@@ -4,7 +4,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -144,12 +143,7 @@
     }
 
     private KeyDuty createKeyDuty(DutyStore store, Executor disk) {
-        DutyPromise promise = null;
-        try {
-            promise = store.read();
-        } catch (IOException e) {
-            Event.VOTE_NOT_RECORDED.log(e.toString());
-        }
+        DutyPromise promise = DutyRecorder.readPromise(store);
         return new KeyDuty(
                 ControlNode::nowMs,
                 this::isConfirmed,
--- a/src/main/java/whinlead/mesh/control/DutyRecorder.java
+++ b/src/main/java/whinlead/mesh/control/DutyRecorder.java
@@ -37,6 +37,16 @@
         this.loop = loop;
     }
 
+    /** The promise on disk; null, and logged, if it can't be read. */
+    static DutyPromise readPromise(DutyStore store) {
+        try {
+            return store.read();
+        } catch (IOException e) {
+            Event.VOTE_NOT_RECORDED.log(e.toString());
+            return null;
+        }
+    }
+
     @Override
     public void whenRecorded(DutyPromise promise, Runnable onRecorded) {
         if (promise.equals(recorded) && !writing) {
--- a/src/test/java/whinlead/mesh/control/KeyMesh.java
+++ b/src/test/java/whinlead/mesh/control/KeyMesh.java
@@ -53,7 +53,6 @@
                 int control,
                 long connection,
                 Runnable deliver) {
-            // The process may be suspended between this decision and the write.
             calendar.schedule(random.nextDouble() * MAX_SEND_DELAY_MS, () -> {
                 double arrivalMs = Math.max(lastMs, sender.sendTimeMs() + 1 + random.nextInt(scenario.maxDelayMs()));
                 double undelayedMs = arrivalMs;
