--- a/review/standins-2/CutSecondAnswer.java
+++ b/review/standins-2/CutSecondAnswer.java
@@ -12,8 +12,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Endpoints in trouble send a second answer after a whole one, cut off in its first line, and serve on. What do the
- * clients get whose requests come next on those connections?
+ * Endpoints in trouble send a second answer after a whole one, which is cut off, and serve on. What becomes of the
+ * requests that come next on those connections? The second answer is a 500 that is cut off in its first line (MIXED), or
+ * a 503 with {@code Not-Executed} that is cut off behind that (TWICE).
  */
 public final class CutSecondAnswer {
     static final int MACHINES = 5;
@@ -26,10 +27,15 @@
     /** What an endpoint answered, by attempt. */
     static final Map<String, Integer> answered = new ConcurrentHashMap<>();
 
+    /** How often each order ran. */
+    static final Map<String, Integer> orderRuns = new ConcurrentHashMap<>();
+
     static volatile boolean troubled;
+    static boolean turnsAway;
     static final AtomicInteger cuts = new AtomicInteger();
 
     public static void main(String[] args) {
+        turnsAway = "TWICE".equals(args[1]);
         Rig.finish(() -> run(Path.of(args[0])));
     }
 
@@ -99,7 +105,25 @@
         if (clients.statuses.getOrDefault(200, 0) < 500) {
             throw new Rig.NotRun("too few requests were served");
         }
-        return mixed > 0 ? Rig.BROKEN : Rig.HELD;
+        return turnsAway ? verdictOnRuns(rig, clients) : mixed > 0 ? Rig.BROKEN : Rig.HELD;
+    }
+
+    private static int verdictOnRuns(Rig rig, Clients clients) {
+        int twice = 0;
+        int refused = 0;
+        for (Map.Entry<String, Integer> each : orderRuns.entrySet()) {
+            Rig.Message answer = clients.got.get(each.getKey());
+            int status = answer == null ? 0 : answer.status;
+            if (each.getValue() > 1) {
+                twice++;
+                rig.say("TWICE: order " + each.getKey() + " ran " + each.getValue() + " times, the client got " + status);
+            } else if (status == 503 || status == 429) {
+                refused++;
+                rig.say("REFUSED: order " + each.getKey() + " ran, the client got " + status);
+            }
+        }
+        rig.say("orders that ran " + orderRuns.size() + ", more than once " + twice + ", once and were refused " + refused);
+        return twice > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
     /** Clients on all machines that keep their connections. */
@@ -223,6 +247,9 @@
             try {
                 slots.acquireUninterruptibly();
                 rig.note("run " + attempt + " at " + id);
+                if (request.first.startsWith("POST")) {
+                    orderRuns.merge(attempt, 1, Integer::sum);
+                }
                 Rig.sleep(0.04 + 0.08 * random.nextDouble());
                 slots.release();
             } finally {
@@ -230,9 +257,11 @@
             }
             byte[] whole = message("200 OK", attempt, "Server-Seal: " + id + "." + attempt + "\r\n", "done " + attempt);
             if (troubled && mayBeTroubled && random.nextDouble() < ANSWERS) {
-                byte[] second = message("500 Internal Server Error", attempt, "", "failed after all");
-                int firstLine = "HTTP/1.1 500 Internal Server Error".length();
-                int cut = 1 + random.nextInt(firstLine - 1);
+                String cutLine = turnsAway
+                        ? "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1"
+                        : "HTTP/1.1 500 Internal Server Error";
+                byte[] second = cutLine.getBytes(StandardCharsets.US_ASCII);
+                int cut = turnsAway ? second.length : 1 + random.nextInt(second.length - 1);
                 byte[] both = java.util.Arrays.copyOf(whole, whole.length + cut);
                 System.arraycopy(second, 0, both, whole.length, cut);
                 cuts.incrementAndGet();
