--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -512,6 +512,8 @@
         final int capacity;
         final int queue;
         volatile double workS;
+        /** Is told of each request that runs, by its attempt. */
+        volatile java.util.function.BiConsumer<String, Message> requests = (attempt, request) -> {};
         volatile boolean draining;
         volatile boolean beating = true;
         final AtomicInteger inside = new AtomicInteger();
@@ -580,6 +582,7 @@
                 slots.acquireUninterruptibly();
                 ran.merge(attempt, 1, Integer::sum);
                 runs.incrementAndGet();
+                requests.accept(attempt, request);
                 note("run " + attempt + " at " + id + " bytes " + request.body.length + " caller "
                         + request.headers.get("Caller-Service"));
                 sleep(workS);
