--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -304,6 +304,23 @@
 
     @Override
     public synchronized void close() {
+        // Control nodes are asked first: one that is killed leaves an unpacked library in the folder for temporary files.
+        processes.forEach((name, process) -> {
+            if (name.startsWith("control-")) {
+                process.destroy();
+            } else {
+                process.destroyForcibly();
+            }
+        });
+        double until = seconds() + 3;
+        while (seconds() < until && processes.values().stream().anyMatch(Process::isAlive)) {
+            try {
+                Thread.sleep(50);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                until = 0;
+            }
+        }
         processes.values().forEach(process -> process.destroyForcibly());
         processes.values().forEach(process -> {
             try {
