Reject responses whose status is not one of HTTP's

What callers saw: an endpoint answered with the status 000, and the client got that as its answer, under the endpoint's seal. The same with 99, 600, 1000 and other numbers; "+200" and "0200" reached it as 200.

Cause: all four readers of responses (the connections to the endpoint beside a sidecar, the calls about keys to it, the list, the pool of the standalone sidecar) use Netty's decoder, which takes any whole number from 0 as a status and "HTTP/2.0" or "http/1.1" as a version.

Change: StrictClientCodec takes the place of HttpClientCodec in three of them. Its decoder accepts three digits from 100 to 599 and HTTP/1.x. A malformed response fails as a broken one did before: its connection is closed, the request counts as one that may have run, an order is answered 502 and not sent again. (The pool passes on no status but 200 and follows with its own decoder's checks.)

Evidence: BrokenResponseTest, whole way over sockets.

--- a/src/main/java/whinlead/membership/Discovery.java
+++ b/src/main/java/whinlead/membership/Discovery.java
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -31,6 +30,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import whinlead.Contract;
+import whinlead.http.StrictClientCodec;
 
 /**
  * Watches the list of endpoints. With a discovery service, the module decides when to retry after a failure; where the
@@ -97,7 +97,7 @@
                         channel.pipeline()
                                 .addLast(
                                         new ReadTimeoutHandler(SILENCE_TIMEOUT_MS, TimeUnit.MILLISECONDS),
-                                        new HttpClientCodec(),
+                                        new StrictClientCodec(),
                                         call,
                                         new LineBasedFrameDecoder(MAX_LINE_BYTES),
                                         new Lines(call));
--- a/src/main/java/whinlead/mesh/sidecar/EndpointConnections.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointConnections.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.SocketAddress;
@@ -18,6 +17,7 @@
 import java.util.function.Consumer;
 import whinlead.engine.Clock;
 import whinlead.engine.Timers;
+import whinlead.http.StrictClientCodec;
 import whinlead.loop.LoopTimers;
 import whinlead.mesh.wire.PeerMessage;
 
@@ -120,7 +120,7 @@
                 .connect(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(CODEC_CONFIG, false, false), newConnection);
+                        ch.pipeline().addLast(new StrictClientCodec(CODEC_CONFIG), newConnection);
                     }
                 })
                 .addListener(connectFuture -> {
--- a/src/main/java/whinlead/mesh/sidecar/EndpointGrants.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointGrants.java
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
@@ -27,6 +26,7 @@
 import java.util.Set;
 import java.util.function.DoubleUnaryOperator;
 import whinlead.engine.Timers;
+import whinlead.http.StrictClientCodec;
 import whinlead.mesh.keys.GrantCall;
 import whinlead.mesh.keys.ReleaseCall;
 
@@ -230,7 +230,7 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(
-                                        new HttpClientCodec(),
+                                        new StrictClientCodec(),
                                         new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                                         connection);
                     }
