Reject responses with a blank within or behind a field's name

What callers saw: of a response with a field such as "X-Odd Name: v" the client got "X-Odd: v" as the endpoint's. With "Content-Length x: 3" it got three bytes of the endpoint's five as the whole body, under its seal, and what was left of them was read into the next response; with "Transfer-Encoding x: chunked" it got a body that was decoded from chunks which the endpoint had not announced.

Cause: in responses, Netty's decoder ends a name at the first blank or tab and looks for the colon behind it. Names with control bytes, bytes beyond ASCII or no byte at all, and lines without a colon, it rejects by itself.

Change: StrictResponseDecoder rejects a name that is not followed at once by its colon, in heads and in trailers. A blank before the colon alone, which a proxy might remove, is rejected as well: the pool of the standalone sidecar does so already, and no sound endpoint sends it.

--- a/src/main/java/whinlead/http/StrictResponseDecoder.java
+++ b/src/main/java/whinlead/http/StrictResponseDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.AsciiString;
 import java.util.ArrayDeque;
 import java.util.Queue;
 
@@ -59,6 +60,16 @@
         return c >= '0' && c <= '9';
     }
 
+    // Netty ends a name at its first blank: it would read "Content-Length x: 3" as a length.
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        int end = start + length;
+        if (end >= line.length || line[end] != ':') {
+            throw new IllegalArgumentException("a field name is not followed by a colon");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         HttpStatusClass statusClass = ((HttpResponse) message).status().codeClass();
--- a/src/test/java/whinlead/mesh/BrokenResponseTest.java
+++ b/src/test/java/whinlead/mesh/BrokenResponseTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -21,39 +22,79 @@
     private static final double DEADLINE_S = 30;
     private static final int BODY_BYTES = 10;
     private static final String BODY = "hello";
+    /** A field that only the endpoint's own responses have. */
     private static final String MARK = "x-endpoint";
 
-    /** The responses by the last part of the request's path; ID stands for the attempt id. */
-    private static final Map<String, String> RESPONSES = Map.ofEntries(
-            status("000", "000 Trouble"),
-            status("0", "0 Trouble"),
-            status("99", "99 Trouble"),
-            status("099", "099 Trouble"),
-            status("600", "600 Trouble"),
-            status("999", "999 Trouble"),
-            status("1000", "1000 Trouble"),
-            status("0200", "0200 OK"),
-            status("plus200", "+200 OK"),
-            status("299", "299 Odd"),
-            status("404", "404"),
-            status("599", "599 Odd"),
-            status("noReason", "200 "));
+    private static final String LENGTH = "Content-Length: 5";
+    private static final String CHUNKED = "Transfer-Encoding: chunked";
+    private static final String CHUNKS = "5\r\nhello\r\n0\r\n";
+
+    /** Malformed responses by the name in the request's path; ID stands for the attempt id. */
+    private static final Map<String, String> MALFORMED = new LinkedHashMap<>();
+    /** Odd responses that are valid, by name; each has the status that its name begins with. */
+    private static final Map<String, String> VALID = new LinkedHashMap<>();
+
+    static {
+        MALFORMED.put("status-000", withStatus("000 Trouble"));
+        MALFORMED.put("status-0", withStatus("0 Trouble"));
+        MALFORMED.put("status-99", withStatus("99 Trouble"));
+        MALFORMED.put("status-099", withStatus("099 Trouble"));
+        MALFORMED.put("status-600", withStatus("600 Trouble"));
+        MALFORMED.put("status-999", withStatus("999 Trouble"));
+        MALFORMED.put("status-1000", withStatus("1000 Trouble"));
+        MALFORMED.put("status-0200", withStatus("0200 OK"));
+        MALFORMED.put("status-plus200", withStatus("+200 OK"));
+        MALFORMED.put("blank-in-name", withField("X-Odd Name: v"));
+        MALFORMED.put("tab-in-name", withField("X-Odd\tName: v"));
+        MALFORMED.put("blank-before-colon", withField("X-Odd : v"));
+        MALFORMED.put("tab-before-colon", withField("X-Odd\t: v"));
+        MALFORMED.put("blank-before-first-name", withField(" X-Odd: v"));
+        MALFORMED.put("control-in-name", withField("X-Odd\u0001Name: v"));
+        MALFORMED.put("null-in-name", withField("X-Odd\0: v"));
+        MALFORMED.put("delete-in-name", withField("X-Odd\u007f: v"));
+        MALFORMED.put("control-before-name", withField("\u000bX-Odd: v"));
+        MALFORMED.put("name-beyond-ascii", withField("X-Odd\u00e9: v"));
+        MALFORMED.put("empty-name", withField(": v"));
+        MALFORMED.put("no-colon", withField("X-Odd"));
+        MALFORMED.put("length-before-blank-and-word", withFraming("Content-Length x: 3", BODY));
+        MALFORMED.put("length-before-blank", withFraming("Content-Length : 3", BODY));
+        MALFORMED.put("coding-before-blank-and-word", withFraming("Transfer-Encoding x: chunked", CHUNKS + "\r\n"));
+        MALFORMED.put("blank-in-trailer-name", withFraming(CHUNKED, CHUNKS + "X-Odd Name: v\r\n\r\n"));
+        VALID.put("299", withStatus("299 Odd"));
+        VALID.put("404", withStatus("404"));
+        VALID.put("599", withStatus("599 Odd"));
+        VALID.put("200-empty-reason", withStatus("200 "));
+        VALID.put("200-odd-name", withField("x-oDD!#$%&'*+-.^_`|~0:v"));
+        VALID.put("200-blanks-round-value", withField("X-Odd: \t v\tv \t"));
+        VALID.put("200-value-beyond-ascii", withField("X-Odd: \u00e9"));
+        VALID.put("200-empty-value", withField("X-Odd:"));
+        VALID.put("200-trailer", withFraming(CHUNKED, CHUNKS + "X-Odd: v\r\n\r\n"));
+    }
 
     private LocalMesh mesh;
 
-    private static Map.Entry<String, String> status(String path, String statusAndReason) {
-        return Map.entry(path, response("HTTP/1.1 " + statusAndReason, "", "Content-Length: 5\r\n", BODY));
+    private static String withStatus(String statusAndReason) {
+        return response("HTTP/1.1 " + statusAndReason, "", LENGTH, BODY);
+    }
+
+    private static String withField(String field) {
+        return response("HTTP/1.1 200 OK", field + "\r\n", LENGTH, BODY);
+    }
+
+    private static String withFraming(String field, String bodyAsSent) {
+        return response("HTTP/1.1 200 OK", "", field, bodyAsSent);
     }
 
-    private static String response(String statusLine, String fields, String framing, String body) {
-        return statusLine + "\r\nAttempt-Id: ID\r\nServer-Seal: s\r\n" + MARK + ": m\r\n" + fields + framing + "\r\n"
-                + body;
+    private static String response(String statusLine, String firstFields, String framing, String bodyAsSent) {
+        return statusLine + "\r\n" + firstFields + "Attempt-Id: ID\r\nServer-Seal: s\r\n" + MARK + ": m\r\n" + framing
+                + "\r\n\r\n" + bodyAsSent;
     }
 
-    // Answers what the table has for the path; the stand-in itself answers the rest.
+    // Sends the response that the path names; the stand-in itself answers the rest.
     private static boolean answered(Talk talk, Talk.Message request) throws IOException {
         String path = request.first().split(" ")[1];
-        String response = RESPONSES.get(path.substring(path.lastIndexOf('/') + 1));
+        String name = path.substring(path.lastIndexOf('/') + 1);
+        String response = MALFORMED.getOrDefault(name, VALID.get(name));
         if (response == null) {
             return false;
         }
@@ -86,31 +127,32 @@
 
     @DataProvider
     public Object[] malformed() {
-        return new Object[] {"000", "0", "99", "099", "600", "999", "1000", "0200", "plus200"};
+        return MALFORMED.keySet().toArray();
     }
 
     @Test(dataProvider = "malformed")
-    public void nothingOfAMalformedResponseReachesTheClient(String path) throws Exception {
-        LocalMesh.Sent order = orderThatRuns(path);
+    public void nothingOfAMalformedResponseReachesTheClient(String name) throws Exception {
+        LocalMesh.Sent order = orderThatRuns(name);
         Talk.Message answer = order.get();
-        assertEquals(answer.status(), 502);
-        assertEquals(answer.text(), "");
-        assertFalse(answer.headers().containsKey(MARK));
-        assertEquals(mesh.app.runs(order.id()), 1);
-        assertEquals(orderThatRuns("x").get().text(), "from i-1");
+        assertEquals(answer.status(), 502, name);
+        assertEquals(answer.text(), "", name);
+        assertFalse(answer.headers().containsKey(MARK), name);
+        assertEquals(mesh.app.runs(order.id()), 1, name);
+        assertEquals(orderThatRuns("x").get().text(), "from i-1", name);
     }
 
     @DataProvider
-    public Object[][] valid() {
-        return new Object[][] {{"299", 299}, {"404", 404}, {"599", 599}, {"noReason", 200}};
+    public Object[] valid() {
+        return VALID.keySet().toArray();
     }
 
     @Test(dataProvider = "valid")
-    public void oddButValidResponseReachesTheClient(String path, int status) throws Exception {
-        LocalMesh.Sent order = orderThatRuns(path);
+    public void oddButValidResponseReachesTheClient(String name) throws Exception {
+        LocalMesh.Sent order = orderThatRuns(name);
         Talk.Message answer = order.get();
-        assertEquals(answer.status(), status);
-        assertEquals(answer.text(), BODY);
-        assertEquals(mesh.app.runs(order.id()), 1);
+        assertEquals(answer.status(), Integer.parseInt(name.substring(0, 3)), name);
+        assertEquals(answer.text(), BODY, name);
+        assertEquals(answer.headers().get(MARK), "m", name);
+        assertEquals(mesh.app.runs(order.id()), 1, name);
     }
 }
