Reject responses with a control byte anywhere in their heads

What callers saw: a response with a control byte in its reason phrase, or at the edge of a folded line, was passed on as the endpoint's, the latter without that byte.

Cause: Netty's decoder checks names and values, but not reason phrases, and trims folded lines of all control bytes before it checks them. (In names and values it rejects them by itself.)

Change: HeadBytes looks at the bytes of a head as they arrive; one malformed response ends the decoding of its connection. Folded lines stay valid, and reach the client on one line, as RFC 9112 lets a proxy do.

--- a/src/main/java/whinlead/http/StrictResponseDecoder.java
+++ b/src/main/java/whinlead/http/StrictResponseDecoder.java
@@ -1,14 +1,19 @@
 package whinlead.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Queue;
 
 /**
@@ -22,6 +27,19 @@
     private static final int MAX_STATUS = 599;
 
     private final Queue<HttpMethod> unansweredMethods = new ArrayDeque<>();
+    private State state = State.BEFORE_HEAD;
+
+    /** Which part of a response is expected next. */
+    private enum State {
+        /** The status line. */
+        BEFORE_HEAD,
+        /** The rest of the head. */
+        IN_HEAD,
+        /** The body and what follows it. */
+        BEHIND_HEAD,
+        /** Nothing, as a malformed response has arrived. */
+        INVALID
+    }
 
     StrictResponseDecoder(HttpDecoderConfig config) {
         super(config);
@@ -32,8 +50,50 @@
         unansweredMethods.add(method);
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        if (hasInvalidHeadByte(in)) {
+            state = State.INVALID;
+            out.add(invalidResponse("a control byte in the head of a response"));
+        }
+        if (state == State.INVALID) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        int decodedBefore = out.size();
+        super.decode(ctx, in, out);
+        for (int i = decodedBefore; i < out.size(); i++) {
+            updateState((HttpObject) out.get(i));
+        }
+    }
+
+    private boolean hasInvalidHeadByte(ByteBuf in) {
+        return switch (state) {
+            case BEFORE_HEAD -> HeadBytes.isInvalidFromStatusLine(in);
+            case IN_HEAD -> HeadBytes.isInvalidFromFieldLine(in);
+            case BEHIND_HEAD, INVALID -> false;
+        };
+    }
+
+    private HttpMessage invalidResponse(String reason) {
+        HttpMessage response = createInvalidMessage();
+        response.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(reason)));
+        return response;
+    }
+
+    private void updateState(HttpObject decoded) {
+        if (decoded.decoderResult().isFailure()) {
+            state = State.INVALID;
+        } else if (decoded instanceof LastHttpContent) {
+            state = State.BEFORE_HEAD;
+        } else if (decoded instanceof HttpMessage) {
+            state = State.BEHIND_HEAD;
+        }
+    }
+
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
+        state = State.IN_HEAD;
         requireVersion(statusLine[0]);
         requireStatus(statusLine[1]);
         return super.createMessage(statusLine);
--- a/src/test/java/whinlead/mesh/BrokenResponseTest.java
+++ b/src/test/java/whinlead/mesh/BrokenResponseTest.java
@@ -25,6 +25,9 @@
     /** A field that only the endpoint's own responses have. */
     private static final String MARK = "x-endpoint";
 
+    /** Ends the names of responses behind which the endpoint closes the connection. */
+    private static final String CLOSE = "-close";
+
     private static final String LENGTH = "Content-Length: 5";
     private static final String CHUNKED = "Transfer-Encoding: chunked";
     private static final String CHUNKS = "5\r\nhello\r\n0\r\n";
@@ -44,6 +47,23 @@
         MALFORMED.put("status-1000", withStatus("1000 Trouble"));
         MALFORMED.put("status-0200", withStatus("0200 OK"));
         MALFORMED.put("status-plus200", withStatus("+200 OK"));
+        MALFORMED.put("control-in-reason", withStatus("200 O\u0001K"));
+        MALFORMED.put("null-in-reason", withStatus("200 O\0K"));
+        MALFORMED.put("return-in-reason", withStatus("200 O\rK"));
+        MALFORMED.put("no-status", withStatus("OK"));
+        MALFORMED.put("version-2", withVersion("HTTP/2.0"));
+        MALFORMED.put("version-0", withVersion("HTTP/0.9"));
+        MALFORMED.put("version-in-lower-case", withVersion("http/1.1"));
+        MALFORMED.put("other-protocol", withVersion("ICY"));
+        MALFORMED.put("control-in-value", withField("X-Odd: v\u0001"));
+        MALFORMED.put("null-in-value", withField("X-Odd: v\0v"));
+        MALFORMED.put("return-in-value", withField("X-Odd: v\rv"));
+        MALFORMED.put("delete-in-value", withField("X-Odd: v\u007f"));
+        MALFORMED.put("control-before-value", withField("X-Odd: \u000bv"));
+        MALFORMED.put("control-behind-value", withField("X-Odd: v\u001c"));
+        MALFORMED.put("control-before-folded-value", withField("X-Odd: v\r\n \u0001v"));
+        MALFORMED.put("control-behind-folded-value", withField("X-Odd: v\r\n v\u001c"));
+        MALFORMED.put("line-feed-alone", withField("X-Odd: v\nX-Other: v"));
         MALFORMED.put("blank-in-name", withField("X-Odd Name: v"));
         MALFORMED.put("tab-in-name", withField("X-Odd\tName: v"));
         MALFORMED.put("blank-before-colon", withField("X-Odd : v"));
@@ -59,6 +79,21 @@
         MALFORMED.put("length-before-blank-and-word", withFraming("Content-Length x: 3", BODY));
         MALFORMED.put("length-before-blank", withFraming("Content-Length : 3", BODY));
         MALFORMED.put("coding-before-blank-and-word", withFraming("Transfer-Encoding x: chunked", CHUNKS + "\r\n"));
+        MALFORMED.put("lengths-differ", withFraming("Content-Length: 3\r\n" + LENGTH, BODY));
+        MALFORMED.put("coding-1.0", response("HTTP/1.0 200 OK", "", CHUNKED, CHUNKS + "\r\n"));
+        MALFORMED.put("lengths-differ-in-list", withFraming("Content-Length: 5, 3", BODY));
+        MALFORMED.put("length-signed", withFraming("Content-Length: +5", BODY));
+        MALFORMED.put("length-negative", withFraming("Content-Length: -5", BODY));
+        MALFORMED.put("length-no-number", withFraming("Content-Length: five", BODY));
+        MALFORMED.put("length-empty", withFraming("Content-Length:", BODY));
+        MALFORMED.put("length-beside-coding", withFraming(LENGTH + "\r\n" + CHUNKED, CHUNKS + "\r\n"));
+        MALFORMED.put("coding-unknown", withFraming("Transfer-Encoding: gzip", BODY));
+        MALFORMED.put("coding-before-chunked", withFraming("Transfer-Encoding: gzip, chunked", CHUNKS + "\r\n"));
+        MALFORMED.put("coding-twice", withFraming(CHUNKED + "\r\n" + CHUNKED, CHUNKS + "\r\n"));
+        MALFORMED.put("chunk-size-no-number", withFraming(CHUNKED, "five\r\nhello\r\n0\r\n\r\n"));
+        MALFORMED.put("chunk-size-with-blank", withFraming(CHUNKED, "5 0\r\nhello\r\n0\r\n\r\n"));
+        MALFORMED.put("chunk-longer-than-its-size", withFraming(CHUNKED, "3\r\nhello\r\n0\r\n\r\n"));
+        MALFORMED.put("control-in-trailer-name", withFraming(CHUNKED, CHUNKS + "X-Odd\u0001: v\r\n\r\n"));
         MALFORMED.put("blank-in-trailer-name", withFraming(CHUNKED, CHUNKS + "X-Odd Name: v\r\n\r\n"));
         VALID.put("299", withStatus("299 Odd"));
         VALID.put("404", withStatus("404"));
@@ -68,6 +103,10 @@
         VALID.put("200-blanks-round-value", withField("X-Odd: \t v\tv \t"));
         VALID.put("200-value-beyond-ascii", withField("X-Odd: \u00e9"));
         VALID.put("200-empty-value", withField("X-Odd:"));
+        VALID.put("200-version-1.0", withVersion("HTTP/1.0"));
+        VALID.put("200-no-length" + CLOSE, withFraming("X-Odd: v", BODY));
+        VALID.put("200-chunked-in-capitals", withFraming("Transfer-Encoding: CHUNKED", CHUNKS + "\r\n"));
+        VALID.put("200-folded", withField("X-Odd: v\r\n  w"));
         VALID.put("200-trailer", withFraming(CHUNKED, CHUNKS + "X-Odd: v\r\n\r\n"));
     }
 
@@ -77,6 +116,10 @@
         return response("HTTP/1.1 " + statusAndReason, "", LENGTH, BODY);
     }
 
+    private static String withVersion(String version) {
+        return response(version + " 200 OK", "", LENGTH, BODY);
+    }
+
     private static String withField(String field) {
         return response("HTTP/1.1 200 OK", field + "\r\n", LENGTH, BODY);
     }
@@ -100,6 +143,9 @@
         }
         String attemptId = request.headers().get("attempt-id");
         talk.raw(response.replace("ID", attemptId).getBytes(StandardCharsets.ISO_8859_1));
+        if (name.endsWith(CLOSE)) {
+            throw new IOException("closed behind the response");
+        }
         return true;
     }
 
@@ -155,4 +201,9 @@
         assertEquals(answer.headers().get(MARK), "m", name);
         assertEquals(mesh.app.runs(order.id()), 1, name);
     }
+
+    @Test
+    public void foldedValueReachesTheClientOnOneLine() throws Exception {
+        assertEquals(orderThatRuns("200-folded").get().headers().get("x-odd"), "v w");
+    }
 }
