Reject HTTP/1.0 responses with several lengths

What callers saw: of a response of HTTP/1.0 with "Content-Length: 3" before "Content-Length: 5" the client got the first three bytes as the whole body, under the endpoint's seal.

Cause: Netty's decoder takes the first of several lengths in HTTP/1.0, and rejects them only from HTTP/1.1 on.

Change: StrictResponseDecoder counts the lengths of a head and rejects a second one, whatever the version.

--- a/src/main/java/whinlead/http/StrictResponseDecoder.java
+++ b/src/main/java/whinlead/http/StrictResponseDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -28,6 +29,7 @@
 
     private final Queue<HttpMethod> unansweredMethods = new ArrayDeque<>();
     private State state = State.BEFORE_HEAD;
+    private int lengthFields;
 
     /** Which part of a response is expected next. */
     private enum State {
@@ -94,6 +96,7 @@
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         state = State.IN_HEAD;
+        lengthFields = 0;
         requireVersion(statusLine[0]);
         requireStatus(statusLine[1]);
         return super.createMessage(statusLine);
@@ -127,7 +130,19 @@
         if (end >= line.length || line[end] != ':') {
             throw new IllegalArgumentException("a field name is not followed by a colon");
         }
-        return super.splitHeaderName(line, start, length);
+        AsciiString name = super.splitHeaderName(line, start, length);
+        if (state == State.IN_HEAD && HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name)) {
+            lengthFields++;
+            requireOneLength();
+        }
+        return name;
+    }
+
+    // Netty takes the first of several in HTTP/1.0.
+    private void requireOneLength() {
+        if (lengthFields > 1) {
+            throw new IllegalArgumentException("several lengths");
+        }
     }
 
     @Override
--- a/src/test/java/whinlead/mesh/BrokenResponseTest.java
+++ b/src/test/java/whinlead/mesh/BrokenResponseTest.java
@@ -80,6 +80,7 @@
         MALFORMED.put("length-before-blank", withFraming("Content-Length : 3", BODY));
         MALFORMED.put("coding-before-blank-and-word", withFraming("Transfer-Encoding x: chunked", CHUNKS + "\r\n"));
         MALFORMED.put("lengths-differ", withFraming("Content-Length: 3\r\n" + LENGTH, BODY));
+        MALFORMED.put("lengths-differ-1.0", response("HTTP/1.0 200 OK", "Content-Length: 3\r\n", LENGTH, BODY));
         MALFORMED.put("coding-1.0", response("HTTP/1.0 200 OK", "", CHUNKED, CHUNKS + "\r\n"));
         MALFORMED.put("lengths-differ-in-list", withFraming("Content-Length: 5, 3", BODY));
         MALFORMED.put("length-signed", withFraming("Content-Length: +5", BODY));
