Reject a 101 at once: no request of this program asks for an upgrade

What callers saw: nothing wrong, but nothing for long either: the connection counted as switched to another protocol, and the order waited until the endpoint closed it, or for its deadline.

Cause: Netty's decoder leaves HTTP behind a 101. Since StrictResponseDecoder reads each decoded message, the raw bytes behind it ended in a ClassCastException, which closed the connection as well; that was by accident.

Change: a 101 is malformed. Other interim responses are awaited as before.

--- a/src/main/java/whinlead/http/StrictResponseDecoder.java
+++ b/src/main/java/whinlead/http/StrictResponseDecoder.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
@@ -112,10 +113,14 @@
     }
 
     // Netty accepts any number from 0, also with a sign or with leading zeros.
-    private static void requireStatus(String status) {
-        boolean valid = status.length() == STATUS_DIGITS && status.chars().allMatch(c -> isDigit((char) c));
-        if (!valid || Integer.parseInt(status) < MIN_STATUS || Integer.parseInt(status) > MAX_STATUS) {
-            throw new IllegalArgumentException("not a status of three digits from 100 to 599: " + status);
+    private static void requireStatus(String text) {
+        boolean valid = text.length() == STATUS_DIGITS && text.chars().allMatch(c -> isDigit((char) c));
+        int status = valid ? Integer.parseInt(text) : 0;
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            throw new IllegalArgumentException("not a status of three digits from 100 to 599: " + text);
+        }
+        if (status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            throw new IllegalArgumentException("a switch of protocols that no request asked for");
         }
     }
 
--- a/src/test/java/whinlead/mesh/BrokenResponseTest.java
+++ b/src/test/java/whinlead/mesh/BrokenResponseTest.java
@@ -50,6 +50,8 @@
         MALFORMED.put("control-in-reason", withStatus("200 O\u0001K"));
         MALFORMED.put("null-in-reason", withStatus("200 O\0K"));
         MALFORMED.put("return-in-reason", withStatus("200 O\rK"));
+        MALFORMED.put("upgrade", upgradedTo("other"));
+        MALFORMED.put("upgrade-to-websocket", upgradedTo("websocket"));
         MALFORMED.put("no-status", withStatus("OK"));
         MALFORMED.put("version-2", withVersion("HTTP/2.0"));
         MALFORMED.put("version-0", withVersion("HTTP/0.9"));
@@ -97,6 +99,8 @@
         MALFORMED.put("control-in-trailer-name", withFraming(CHUNKED, CHUNKS + "X-Odd\u0001: v\r\n\r\n"));
         MALFORMED.put("blank-in-trailer-name", withFraming(CHUNKED, CHUNKS + "X-Odd Name: v\r\n\r\n"));
         VALID.put("299", withStatus("299 Odd"));
+        VALID.put("200-after-100", "HTTP/1.1 100 Continue\r\n\r\n" + withStatus("200 OK"));
+        VALID.put("200-after-103", "HTTP/1.1 103 Early Hints\r\nX-Odd: v\r\n\r\n" + withStatus("200 OK"));
         VALID.put("404", withStatus("404"));
         VALID.put("599", withStatus("599 Odd"));
         VALID.put("200-empty-reason", withStatus("200 "));
@@ -117,6 +121,12 @@
         return response("HTTP/1.1 " + statusAndReason, "", LENGTH, BODY);
     }
 
+    // With a valid response in the new protocol behind it.
+    private static String upgradedTo(String protocol) {
+        return "HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: ID\r\nConnection: upgrade\r\nUpgrade: " + protocol
+                + "\r\n\r\n" + withStatus("200 OK");
+    }
+
     private static String withVersion(String version) {
         return response(version + " 200 OK", "", LENGTH, BODY);
     }
