--- a/src/main/java/whinlead/http/StrictClientCodec.java
+++ b/src/main/java/whinlead/http/StrictClientCodec.java
@@ -13,6 +13,8 @@
  * response that is found invalid has a failed decoder result, and nothing follows it.
  */
 public final class StrictClientCodec extends CombinedChannelDuplexHandler<StrictResponseDecoder, HttpRequestEncoder> {
+    private final StrictResponseDecoder decoder;
+
     /** Creates a codec with the usual limits of Netty. */
     public StrictClientCodec() {
         this(new HttpDecoderConfig());
@@ -20,10 +22,15 @@
 
     /** Creates a codec with these limits for responses. */
     public StrictClientCodec(HttpDecoderConfig config) {
-        StrictResponseDecoder decoder = new StrictResponseDecoder(config);
+        decoder = new StrictResponseDecoder(config);
         init(decoder, new RequestEncoder(decoder));
     }
 
+    /** Whether a response has begun to arrive that is not complete, or that is malformed. */
+    public boolean hasUnfinishedInput() {
+        return decoder.hasUnfinishedInput();
+    }
+
     /** Tells the decoder of each request. */
     private static final class RequestEncoder extends HttpRequestEncoder {
         private final StrictResponseDecoder decoder;
--- a/src/main/java/whinlead/http/StrictResponseDecoder.java
+++ b/src/main/java/whinlead/http/StrictResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -53,6 +54,11 @@
         unansweredMethods.add(method);
     }
 
+    /** Whether a response has begun to arrive that is not complete, or that is malformed. */
+    boolean hasUnfinishedInput() {
+        return state != State.BEFORE_HEAD || actualReadableBytes() > 0;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         if (hasInvalidHeadByte(in)) {
@@ -70,6 +76,16 @@
         }
     }
 
+    // Netty would report a second failure, for a head without an end.
+    @Override
+    protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        if (state == State.INVALID) {
+            in.skipBytes(in.readableBytes());
+        } else {
+            super.decodeLast(ctx, in, out);
+        }
+    }
+
     private boolean hasInvalidHeadByte(ByteBuf in) {
         return switch (state) {
             case BEFORE_HEAD -> HeadBytes.isInvalidFromStatusLine(in);
@@ -156,9 +172,20 @@
         if (statusClass == HttpStatusClass.INFORMATIONAL) {
             return super.isContentAlwaysEmpty(message);
         }
+        requireKnownCoding(message);
         HttpMethod method = unansweredMethods.poll();
         boolean bodiless = HttpMethod.HEAD.equals(method)
                 || HttpMethod.CONNECT.equals(method) && statusClass == HttpStatusClass.SUCCESS;
         return bodiless || super.isContentAlwaysEmpty(message);
     }
+
+    // A response is framed by a length, by chunks, or by the end of its connection; no request asks for other codings.
+    private static void requireKnownCoding(HttpMessage message) {
+        List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean known = codings.isEmpty()
+                || codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+        if (!known) {
+            throw new IllegalArgumentException("transfer codings other than chunked: " + codings);
+        }
+    }
 }
--- a/src/main/java/whinlead/mesh/sidecar/EndpointConnection.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointConnection.java
@@ -241,10 +241,6 @@
                 && attemptId != null
                 && attemptId.equals(response.headers().get(ForwardedHeaders.ATTEMPT_ID));
         responseBody = Unpooled.buffer(256);
-        if (!ResponseValidator.isFramed(response)) {
-            // The end of the body is ambiguous, or an intermediary has encoded the body.
-            fail(PeerMessage.FailureReason.BROKEN);
-        }
     }
 
     private void appendBody(HttpContent content) {
--- a/src/main/java/whinlead/mesh/sidecar/ResponseValidator.java
+++ b/src/main/java/whinlead/mesh/sidecar/ResponseValidator.java
@@ -1,11 +1,8 @@
 package whinlead.mesh.sidecar;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import java.util.List;
 import whinlead.mesh.wire.PeerMessage;
 
 /**
@@ -22,19 +19,6 @@
 
     private ResponseValidator() {}
 
-    /**
-     * Whether the end of the body can be determined and no intermediary has changed the body: it is framed by a length,
-     * by chunks without another transfer coding, or by the end of the connection.
-     */
-    static boolean isFramed(HttpResponse response) {
-        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        return codings.isEmpty()
-                || codings.size() == 1
-                        && !HttpUtil.isContentLengthSet(response)
-                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
-                                codings.get(0).trim());
-    }
-
     /** Why a complete response must not be passed to the client, or null if it may be. */
     static PeerMessage.FailureReason rejectionReason(HttpResponse response) {
         int status = response.status().code();
--- a/src/main/java/whinlead/transport/EndpointPool.java
+++ b/src/main/java/whinlead/transport/EndpointPool.java
@@ -14,18 +14,13 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -42,6 +37,7 @@
 import whinlead.http.EndpointResponse;
 import whinlead.http.HttpCall;
 import whinlead.http.LoadReport;
+import whinlead.http.StrictClientCodec;
 import whinlead.membership.EndpointList;
 
 /**
@@ -312,42 +308,11 @@
         }
     }
 
-    /** Rejects responses that Netty accepts but that other HTTP implementations read differently or reject. */
-    private static final class Decoder extends HttpResponseDecoder {
-        private boolean started;
-
-        // Netty would ignore the length and use the chunks.
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("response has both Content-Length and Transfer-Encoding");
-        }
-
-        // Netty would read a line without a colon as a name, and so noise in the head as a response.
-        @Override
-        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-            if (start + length >= line.length || line[start + length] != ':') {
-                throw new IllegalArgumentException("response header without a colon");
-            }
-            return super.splitHeaderName(line, start, length);
-        }
-
-        @Override
-        protected HttpMessage createMessage(String[] initialLine) {
-            started = true;
-            return super.createMessage(initialLine);
-        }
-
-        // True if the first line of a response, or a part of it, has arrived.
-        private boolean hasUnfinishedInput() {
-            return started || actualReadableBytes() > 0;
-        }
-    }
-
     /** One connection and the attempt on it, if any. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Endpoint endpoint;
         private final SocketAddress address;
-        private final Decoder decoder = new Decoder();
+        private final StrictClientCodec codec = new StrictClientCodec();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Channel channel;
         private Attempt attempt;
@@ -368,7 +333,7 @@
         }
 
         private void addTo(ChannelPipeline pipeline) {
-            pipeline.addLast(new UnsolicitedInputGuard(), decoder, new HttpRequestEncoder(), this);
+            pipeline.addLast(new UnsolicitedInputGuard(), codec, this);
         }
 
         /**
@@ -458,7 +423,6 @@
                 if (part instanceof LastHttpContent) {
                     complete = !isInterim(head);
                     head = complete ? head : null;
-                    decoder.started = false;
                 }
             }
         }
@@ -475,12 +439,9 @@
                 interimResponses++;
                 return interimResponses <= MAX_INTERIM_RESPONSES;
             }
-            String encoding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
-            if (encoding != null) {
-                return HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding);
-            }
-            return HttpUtil.isContentLengthSet(response)
-                    && HttpUtil.getContentLength(response) <= HttpCall.MAX_BODY_BYTES;
+            return HttpUtil.isTransferEncodingChunked(response)
+                    || HttpUtil.isContentLengthSet(response)
+                            && HttpUtil.getContentLength(response) <= HttpCall.MAX_BODY_BYTES;
         }
 
         @Override
@@ -490,7 +451,7 @@
             }
             if (complete) {
                 completeAttempt();
-            } else if (stallTimer == null && decoder.hasUnfinishedInput()) {
+            } else if (stallTimer == null && codec.hasUnfinishedInput()) {
                 // Guards against a response that begins and never ends on a connection that stays open.
                 watchForStall(attempt, STALL_TIMEOUT_MS);
             }
@@ -523,7 +484,7 @@
                 stallTimer.cancel(false);
                 stallTimer = null;
             }
-            if (written && HttpUtil.isKeepAlive(response) && !extraInput && !decoder.hasUnfinishedInput()) {
+            if (written && HttpUtil.isKeepAlive(response) && !extraInput && !codec.hasUnfinishedInput()) {
                 // Guards against extra bytes that arrive a little later and would be read as the answer to the next
                 // request. The loop reads what has arrived before it runs the timer, so this also holds when the
                 // loop is late.
