Await the response behind an interim one in calls about keys

What operators saw: keys were not granted or released where an endpoint sent 100 or 103 before its 200; the call counted as failed, and its connection was used again with the real response still on its way.

Cause: EndpointGrants took each response for the final one, interim ones too.

Change: interim responses are passed over; the time limit of the call still holds.

--- a/src/main/java/whinlead/mesh/sidecar/EndpointGrants.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointGrants.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.SocketAddress;
@@ -276,7 +277,9 @@
                 channel.close();
                 return;
             }
-            finishCall(response);
+            if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+                finishCall(response);
+            }
         }
 
         // Without a response the connection is closed: a call that is still buffered in it must not arrive later.
