Believe no malformed response in calls about keys

What callers could see: a malformed 200 of an endpoint counted as its consent. Keys were leased on for it, or passed to the next owner as released, without the hand-over if the head was cut off before that field: two endpoints may then serve one key, or the next owner lacks what the last one knew.

Cause: the aggregator of these calls passes on a response that its decoder has rejected, with the status that had been read before; EndpointGrants looked at the status only.

--- a/src/main/java/whinlead/mesh/sidecar/EndpointGrants.java
+++ b/src/main/java/whinlead/mesh/sidecar/EndpointGrants.java
@@ -277,7 +277,9 @@
                 channel.close();
                 return;
             }
-            if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+            if (response.decoderResult().isFailure()) {
+                finishCall(null);
+            } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
                 finishCall(response);
             }
         }
--- a/src/test/java/whinlead/mesh/sidecar/EndpointGrantsTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/EndpointGrantsTest.java
@@ -23,7 +23,10 @@
 import whinlead.mesh.keys.ReleaseCall;
 import whinlead.testbed.mesh.Talk;
 
-/** Calls about keys to an endpoint whose responses are odd but valid. */
+/**
+ * Calls about keys to an endpoint whose responses are malformed, or odd but valid. A malformed one neither grants nor
+ * releases keys.
+ */
 public class EndpointGrantsTest {
     private static final int WAIT_MS = 10_000;
     private static final double HOLD_MS = 1000;
@@ -101,6 +104,21 @@
         }
     }
 
+    @DataProvider
+    public Object[] malformed() {
+        return RESPONSES.malformed().keySet().toArray();
+    }
+
+    @Test(dataProvider = "malformed")
+    public void malformedResponseGrantsNoKeys(String name) throws Exception {
+        assertEquals(resultOf(grant(), name, RESPONSES.malformed().get(name)), "failed", name);
+    }
+
+    @Test(dataProvider = "malformed")
+    public void malformedResponseReleasesNoKeys(String name) throws Exception {
+        assertEquals(resultOf(release(), name, RESPONSES.malformed().get(name)), "failed", name);
+    }
+
     @DataProvider
     public Object[] valid() {
         return RESPONSES.valid().keySet().toArray();
