Await the list behind an interim response of the discovery service

What operators saw: a service that sends 100 or 103 before its list counted as unreachable, again and again.

Cause: the watch closed its connection for any status but 200, interim ones too.

--- a/src/main/java/whinlead/membership/Discovery.java
+++ b/src/main/java/whinlead/membership/Discovery.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
@@ -148,6 +149,8 @@
     /** The HTTP call: sends the request once connected, and passes on the bytes of the response body. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private Channel channel;
+        /** The status of the response that arrives. */
+        private HttpResponseStatus status;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -160,8 +163,18 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-            if (message.decoderResult().isFailure()
-                    || message instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK)) {
+            if (message.decoderResult().isFailure()) {
+                ctx.close();
+                return;
+            }
+            if (message instanceof HttpResponse response) {
+                status = response.status();
+            }
+            if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
+                // The final response follows.
+                return;
+            }
+            if (!status.equals(HttpResponseStatus.OK)) {
                 ctx.close();
                 return;
             }
