Check the responses that other sidecars pass on before clients get them

What callers could see: while versions are mixed, a sidecar of an earlier version still passes on the status 000 of its endpoint, and the client's own sidecar sent it out.

Cause: status and headers of PeerMessage.ForwardResponse went into the client's response unchecked; names and values that are not valid ended in 502 only when the response was built, without a retry of what may be repeated.

Change: PeerResponseValidator takes a status beyond 200 to 599, a name or a value that is not valid, or framing headers as a broken response: the request may have run. Nothing changes on the wire.

--- a/src/main/java/whinlead/mesh/sidecar/RequestForwarder.java
+++ b/src/main/java/whinlead/mesh/sidecar/RequestForwarder.java
@@ -223,7 +223,7 @@
                     : message instanceof PeerMessage.ForwardFailure failure ? failure.stream() : -1;
             PendingForward pendingForward = pending.remove(stream);
             if (pendingForward != null) {
-                pendingForward.end(message);
+                pendingForward.end(PeerResponseValidator.validated(message));
             }
         }
     }
--- a/src/test/java/whinlead/mesh/sidecar/RequestForwarderTest.java
+++ b/src/test/java/whinlead/mesh/sidecar/RequestForwarderTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import whinlead.engine.Transport;
 import whinlead.mesh.wire.PeerMessage;
@@ -207,4 +208,44 @@
         assertEquals(results, List.of("a BROKEN", "b UNREACHED"));
         assertEquals(paths.get(0).sent.size(), 1);
     }
+
+    @DataProvider
+    public Object[][] invalidResponses() {
+        return new Object[][] {
+            {0, List.of()},
+            {99, List.of()},
+            {101, List.of()},
+            {600, List.of()},
+            {-1, List.of()},
+            {200, List.of("X-Odd Name", "v")},
+            {200, List.of("X-Odd\u0001", "v")},
+            {200, List.of("X-Odd\u00e9", "v")},
+            {200, List.of("", "v")},
+            {200, List.of("X-Odd", "v\r\nX-Other: v")},
+            {200, List.of("X-Odd", "\0")},
+            {200, List.of("X-Odd")},
+            {200, List.of("Transfer-Encoding", "chunked")},
+            {200, List.of("content-length", "3")}
+        };
+    }
+
+    @Test(dataProvider = "invalidResponses")
+    public void invalidResponseOfAnotherSidecarMayHaveRun(int status, List<String> headers) {
+        RecordingPath path = openPath();
+        send("a", false);
+        path.listener.messageReceived(
+                new PeerMessage.ForwardResponse(path.sent.get(0).stream(), status, headers, new byte[0], 0, 0));
+        assertEquals(results, List.of("a BROKEN"));
+    }
+
+    @Test
+    public void oddButValidResponseOfAnotherSidecarIsPassedOn() {
+        RecordingPath path = openPath();
+        for (int status : new int[] {200, 299, 404, 599}) {
+            send("a", false);
+            path.listener.messageReceived(new PeerMessage.ForwardResponse(
+                    path.sent.remove(0).stream(), status, List.of("x-oDD!", "\u00e9\tv", "E", ""), new byte[0], 0, 0));
+        }
+        assertEquals(results, List.of("a 200", "a 299", "a 404", "a 599"));
+    }
 }
