--- a/src/main/java/whinlead/transport/EndpointPool.java
+++ b/src/main/java/whinlead/transport/EndpointPool.java
@@ -12,17 +12,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
@@ -36,7 +27,6 @@
 import whinlead.engine.Transport;
 import whinlead.http.EndpointResponse;
 import whinlead.http.HttpCall;
-import whinlead.http.LoadReport;
 import whinlead.http.StrictClientCodec;
 import whinlead.membership.EndpointList;
 
@@ -45,7 +35,6 @@
  * once and never retries. All code here runs on one event loop.
  */
 public final class EndpointPool {
-    private static final String NOT_STARTED = "Not-Started";
     /** Share of the endpoint's own idle limit, so that no request is sent while the endpoint closes the connection. */
     private static final double IDLE_LIMIT_SHARE = 0.75;
 
@@ -59,8 +48,6 @@
     private static final double IDLE_LIMIT_CUT = 0.5;
 
     private static final double IDLE_LIMIT_REGAIN = 1.2;
-    /** Most interim responses (1xx) before the final one, since an endpoint could send them without end. */
-    private static final int MAX_INTERIM_RESPONSES = 8;
     /** A response that has begun fails when no further bytes arrive for this time. */
     private static final double STALL_TIMEOUT_MS = 500;
     /** How long a connection is not reused after a response, so that extra bytes behind it are detected. */
@@ -313,14 +300,10 @@
         private final Endpoint endpoint;
         private final SocketAddress address;
         private final StrictClientCodec codec = new StrictClientCodec();
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final ResponseReader reader = new ResponseReader();
         private Channel channel;
         private Attempt attempt;
         private boolean written;
-        private HttpResponse head;
-        private int interimResponses;
-        private boolean complete;
-        private boolean extraInput;
         private double lastReadMs;
         private Future<?> stallTimer;
         private double idleSinceMs;
@@ -356,13 +339,9 @@
             attempt = newAttempt;
             newAttempt.connection = this;
             written = false;
-            head = null;
-            interimResponses = 0;
-            complete = false;
-            extraInput = false;
+            reader.reset();
             lastReadMs = 0;
             idleForMs = idleSinceMs > 0 ? clock.nowMs() - idleSinceMs : 0;
-            body.reset();
             channel.writeAndFlush(newAttempt.request).addListener(future -> {
                 if (future.isSuccess()) {
                     written = true;
@@ -403,53 +382,17 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
-            // Extra input may follow a complete response in the same read; handled when the read completes.
-            if (attempt == null || complete) {
-                extraInput = true;
-                return;
-            }
-            if (message.decoderResult().isFailure()
-                    || message instanceof HttpResponse response && !acceptHead(response)) {
+            if (attempt != null && !reader.read(message)) {
                 closeAndFail();
-                return;
-            }
-            if (message instanceof HttpContent part) {
-                ByteBuf bytes = part.content();
-                if (body.size() + bytes.readableBytes() > HttpCall.MAX_BODY_BYTES) {
-                    closeAndFail();
-                    return;
-                }
-                bytes.readBytes(body, bytes.readableBytes());
-                if (part instanceof LastHttpContent) {
-                    complete = !isInterim(head);
-                    head = complete ? head : null;
-                }
             }
         }
 
-        private static boolean isInterim(HttpResponse response) {
-            return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        }
-
-        // Stores the head and returns whether the response is acceptable. Rejects responses without a length, since a
-        // truncated one would look complete, responses that are too large to pass on, and endless interim responses.
-        private boolean acceptHead(HttpResponse response) {
-            head = response;
-            if (isInterim(response)) {
-                interimResponses++;
-                return interimResponses <= MAX_INTERIM_RESPONSES;
-            }
-            return HttpUtil.isTransferEncodingChunked(response)
-                    || HttpUtil.isContentLengthSet(response)
-                            && HttpUtil.getContentLength(response) <= HttpCall.MAX_BODY_BYTES;
-        }
-
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (attempt == null || attempt.ended) {
                 return;
             }
-            if (complete) {
+            if (reader.isComplete()) {
                 completeAttempt();
             } else if (stallTimer == null && codec.hasUnfinishedInput()) {
                 // Guards against a response that begins and never ends on a connection that stays open.
@@ -477,14 +420,12 @@
 
         private void completeAttempt() {
             Attempt finished = attempt;
-            HttpResponse response = head;
             attempt = null;
-            head = null;
             if (stallTimer != null) {
                 stallTimer.cancel(false);
                 stallTimer = null;
             }
-            if (written && HttpUtil.isKeepAlive(response) && !extraInput && !codec.hasUnfinishedInput()) {
+            if (written && reader.leavesConnectionUsable() && !codec.hasUnfinishedInput()) {
                 // Guards against extra bytes that arrive a little later and would be read as the answer to the next
                 // request. The loop reads what has arrived before it runs the timer, so this also holds when the
                 // loop is late.
@@ -492,23 +433,7 @@
             } else {
                 channel.close();
             }
-            Contract.Outcome outcome = outcome(response);
-            HttpHeaders headers = response.headers();
-            EndpointResponse answer = outcome == Contract.Outcome.SERVED
-                    ? new EndpointResponse(body.toByteArray(), headers.get(HttpHeaderNames.CONTENT_TYPE))
-                    : null;
-            finished.end(outcome, answer, LoadReport.parse(headers.getAll(LoadReport.HEADER)));
-        }
-
-        private static Contract.Outcome outcome(HttpResponse response) {
-            HttpResponseStatus status = response.status();
-            if (status.equals(HttpResponseStatus.OK)) {
-                return Contract.Outcome.SERVED;
-            }
-            boolean notStarted = (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                            || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
-                    && "1".equals(response.headers().get(NOT_STARTED));
-            return notStarted ? Contract.Outcome.FULL : Contract.Outcome.ERROR;
+            finished.end(reader.outcome(), reader.response(), reader.loadReport());
         }
 
         @Override
