--- a/src/test/java/whinlead/http/SampleResponses.java
+++ b/src/test/java/whinlead/http/SampleResponses.java
@@ -131,6 +131,8 @@
         valid.put("404", withStatus("404"));
         valid.put("599", withStatus("599 Odd"));
         valid.put("200-empty-reason", withStatus("200 "));
+        valid.put("200-blanks-in-status-line", response("HTTP/1.1  200 \t OK", "", length, body));
+        valid.put("200-after-an-empty-line", "\r\n" + withStatus("200 OK"));
         valid.put("200-odd-name", withField("x-oDD!#$%&'*+-.^_`|~0:v"));
         valid.put("200-blanks-round-value", withField("X-Odd: \t v\tv \t"));
         valid.put("200-value-beyond-ascii", withField("X-Odd: \u00e9"));
