--- a/src/test/java/whinlead/http/StrictClientCodecTest.java
+++ b/src/test/java/whinlead/http/StrictClientCodecTest.java
@@ -30,6 +30,7 @@
         private final StringBuilder body = new StringBuilder();
         private int completeCount;
         private int failedCount;
+        private boolean failedWhileOpen;
         private boolean decodedBehindFailure;
 
         private void add(HttpObject message) {
@@ -65,12 +66,18 @@
         for (int start = 0; start < bytes.length; start += partBytes) {
             channel.writeInbound(Unpooled.copiedBuffer(bytes, start, Math.min(partBytes, bytes.length - start)));
         }
-        channel.finish();
         Decoded decoded = new Decoded();
+        addDecoded(channel, decoded);
+        decoded.failedWhileOpen = decoded.failedCount > 0;
+        channel.finish();
+        addDecoded(channel, decoded);
+        return decoded;
+    }
+
+    private static void addDecoded(EmbeddedChannel channel, Decoded decoded) {
         for (HttpObject message = channel.readInbound(); message != null; message = channel.readInbound()) {
             decoded.add(message);
         }
-        return decoded;
     }
 
     @DataProvider
@@ -83,6 +90,7 @@
         String response = RESPONSES.malformed().get(name);
         for (int partBytes = 1; partBytes <= response.length(); partBytes++) {
             Decoded decoded = decode(channelAfter(HttpMethod.GET), response + VALID, partBytes);
+            assertTrue(decoded.failedWhileOpen, name + " in parts of " + partBytes);
             assertEquals(decoded.failedCount, 1, name + " in parts of " + partBytes);
             assertEquals(decoded.completeCount, 0, name + " in parts of " + partBytes);
             assertFalse(decoded.decodedBehindFailure, name + " in parts of " + partBytes);
